--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+LINT := bin/golangci-lint
+
+.PHONY: all build tools fmt check test demo bench fuzz cover
+
+all: check test
+
+build:
+	go build -o bin/fawnwinch .
+
+tools: $(LINT)
+
+$(LINT): tools/go.mod tools/go.sum
+	cd tools && go build -o ../$(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+check: $(LINT)
+	go vet ./...
+	$(LINT) fmt --diff ./...
+	$(LINT) run ./...
+
+test:
+	go test -race ./...
+
+demo:
+	go run . demo
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1x ./...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./models/intent
+	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime 30s ./services/once
--- /dev/null
+++ b/cmd/confirm.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/routers"
+	"fawnwinch.org/fawnwinch/services/configlog"
+	"fawnwinch.org/fawnwinch/services/directory"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+)
+
+// confirmWait bounds the wait for a revision to be in force everywhere.
+const confirmWait = 10 * time.Second
+
+// confirmPoll is the time between two questions.
+const confirmPoll = 200 * time.Millisecond
+
+func newConfirmCommand() *cobra.Command {
+	var o operatorFlags
+	var file, planFile, id string
+	c := &cobra.Command{
+		Use:   "confirm (-f intent.yaml | --plan plan.json | --id ID)",
+		Short: "Put a planned intent in force, and wait until it is so everywhere",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			if file == "" && planFile == "" && id != "" {
+				return askAgain(c, &o, intent.ConfirmID(id))
+			}
+			p, err := loadPlan(c, &o, file, planFile)
+			if err != nil {
+				return err
+			}
+			if id == "" {
+				id = uuid.NewString()
+			}
+			return confirmPlan(c, &o, intent.ConfirmID(id), p)
+		},
+	}
+	o.add(c)
+	c.Flags().StringVarP(&file, "file", "f", "", "intent file to plan and confirm at once, or - for standard input")
+	c.Flags().StringVar(&planFile, "plan", "", "plan kept by plan --out")
+	c.Flags().StringVar(&id, "id", "", "id of the confirmation; alone: ask what became of it")
+	return c
+}
+
+func loadPlan(c *cobra.Command, o *operatorFlags, file, planFile string) (intent.Plan, error) {
+	if planFile == "" {
+		raw, err := readInput(c, file)
+		if err != nil {
+			return intent.Plan{}, err
+		}
+		return makePlan(c, o, raw)
+	}
+	var p intent.Plan
+	raw, err := os.ReadFile(planFile) //nolint:gosec // the operator names the file
+	if err != nil {
+		return p, wrap(err, "read plan")
+	}
+	return p, wrap(json.Unmarshal(raw, &p), "read plan "+planFile)
+}
+
+func writeJSONFile(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return wrap(err, "write plan")
+	}
+	return wrap(os.WriteFile(path, append(raw, '\n'), 0o600), "write plan")
+}
+
+func confirmPlan(c *cobra.Command, o *operatorFlags, id intent.ConfirmID, p intent.Plan) error {
+	if len(p.Changes) == 0 {
+		_, err := fmt.Fprintf(c.OutOrStdout(), "no changes against revision %d\n", p.Base)
+		return wrap(err, "print")
+	}
+	body, err := json.Marshal(routers.Confirmation{ID: id, Plan: p})
+	if err != nil {
+		return wrap(err, "write confirmation")
+	}
+	a, err := o.ask(c.Context(), http.MethodPost, "/api/v1/plans/confirm", body)
+	if err != nil {
+		return fmt.Errorf("outcome unknown, ask again with confirm --id %s: %w", id, err)
+	}
+	return judgeConfirm(c, o, a)
+}
+
+func askAgain(c *cobra.Command, o *operatorFlags, id intent.ConfirmID) error {
+	a, err := o.ask(c.Context(), http.MethodGet, "/api/v1/confirmations/"+string(id), nil)
+	if err != nil {
+		return err
+	}
+	return judgeConfirm(c, o, a)
+}
+
+func judgeConfirm(c *cobra.Command, o *operatorFlags, a answer) error {
+	var ca routers.ConfirmationAnswer
+	if err := json.Unmarshal(a.body, &ca); err != nil || ca.ID == "" {
+		return a.err()
+	}
+	switch ca.Outcome.Verdict {
+	case configlog.VerdictRejected:
+		for _, ch := range ca.Changes {
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "would change now: %s %s\n", ch.Action, ch.Field)
+		}
+		return fmt.Errorf("rejected: revision %d is in force: %s", ca.Outcome.Revision, ca.Message)
+	case configlog.VerdictUnknown:
+		return fmt.Errorf("outcome unknown, ask again with confirm --id %s", ca.ID)
+	case configlog.VerdictAccepted:
+	}
+	return awaitEverywhere(c, o, ca)
+}
+
+// awaitEverywhere waits until every live process has a revision in force, or says where not yet.
+func awaitEverywhere(c *cobra.Command, o *operatorFlags, ca routers.ConfirmationAnswer) error {
+	ctx, cancel := context.WithTimeout(c.Context(), confirmWait)
+	defer cancel()
+	var s directory.Status
+	for ctx.Err() == nil {
+		if err := o.get(ctx, "/api/v1/status", &s); err == nil && s.Everywhere(ca.Outcome.Revision) {
+			if o.output == "json" {
+				return printJSON(c.OutOrStdout(), ca)
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "accepted: revision %d is in force at %d processes\n", ca.Outcome.Revision, len(s.Processes))
+			return wrap(err, "print")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmPoll):
+		}
+	}
+	for _, p := range s.Processes {
+		if p.Revision < ca.Outcome.Revision {
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "not yet in force: %s %s has revision %d\n", p.Role, p.ID, p.Revision)
+		}
+	}
+	return fmt.Errorf("accepted as revision %d, but not seen in force everywhere within %s", ca.Outcome.Revision, confirmWait)
+}
--- /dev/null
+++ b/cmd/demo_load.go
@@ -0,0 +1,271 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/routers"
+	"fawnwinch.org/fawnwinch/services/configlog"
+	"fawnwinch.org/fawnwinch/services/directory"
+	upstreamstandin "fawnwinch.org/fawnwinch/standin/upstream"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	demoWorkers  = 6
+	demoTokens   = 12
+	demoReadyIn  = 20 * time.Second
+	demoInterval = 100 * time.Millisecond
+)
+
+// confirm puts the demo's intent in force and waits until all processes take work.
+func (d *demo) confirm(ctx context.Context) error {
+	o := operatorFlags{routers: strings.Join(d.routers, ","), token: demoToken}
+	ctx, cancel := context.WithTimeout(ctx, demoReadyIn)
+	defer cancel()
+	rev, err := d.confirmOnce(ctx, &o)
+	for err != nil && ctx.Err() == nil {
+		sleep(ctx, demoInterval)
+		rev, err = d.confirmOnce(ctx, &o)
+	}
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		var s directory.Status
+		if err := o.get(ctx, "/api/v1/status", &s); err == nil && d.ready(s, rev) {
+			return nil
+		}
+		sleep(ctx, demoInterval)
+	}
+	return eris.New("processes did not become ready")
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+func (d *demo) ready(s directory.Status, rev intent.Revision) bool {
+	ready, slices := 0, 0
+	for _, p := range s.Processes {
+		if p.State == "ready" {
+			ready++
+		}
+		slices += p.Slices
+	}
+	return s.Everywhere(rev) && ready == len(d.vms) && slices > 0
+}
+
+func (d *demo) confirmOnce(ctx context.Context, o *operatorFlags) (intent.Revision, error) {
+	raw, err := json.Marshal(d.intent)
+	if err != nil {
+		return 0, wrap(err, "write intent")
+	}
+	a, err := o.ask(ctx, http.MethodPost, "/api/v1/plans", raw)
+	if err != nil {
+		return 0, err
+	}
+	var c routers.Confirmation
+	if err := json.Unmarshal(a.body, &c.Plan); err != nil || a.status != http.StatusOK {
+		return 0, a.err()
+	}
+	c.ID = "demo"
+	raw, err = json.Marshal(c)
+	if err != nil {
+		return 0, wrap(err, "write confirmation")
+	}
+	a, err = o.ask(ctx, http.MethodPost, "/api/v1/plans/confirm", raw)
+	if err != nil {
+		return 0, err
+	}
+	var ca routers.ConfirmationAnswer
+	if err := json.Unmarshal(a.body, &ca); err != nil || ca.Outcome.Verdict != configlog.VerdictAccepted {
+		return 0, a.err()
+	}
+	return ca.Outcome.Revision, nil
+}
+
+func (d *demo) explain(out io.Writer) {
+	_, _ = fmt.Fprintf(out, "routers: %s\noperator token: %s, account token: %s\n", strings.Join(d.routers, " "), demoToken, demoAccounts[0].Account)
+	_, _ = fmt.Fprintf(out, "try: curl -s -H 'Authorization: Bearer %s' -d '{\"model\":\"kotoba-pool\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}' http://%s/v1/chat/completions\n", demoAccounts[0].Account, d.routers[0])
+	_, _ = fmt.Fprintf(out, "try: fawnwinch status --router %s --token %s\n", d.routers[0], demoToken)
+}
+
+// summary counts what callers saw.
+type summary struct {
+	mu sync.Mutex
+
+	requests, whole, notRun, unknown int
+	// broken counts answers that were not whole or another caller's.
+	broken int
+	// lost counts holds answered but not placed; doubled those placed twice; untrue "not run" answers with a hold placed.
+	lost, doubled, untrue int
+	holds                 map[string]request.Outcome
+}
+
+func (s *summary) note(key string, o request.Outcome, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	switch {
+	case o == request.OutcomeAnswered && whole:
+		s.whole++
+	case o == request.OutcomeAnswered:
+		s.broken++
+	case o == request.OutcomeNotRun:
+		s.notRun++
+	default:
+		s.unknown++
+	}
+	if key != "" {
+		s.holds[key] = o
+	}
+}
+
+// judge compares what callers were told with the effects at the upstreams.
+func (s *summary) judge(plains []*upstreamstandin.Plain) {
+	effects := map[string]int{}
+	for _, p := range plains {
+		for k, n := range p.Effects() {
+			effects[k] += n
+		}
+	}
+	for k, o := range s.holds {
+		n := effects[k]
+		if n > 1 {
+			s.doubled++
+		}
+		if o == request.OutcomeAnswered && n == 0 {
+			s.lost++
+		}
+		if o == request.OutcomeNotRun && n > 0 {
+			s.untrue++
+		}
+	}
+}
+
+func (s *summary) line() string {
+	return fmt.Sprintf("requests=%d whole=%d refused-not-run=%d unknown=%d broken=%d lost=%d doubled=%d untrue=%d",
+		s.requests, s.whole, s.notRun, s.unknown, s.broken, s.lost, s.doubled, s.untrue)
+}
+
+// load runs callers until ctx ends.
+func (d *demo) load(ctx context.Context) *summary {
+	s := &summary{holds: map[string]request.Outcome{}}
+	var w sync.WaitGroup
+	for i := range demoWorkers {
+		w.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				d.call(s, i, n)
+			}
+		})
+	}
+	w.Wait()
+	return s
+}
+
+func (d *demo) call(s *summary, worker, n int) {
+	who := string(demoAccounts[worker%len(demoAccounts)].Account)
+	router := d.routers[worker%len(d.routers)]
+	if n%3 == 2 {
+		d.hold(s, who, router, fmt.Sprintf("hold-%d-%d", worker, n))
+		return
+	}
+	prompt := fmt.Sprintf("memo %d of worker %d", n, worker)
+	body, err := json.Marshal(map[string]any{
+		"model": "kotoba-pool", "max_tokens": demoTokens, "stream": n%3 == 1,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return
+	}
+	resp, err := post(router+"/v1/chat/completions", who, "", body)
+	if err != nil {
+		s.note("", request.OutcomeUnknown, false)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, whole := readText(resp)
+	s.note("", request.Outcome(resp.Header.Get(request.HeaderOutcome)), whole && text == upstreamstandin.Text("user:"+prompt+"\n", demoTokens))
+}
+
+func (d *demo) hold(s *summary, who, router, key string) {
+	resp, err := post(router+"/svc/ledger-api/v1/holds", who, key, []byte(`{"yen":1200}`))
+	if err != nil {
+		s.note(who+"/"+key, request.OutcomeUnknown, false)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := httpx.ReadAll(resp.Body, request.MaxBody)
+	whole := err == nil && bytes.Contains(raw, []byte(`"path":"/v1/holds"`))
+	s.note(who+"/"+key, request.Outcome(resp.Header.Get(request.HeaderOutcome)), whole)
+}
+
+func post(address, token, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address, bytes.NewReader(body))
+	if err != nil {
+		return nil, wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(request.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	return resp, wrap(err, "post")
+}
+
+// answerPart is the part of a chat answer that the demo reads.
+type answerPart struct {
+	Choices []struct {
+		Message, Delta struct {
+			Content string `json:"content"`
+		}
+	} `json:"choices"`
+}
+
+// readText reads a chat answer, streamed or not, and reports whether it came to its end.
+func readText(resp *http.Response) (string, bool) {
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		var p answerPart
+		if err := httpx.ReadJSON(resp.Body, request.MaxBody, &p); err != nil || len(p.Choices) == 0 {
+			return "", false
+		}
+		return p.Choices[0].Message.Content, true
+	}
+	var text strings.Builder
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true
+		}
+		var p answerPart
+		if err := json.Unmarshal([]byte(data), &p); err != nil || len(p.Choices) == 0 {
+			return "", false
+		}
+		text.WriteString(p.Choices[0].Delta.Content)
+	}
+	return "", false
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package cmd holds the command line: one file a subcommand.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitChanges = 2
+)
+
+// errExit carries an exit code without a message.
+type errExit struct{ code int }
+
+func (e errExit) Error() string { return fmt.Sprintf("exit code %d", e.code) }
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	var exit errExit
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &exit):
+		return exit.code
+	default:
+		_, _ = fmt.Fprintln(stderr, "fawnwinch:", err)
+		return exitFailed
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fawnwinch",
+		Short:         "Load balancer for expert-parallel model groups",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newRouterCommand(), newAgentCommand(), newStandinCommand(), newDemoCommand(),
+		newPlanCommand(), newConfirmCommand(), newStatusCommand(), newTimelineCommand(),
+		newEndpointsCommand(), newConfigCommand(), newVersionCommand(),
+	)
+	return root
+}
--- /dev/null
+++ b/models/expertmap/expertmap.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package expertmap holds the assignment of experts to the ranks of a group.
+package expertmap
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"fawnwinch.org/fawnwinch/models/group"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Version numbers the expert maps of one group. A later map has a higher version.
+type Version uint64
+
+// Expert is the index of an expert within a layer, from 0.
+type Expert int32
+
+// Layer is the assignment for one layer: Slots[rank] lists the experts which that rank holds.
+// An expert that stands on several ranks has several replicas.
+type Layer struct {
+	Slots [][]Expert `json:"slots"`
+}
+
+// Map assigns the experts of every layer to the ranks of one group.
+type Map struct {
+	Group   group.ID `json:"group"`
+	Version Version  `json:"version"`
+	Layers  []Layer  `json:"layers"`
+}
+
+// Digest returns a short fingerprint of the assignment, without the version.
+func (m *Map) Digest() string {
+	raw, err := json.Marshal(m.Layers)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(raw))
+}
+
+// Clone returns a copy that shares nothing with m.
+func (m *Map) Clone() *Map {
+	c := &Map{Group: m.Group, Version: m.Version, Layers: make([]Layer, len(m.Layers))}
+	for i, l := range m.Layers {
+		c.Layers[i].Slots = make([][]Expert, len(l.Slots))
+		for r, s := range l.Slots {
+			c.Layers[i].Slots[r] = slices.Clone(s)
+		}
+	}
+	return c
+}
+
+// RoundRobin returns the map that a group starts with: every rank holds slots experts of each layer,
+// dealt in turn, so that every expert has at least one replica.
+// It returns an error if ranks*slots is smaller than experts.
+func RoundRobin(id group.ID, layers, ranks, slots, experts int) (*Map, error) {
+	if layers <= 0 || ranks <= 0 || experts <= 0 || slots*ranks < experts {
+		return nil, fmt.Errorf("expert map of group %s: %d ranks with %d slots cannot hold %d experts in %d layers", id, ranks, slots, experts, layers)
+	}
+	m := &Map{Group: id, Version: 1, Layers: make([]Layer, layers)}
+	for l := range m.Layers {
+		m.Layers[l].Slots = make([][]Expert, ranks)
+		for i := range ranks * slots {
+			r := i % ranks
+			m.Layers[l].Slots[r] = append(m.Layers[l].Slots[r], Expert(i%experts)) //nolint:gosec // experts are few
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/models/request/request.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package request holds what every process knows about one caller's request.
+package request
+
+import (
+	"fmt"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ID identifies one request of a caller. The upstream's answer must echo it.
+type ID string
+
+// Key is the idempotency key a caller gives to a request that may not be repeated.
+// Keys of different client accounts never meet.
+type Key string
+
+// Outcome is what a caller may rely on when it has its answer.
+type Outcome string
+
+// The three outcomes.
+const (
+	// OutcomeAnswered means that the body is the upstream's whole answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that the request has not run and will not run.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that the request may have run; it is not repeated.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Headers between callers, routers, agents and upstreams.
+const (
+	// HeaderID carries the request id. The upstream echoes it.
+	HeaderID = "X-Request-Id"
+	// HeaderOutcome carries the Outcome of every answer.
+	HeaderOutcome = "Fawnwinch-Outcome"
+	// HeaderReason says in a word why a request was not run or is unknown.
+	HeaderReason = "Fawnwinch-Reason"
+	// HeaderKey carries the idempotency key of a request that may not be repeated.
+	HeaderKey = "Idempotency-Key"
+	// HeaderAccount carries the client account from a router to an agent.
+	HeaderAccount = "Fawnwinch-Account"
+	// HeaderService carries the service from a router to an agent.
+	HeaderService = "Fawnwinch-Service"
+	// HeaderBudget carries the time left for the request, in milliseconds.
+	HeaderBudget = "Fawnwinch-Budget-Ms"
+	// HeaderOnce marks a request that runs at most once; its value is the slice number.
+	HeaderOnce = "Fawnwinch-Once-Slice"
+	// HeaderLoad carries the upstream's load from an agent to a router.
+	HeaderLoad = "Fawnwinch-Load"
+)
+
+// Limits of a request.
+const (
+	// MaxBody is the largest request or unstreamed answer body, in bytes.
+	MaxBody = 8 << 20
+	// MaxKey is the longest idempotency key, in bytes.
+	MaxKey = 200
+	// DefaultBudget is the time a request gets when its caller names none.
+	DefaultBudget = 30 * time.Second
+)
+
+// Slice is the part of a service's key space a key falls into.
+type Slice int
+
+// SliceOf returns the slice of a key of a client account among n slices.
+func SliceOf(a account.ID, k Key, n int) Slice {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(a))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(string(k))
+	return Slice(h.Sum64() % uint64(n)) //nolint:gosec // n is a small positive constant
+}
+
+// ErrBadKey reports an idempotency key that cannot be taken.
+type ErrBadKey struct {
+	Key    Key
+	Reason string
+}
+
+func (e ErrBadKey) Error() string {
+	return fmt.Sprintf("header %s: value %q %s", HeaderKey, string(e.Key), e.Reason)
+}
+
+// CheckKey returns an ErrBadKey if k cannot serve as an idempotency key.
+func CheckKey(k Key) error {
+	if k == "" {
+		return ErrBadKey{Key: k, Reason: "is missing: this route may not be repeated and needs one"}
+	}
+	if len(k) > MaxKey {
+		return ErrBadKey{Key: k[:MaxKey], Reason: fmt.Sprintf("is longer than %d bytes", MaxKey)}
+	}
+	for _, c := range []byte(k) {
+		if c <= ' ' || c > '~' {
+			return ErrBadKey{Key: k, Reason: "holds a byte that is not printable ASCII"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/modules/httpx/httpx.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package httpx holds the few HTTP helpers that every process needs.
+package httpx
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// ErrStatus reports an answer with an unexpected status.
+type ErrStatus struct {
+	Status int
+	Body   string
+}
+
+func (e ErrStatus) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// maxErrorBody bounds how much of a failed answer is kept for the error, in bytes.
+const maxErrorBody = 4096
+
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// ReadJSON reads a request or answer body of at most limit bytes into v.
+func ReadJSON(r io.Reader, limit int64, v any) error {
+	raw, err := ReadAll(r, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	return nil
+}
+
+// ErrTooLarge reports a body over its limit.
+type ErrTooLarge struct{ Limit int64 }
+
+func (e ErrTooLarge) Error() string { return fmt.Sprintf("body is larger than %d bytes", e.Limit) }
+
+// ReadAll reads a body of at most limit bytes.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if int64(len(raw)) > limit {
+		return nil, ErrTooLarge{Limit: limit}
+	}
+	return raw, nil
+}
+
+// Do sends a request, and decodes a 200 answer of at most limit bytes into v (if not nil).
+func Do(c *http.Client, req *http.Request, limit int64, v any) error {
+	resp, err := c.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", req.Method, req.URL.Path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+		return ErrStatus{Status: resp.StatusCode, Body: string(raw)}
+	}
+	if v == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, limit))
+		return nil
+	}
+	return ReadJSON(resp.Body, limit, v)
+}
+
+// NotSent reports whether a request failed before a connection existed, so that nothing was sent.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Transport returns a transport for calls to a few peers with many requests each.
+func Transport(dialTimeout time.Duration, perHost int) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second * 15}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// Listen opens a TCP port.
+func Listen(address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// Server is an HTTP server on a listener that is already open.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+// NewServer returns a server for h on l.
+func NewServer(l net.Listener, h http.Handler) *Server {
+	return &Server{
+		http:     &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10},
+		listener: l, done: make(chan struct{}),
+	}
+}
+
+// Start serves until Stop.
+func (s *Server) Start() {
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(s.listener)
+	}()
+}
+
+// Stop lets requests in flight end until ctx does, then closes what is left.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close()
+	}
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("stop http server: %w", err)
+	}
+	return nil
+}
+
+// Addr returns the address the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
--- /dev/null
+++ b/modules/log/log.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package log makes the structured logger of a process: one line of key=value pairs an event.
+package log
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes key=value lines to w.
+// The level is one of debug, info, warn and error; it returns an error for any other.
+func New(w io.Writer, level, process string) (zerolog.Logger, error) {
+	lvl, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("log level %q: %w", level, err)
+	}
+	setTimeFormat()
+	out := zerolog.ConsoleWriter{
+		Out:           w,
+		NoColor:       true,
+		TimeFormat:    "2006-01-02T15:04:05.000Z07:00",
+		FormatLevel:   func(v any) string { return "level=" + fmt.Sprint(v) },
+		FormatMessage: func(v any) string { return "event=" + quote(fmt.Sprint(v)) },
+		FormatTimestamp: func(v any) string {
+			return "time=" + fmt.Sprint(v)
+		},
+		FormatFieldValue: func(v any) string { return quote(fmt.Sprint(v)) },
+	}
+	return zerolog.New(out).Level(lvl).With().Timestamp().Str("process", process).Logger(), nil
+}
+
+// setTimeFormat makes the library keep more than seconds.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000000Z07:00" })
+
+func quote(s string) string {
+	if s == "" || strings.ContainsAny(s, " =\"\n") {
+		return fmt.Sprintf("%q", s)
+	}
+	return s
+}
--- /dev/null
+++ b/modules/timeline/timeline.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package timeline keeps the latest events of a process, stamped so that the events of all
+// processes merge into one order in which causes stand before their effects.
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Stamp is a hybrid logical clock reading: wall time in microseconds and a counter for equal times.
+type Stamp struct {
+	Micros  int64  `json:"micros"`
+	Counter uint32 `json:"counter"`
+}
+
+// Compare orders two stamps.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Micros, o.Micros), cmp.Compare(s.Counter, o.Counter))
+}
+
+// Clock is a hybrid logical clock. The zero value is ready for use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp later than every stamp this clock has given or seen.
+func (c *Clock) Now(now time.Time) Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now, Stamp{})
+	return c.last
+}
+
+// Observe takes in the stamp of a message from another process.
+func (c *Clock) Observe(now time.Time, s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now, s)
+}
+
+func (c *Clock) advance(now time.Time, seen Stamp) {
+	wall := Stamp{Micros: now.UnixMicro()}
+	base := c.last
+	if seen.Compare(base) > 0 {
+		base = seen
+	}
+	if wall.Micros > base.Micros {
+		c.last = wall
+		return
+	}
+	c.last = Stamp{Micros: base.Micros, Counter: base.Counter + 1}
+}
+
+// Kind groups events.
+type Kind string
+
+// The kinds of event.
+const (
+	KindRequest    Kind = "request"
+	KindDecision   Kind = "decision"
+	KindConfig     Kind = "config"
+	KindOwnership  Kind = "ownership"
+	KindMap        Kind = "expert-map"
+	KindMembership Kind = "membership"
+	KindDrain      Kind = "drain"
+	KindFault      Kind = "fault"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	Stamp   Stamp  `json:"stamp"`
+	Process string `json:"process"`
+	Kind    Kind   `json:"kind"`
+	Name    string `json:"name"`
+	Request string `json:"request,omitempty"`
+	Group   string `json:"group,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Line returns the event as one key=value line.
+func (e Event) Line() string {
+	line := "time=" + time.UnixMicro(e.Stamp.Micros).UTC().Format("15:04:05.000000") + "+" + strconv.Itoa(int(e.Stamp.Counter)) +
+		" process=" + e.Process + " kind=" + string(e.Kind) + " event=" + e.Name
+	if e.Request != "" {
+		line += " request=" + e.Request
+	}
+	if e.Group != "" {
+		line += " group=" + e.Group
+	}
+	if e.Detail != "" {
+		line += " " + e.Detail
+	}
+	return line
+}
+
+// Filter selects events. Empty fields select all.
+type Filter struct {
+	Since   time.Time
+	Request string
+	Group   string
+	Kind    Kind
+}
+
+// Match reports whether e passes the filter.
+func (f Filter) Match(e Event) bool {
+	return (f.Since.IsZero() || e.Stamp.Micros >= f.Since.UnixMicro()) &&
+		(f.Request == "" || f.Request == e.Request) &&
+		(f.Group == "" || f.Group == e.Group) &&
+		(f.Kind == "" || f.Kind == e.Kind)
+}
+
+// DefaultCapacity is the number of events a process keeps.
+const DefaultCapacity = 8192
+
+// Ring keeps the latest events of one process. It is safe for use by several goroutines.
+type Ring struct {
+	Clock Clock
+
+	process string
+	mu      sync.Mutex
+	events  []Event
+	next    int
+}
+
+// NewRing returns a ring for a process that keeps up to capacity events.
+func NewRing(process string, capacity int) *Ring {
+	return &Ring{process: process, events: make([]Event, 0, capacity)}
+}
+
+// Add stamps an event and keeps it; the oldest one goes when the ring is full.
+func (r *Ring) Add(now time.Time, e Event) {
+	e.Stamp = r.Clock.Now(now)
+	e.Process = r.process
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Events returns the kept events that pass a filter, oldest first.
+func (r *Ring) Events(f Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if f.Match(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Merge returns the events of several processes in one order.
+func Merge(lists ...[]Event) []Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b Event) int {
+		return cmp.Or(a.Stamp.Compare(b.Stamp), cmp.Compare(a.Process, b.Process))
+	})
+	return all
+}
--- /dev/null
+++ b/routers/caller.go
@@ -0,0 +1,256 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routers
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/directory"
+	"fawnwinch.org/fawnwinch/services/dispatch"
+	"fawnwinch.org/fawnwinch/services/membership"
+	"fawnwinch.org/fawnwinch/services/routing"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+)
+
+// problem is the body of an answer that fawnwinch gives itself.
+type problem struct {
+	Outcome   request.Outcome `json:"outcome"`
+	Reason    string          `json:"reason"`
+	Message   string          `json:"message"`
+	RequestID request.ID      `json:"request_id,omitempty"`
+	// RetryAfterSeconds repeats the header.
+	RetryAfterSeconds int `json:"retry_after_s,omitempty"`
+}
+
+func end(c *gin.Context, status int, p problem) {
+	c.Header(request.HeaderOutcome, string(p.Outcome))
+	c.Header(request.HeaderReason, p.Reason)
+	if p.RetryAfterSeconds > 0 {
+		c.Header("Retry-After", strconv.Itoa(p.RetryAfterSeconds))
+	}
+	c.AbortWithStatusJSON(status, gin.H{"error": p})
+}
+
+// rank lists the addresses of the ready routers for an account.
+func rank(now time.Time, d *directory.Directory, id account.ID, near string) []string {
+	var entries []routing.Entry
+	for _, r := range d.Live(now) {
+		if r.State == membership.RouterReady {
+			entries = append(entries, routing.Entry{ID: r.ID, Address: r.HTTP, DataCentre: r.DataCentre})
+		}
+	}
+	var out []string
+	for _, e := range routing.Rank(id, vm.DataCentre(near), entries) {
+		out = append(out, e.Address)
+	}
+	return out
+}
+
+// HeaderTimeout lets a caller bound the time of its request, in milliseconds.
+const HeaderTimeout = "Fawnwinch-Timeout-Ms"
+
+// maxTimeout is the longest time a caller may ask for.
+const maxTimeout = 10 * time.Minute
+
+func budget(c *gin.Context) (time.Duration, error) {
+	v := c.GetHeader(HeaderTimeout)
+	if v == "" {
+		return request.DefaultBudget, nil
+	}
+	ms, err := strconv.Atoi(v)
+	if err != nil || ms <= 0 || ms > int(maxTimeout.Milliseconds()) {
+		return 0, fmt.Errorf("header %s: value %q is not a number of milliseconds up to %d", HeaderTimeout, v, maxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// begin reads what all requests of callers have in common.
+func (w *Web) begin(c *gin.Context) (*dispatch.Request, bool) {
+	if !w.Directory.Ready() {
+		c.Header("Retry-After", "1")
+		refuse(c, http.StatusServiceUnavailable, "not-ready", "this router does not know the configuration yet")
+		return nil, false
+	}
+	d, err := budget(c)
+	if err != nil {
+		refuse(c, http.StatusBadRequest, "bad-request", err.Error())
+		return nil, false
+	}
+	body, err := httpx.ReadAll(c.Request.Body, request.MaxBody)
+	if err != nil {
+		refuse(c, http.StatusRequestEntityTooLarge, "bad-request", err.Error())
+		return nil, false
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+		return nil, false
+	}
+	return &dispatch.Request{
+		ID: request.ID(id.String()), Account: caller(c).account, Method: c.Request.Method, Query: c.Request.URL.RawQuery,
+		ContentType: c.GetHeader("Content-Type"), Priority: c.GetHeader("Priority"), Body: body, Deadline: time.Now().Add(d),
+	}, true
+}
+
+// service finds the service of a request and checks that the account has a share of it.
+func (w *Web) service(c *gin.Context, r *dispatch.Request, id string, kind service.Kind) bool {
+	s := w.Follower.State().Intent.Service(service.ID(id))
+	if s == nil || s.Kind != kind {
+		refuse(c, http.StatusNotFound, "no-service", fmt.Sprintf("there is no %s service %q", kind, id))
+		return false
+	}
+	if s.Weight(r.Account) <= 0 {
+		refuse(c, http.StatusForbidden, "no-share", fmt.Sprintf("account %q has no share of service %q", r.Account, id))
+		return false
+	}
+	r.Service = s
+	return true
+}
+
+func (w *Web) chat(c *gin.Context) {
+	r, ok := w.begin(c)
+	if !ok {
+		return
+	}
+	var head struct {
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
+	}
+	if err := json.Unmarshal(r.Body, &head); err != nil {
+		refuse(c, http.StatusBadRequest, "bad-request", "body: "+err.Error())
+		return
+	}
+	if !w.service(c, r, head.Model, service.KindModel) {
+		return
+	}
+	r.Path, r.Stream = "/v1/chat/completions", head.Stream
+	w.run(c, r)
+}
+
+func (w *Web) plain(c *gin.Context) {
+	r, ok := w.begin(c)
+	if !ok || !w.service(c, r, c.Param("service"), service.KindPlain) {
+		return
+	}
+	r.Path = c.Param("path")
+	r.Key = request.Key(c.GetHeader(request.HeaderKey))
+	r.Once = nonRepeatable(r)
+	if r.Once || r.Key != "" {
+		if err := request.CheckKey(r.Key); err != nil {
+			refuse(c, http.StatusBadRequest, "bad-key", err.Error())
+			return
+		}
+	}
+	w.run(c, r)
+}
+
+func nonRepeatable(r *dispatch.Request) bool {
+	for _, route := range r.Service.NonRepeatable {
+		if route.Method == r.Method && strings.HasPrefix(r.Path, route.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// stream passes a streamed answer on. The head is sent with the first part.
+type stream struct {
+	c       *gin.Context
+	id      request.ID
+	started bool
+}
+
+// Part passes one event on.
+func (s *stream) Part(event []byte) error {
+	if !s.started {
+		s.started = true
+		s.c.Header(request.HeaderID, string(s.id))
+		s.c.Header(request.HeaderOutcome, string(request.OutcomeAnswered))
+		s.c.Header("Content-Type", "text/event-stream")
+		s.c.Status(http.StatusOK)
+	}
+	if _, err := s.c.Writer.Write(event); err != nil {
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	s.c.Writer.Flush()
+	return nil
+}
+
+func (w *Web) run(c *gin.Context, r *dispatch.Request) {
+	began := time.Now()
+	w.Ring.Add(began, timeline.Event{Kind: timeline.KindRequest, Name: "arrived", Request: string(r.ID), Detail: fmt.Sprintf("account=%s service=%s method=%s path=%s", r.Account, r.Service.ID, r.Method, r.Path)})
+	sink := &stream{c: c, id: r.ID}
+	res := w.Dispatcher.Do(c.Request.Context(), r, sink)
+	now := time.Now()
+	w.Metrics.Request(string(r.Service.ID), string(res.Outcome), shortReason(res.Reason), now.Sub(began), res.Attempts)
+	w.Ring.Add(now, timeline.Event{Kind: timeline.KindRequest, Name: "ended", Request: string(r.ID), Detail: fmt.Sprintf("outcome=%s reason=%q attempts=%d", res.Outcome, res.Reason, res.Attempts)})
+	if sink.started {
+		finishStream(c, r, res)
+		return
+	}
+	c.Header(request.HeaderID, string(r.ID))
+	if res.Outcome == request.OutcomeAnswered {
+		c.Header(request.HeaderOutcome, string(res.Outcome))
+		c.Data(res.Status, res.ContentType, res.Body)
+		return
+	}
+	end(c, failedStatus(res), problem{
+		Outcome: res.Outcome, Reason: res.Reason, RequestID: r.ID, Message: explain(res.Outcome),
+		RetryAfterSeconds: int(math.Ceil(res.RetryAfter.Seconds())),
+	})
+}
+
+// shortReason keeps the part of a reason that is fit for a label.
+func shortReason(r string) string {
+	short, _, _ := strings.Cut(r, ":")
+	return short
+}
+
+// finishStream ends a stream that could not be completed with an error event, so that the
+// caller cannot take it for whole: the end mark is missing.
+func finishStream(c *gin.Context, r *dispatch.Request, res dispatch.Result) {
+	if res.Outcome == request.OutcomeAnswered {
+		return
+	}
+	raw, err := json.Marshal(gin.H{"error": problem{Outcome: res.Outcome, Reason: res.Reason, RequestID: r.ID, Message: "the stream broke off and could not be resumed"}})
+	if err != nil {
+		return
+	}
+	_, _ = c.Writer.WriteString("event: error\ndata: " + string(raw) + "\n\n")
+	c.Writer.Flush()
+}
+
+func failedStatus(res dispatch.Result) int {
+	switch {
+	case res.Outcome == request.OutcomeUnknown:
+		return http.StatusBadGateway
+	case res.Reason == "key-reused":
+		return http.StatusUnprocessableEntity
+	case res.Reason == "queue-full" || res.Reason == "over-share":
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func explain(o request.Outcome) string {
+	if o == request.OutcomeNotRun {
+		return "the request has not run and will not run; it may be sent again"
+	}
+	return "the request may have run and was not repeated; asking again with the same key is safe"
+}
--- /dev/null
+++ b/routers/operator.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routers
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/configlog"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+)
+
+// plan answers with what an intent would change. It changes nothing.
+func (w *Web) plan(c *gin.Context) {
+	raw, err := httpx.ReadAll(c.Request.Body, intent.MaxSize)
+	if err != nil {
+		refuse(c, http.StatusRequestEntityTooLarge, "bad-request", err.Error())
+		return
+	}
+	proposal, err := intent.Parse(raw)
+	if err != nil {
+		refuse(c, http.StatusBadRequest, "bad-intent", err.Error())
+		return
+	}
+	if !w.Directory.Ready() {
+		c.Header("Retry-After", "1")
+		refuse(c, http.StatusServiceUnavailable, "not-ready", "this router does not know the configuration yet")
+		return
+	}
+	c.JSON(http.StatusOK, intent.NewPlan(w.Follower.State(), proposal))
+}
+
+// Confirmation asks for a plan to be put in force.
+type Confirmation struct {
+	// ID names the confirmation, so that its outcome can be asked for again. It is made up if empty.
+	ID   intent.ConfirmID `json:"id"`
+	Plan intent.Plan      `json:"plan"`
+}
+
+// ConfirmationAnswer tells what became of a confirmation.
+type ConfirmationAnswer struct {
+	ID      intent.ConfirmID  `json:"id"`
+	Outcome configlog.Outcome `json:"outcome"`
+	Message string            `json:"message,omitempty"`
+	// Changes lists what the plan would change now, if it is out of date.
+	Changes []intent.Change `json:"changes,omitempty"`
+}
+
+// confirmTimeout bounds the wait for a confirmation to be read back.
+const confirmTimeout = 8 * time.Second
+
+func (w *Web) confirm(c *gin.Context) {
+	var in Confirmation
+	if err := httpx.ReadJSON(c.Request.Body, 2*intent.MaxSize, &in); err != nil {
+		refuse(c, http.StatusBadRequest, "bad-request", err.Error())
+		return
+	}
+	if in.Plan.Intent == nil {
+		refuse(c, http.StatusBadRequest, "bad-request", "field plan.intent: is missing")
+		return
+	}
+	if err := in.Plan.Intent.Check(); err != nil {
+		refuse(c, http.StatusBadRequest, "bad-intent", err.Error())
+		return
+	}
+	if in.ID == "" {
+		in.ID = intent.ConfirmID(uuid.NewString())
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), confirmTimeout)
+	defer cancel()
+	out, err := w.Follower.Confirm(ctx, in.ID, in.Plan)
+	answerConfirm(c, in.ID, out, err)
+}
+
+func answerConfirm(c *gin.Context, id intent.ConfirmID, out configlog.Outcome, err error) {
+	var conflict configlog.ErrConflict
+	var doubt configlog.ErrOutcomeUnknown
+	var invalid intent.ErrInvalid
+	a := ConfirmationAnswer{ID: id, Outcome: out}
+	switch {
+	case errors.As(err, &conflict):
+		a.Message, a.Changes = err.Error(), conflict.Changes
+		a.Outcome = configlog.Outcome{Verdict: configlog.VerdictRejected, Revision: conflict.Have}
+		c.JSON(http.StatusConflict, a)
+	case errors.As(err, &doubt):
+		a.Message = err.Error()
+		c.Header("Retry-After", "2")
+		c.JSON(http.StatusAccepted, a)
+	case errors.As(err, &invalid):
+		refuse(c, http.StatusBadRequest, "bad-request", err.Error())
+	case err != nil:
+		c.Header("Retry-After", "2")
+		refuse(c, http.StatusServiceUnavailable, "log-unreachable", err.Error())
+	case out.Verdict == configlog.VerdictRejected:
+		a.Message = "another confirmation was faster: make a new plan"
+		c.JSON(http.StatusConflict, a)
+	default:
+		c.JSON(http.StatusOK, a)
+	}
+}
+
+func (w *Web) confirmation(c *gin.Context) {
+	id := intent.ConfirmID(c.Param("id"))
+	c.JSON(http.StatusOK, ConfirmationAnswer{ID: id, Outcome: w.Follower.Outcome(id)})
+}
+
+func (w *Web) intents(c *gin.Context) { c.JSON(http.StatusOK, w.Follower.State()) }
+
+func (w *Web) status(c *gin.Context) {
+	c.JSON(http.StatusOK, w.Directory.Status(time.Now()))
+}
+
+// TimelineAnswer is the merged time line.
+type TimelineAnswer struct {
+	Events []timeline.Event `json:"events"`
+	// Silent names the processes that did not answer.
+	Silent []string `json:"silent"`
+}
+
+func (w *Web) timeline(c *gin.Context) {
+	f := timeline.Filter{Request: c.Query("request"), Group: c.Query("group"), Kind: timeline.Kind(c.Query("kind"))}
+	if s := c.Query("since"); s != "" {
+		at, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil {
+			refuse(c, http.StatusBadRequest, "bad-request", "query since: "+err.Error())
+			return
+		}
+		f.Since = at
+	}
+	events, silent := w.Directory.CollectTimeline(c.Request.Context(), f)
+	c.JSON(http.StatusOK, TimelineAnswer{Events: events, Silent: silent})
+}
--- /dev/null
+++ b/routers/router.go
@@ -0,0 +1,141 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package routers is the HTTP interface of a router: for callers, for operators and for monitors.
+package routers
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/configlog"
+	"fawnwinch.org/fawnwinch/services/directory"
+	"fawnwinch.org/fawnwinch/services/dispatch"
+	"fawnwinch.org/fawnwinch/services/membership"
+
+	"github.com/gin-gonic/gin"
+)
+
+// Dispatcher carries requests to upstreams.
+type Dispatcher interface {
+	Do(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) dispatch.Result
+}
+
+// Web holds what the handlers need.
+type Web struct {
+	Settings   setting.Router
+	Directory  *directory.Directory
+	Follower   *configlog.Follower
+	Dispatcher Dispatcher
+	Metrics    *metrics.Metrics
+	Ring       *timeline.Ring
+
+	credentials map[string]setting.Credential
+}
+
+// identity is who a caller has shown to be.
+type identity struct {
+	account  account.ID
+	operator bool
+}
+
+const identityKey = "identity"
+
+// Handler returns the HTTP interface.
+func (w *Web) Handler() http.Handler {
+	w.credentials = map[string]setting.Credential{}
+	for _, c := range w.Settings.Credentials {
+		w.credentials[strings.ToLower(c.TokenSHA256)] = c
+	}
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.Use(gin.Recovery())
+	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	g.GET("/readyz", w.ready)
+	g.GET("/metrics", gin.WrapH(w.Metrics.Handler()))
+
+	callers := g.Group("/", w.identify, w.closeWhenLeaving)
+	callers.POST("/v1/chat/completions", w.chat)
+	callers.Any("/svc/:service/*path", w.plain)
+	callers.GET("/api/v1/endpoints", w.endpoints)
+
+	operators := g.Group("/api/v1", w.identify, operatorsOnly)
+	operators.POST("/plans", w.plan)
+	operators.POST("/plans/confirm", w.confirm)
+	operators.GET("/confirmations/:id", w.confirmation)
+	operators.GET("/intents", w.intents)
+	operators.GET("/status", w.status)
+	operators.GET("/timeline", w.timeline)
+	return g
+}
+
+// identify finds the client account of a bearer token.
+func (w *Web) identify(c *gin.Context) {
+	token, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	cred, known := w.credentials[hex.EncodeToString(sum[:])]
+	if !ok || !known {
+		refuse(c, http.StatusUnauthorized, "unauthorized", "header Authorization: no known bearer token")
+		return
+	}
+	c.Set(identityKey, identity{account: cred.Account, operator: cred.Operator})
+}
+
+func caller(c *gin.Context) identity {
+	id, _ := c.MustGet(identityKey).(identity)
+	return id
+}
+
+func operatorsOnly(c *gin.Context) {
+	if !caller(c).operator {
+		refuse(c, http.StatusForbidden, "forbidden", "this credential is not an operator's")
+	}
+}
+
+// closeWhenLeaving makes callers connect anew, and so elsewhere, while this router leaves.
+func (w *Web) closeWhenLeaving(c *gin.Context) {
+	if w.Directory.Self().State == membership.RouterLeaving {
+		c.Header("Connection", "close")
+	}
+}
+
+func (w *Web) ready(c *gin.Context) {
+	switch {
+	case w.Directory.Self().State == membership.RouterLeaving:
+		c.String(http.StatusServiceUnavailable, "leaving\n")
+	case !w.Directory.Ready():
+		c.String(http.StatusServiceUnavailable, "configuration not known\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
+	}
+}
+
+// refuse answers a request that was not run.
+func refuse(c *gin.Context, status int, reason, message string) {
+	end(c, status, problem{Outcome: "not-run", Reason: reason, Message: message})
+}
+
+// endpointsAnswer tells a caller which routers to use.
+type endpointsAnswer struct {
+	// TTLMillis is how long the answer may be kept, in milliseconds.
+	TTLMillis int64    `json:"ttl_ms"`
+	Routers   []string `json:"routers"`
+}
+
+func (w *Web) endpoints(c *gin.Context) {
+	ranked := rank(time.Now(), w.Directory, caller(c).account, c.Query("near"))
+	if len(ranked) == 0 {
+		c.Header("Retry-After", "1")
+		refuse(c, http.StatusServiceUnavailable, "no-router", "no router is ready")
+		return
+	}
+	c.JSON(http.StatusOK, endpointsAnswer{TTLMillis: w.Settings.AddressTTL.Milliseconds(), Routers: ranked})
+}
--- /dev/null
+++ b/services/agent/agent.go
@@ -0,0 +1,219 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package agent is the process beside an upstream: the last hop before it. It shares the upstream
+// among client accounts, keeps requests that may not be repeated from running twice, reports load
+// and lets the upstream leave without cutting a request.
+package agent
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/once"
+	"fawnwinch.org/fawnwinch/services/share"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+)
+
+// Agent is the running agent. It is safe for use by several goroutines.
+type Agent struct {
+	set  setting.Agent
+	self once.Owner
+	// address is where routers send requests.
+	address string
+	ring    *timeline.Ring
+	logger  zerolog.Logger
+	pool    *rpc.Pool
+	log     services.Log
+	client  *http.Client
+	engine  services.Engine
+
+	gate *share.Gate
+	once *once.Service
+
+	http *httpx.Server
+	rpc  *rpc.Server
+
+	links *links
+
+	state    atomic.Value // upstream.State
+	leaving  atomic.Int64 // unix nanoseconds at which leaving began, or 0
+	load     atomic.Pointer[engineLoad]
+	inFlight atomic.Int64
+
+	mu     sync.Mutex
+	config intent.State
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Listeners are the open sockets of an agent.
+type Listeners struct {
+	HTTP, RPC net.Listener
+}
+
+// New returns an agent that does not run yet.
+func New(set setting.Agent, log services.Log, engine services.Engine, ls Listeners, ring *timeline.Ring, logger zerolog.Logger) (*Agent, error) {
+	incarnation, err := uuid.NewV7()
+	if err != nil {
+		return nil, fmt.Errorf("make incarnation: %w", err)
+	}
+	a := &Agent{
+		set: set, ring: ring, logger: logger, log: log, engine: engine, pool: rpc.NewPool(),
+		self:    once.Owner{Upstream: set.Upstream.ID, Incarnation: upstream.Incarnation(incarnation.String()), RPC: cmp.Or(set.Process.AdvertiseRPC, ls.RPC.Addr().String())},
+		address: cmp.Or(set.Process.AdvertiseHTTP, ls.HTTP.Addr().String()),
+		gate:    share.NewGate(share.Limits{Concurrency: set.Upstream.Concurrency, Waiting: set.Upstream.QueueLimit}),
+		client:  &http.Client{Transport: httpx.Transport(upstreamDialTimeout, 256)},
+		config:  intent.Empty(),
+	}
+	a.state.Store(upstream.StateReady)
+	a.load.Store(&engineLoad{})
+	a.links = newLinks(a, set.Routers)
+	if set.Upstream.Kind == service.KindPlain {
+		a.once = a.newOnce()
+	}
+	a.http = httpx.NewServer(ls.HTTP, a.handler())
+	a.rpc = rpc.NewServer(ls.RPC)
+	if err := a.rpc.Register("Agent", &API{a: a}); err != nil {
+		return nil, fmt.Errorf("agent rpc: %w", err)
+	}
+	return a, nil
+}
+
+// upstreamDialTimeout bounds a connection attempt to the upstream beside the agent.
+const upstreamDialTimeout = time.Second
+
+// onceAnswerBytes bounds the kept answers of an agent.
+const onceAnswerBytes = 32 << 20
+
+func (a *Agent) newOnce() *once.Service {
+	return once.NewService(once.Config{
+		Lifetime: a.set.Once.Lifetime, Capacity: a.set.Once.Capacity, AnswerBytes: onceAnswerBytes, OutageAfter: a.set.Once.OutageAfter,
+	}, a.self, once.Options{
+		Log: a.log, Stream: once.StreamOf(a.set.Upstream.Service), Batch: a.set.Once.Batch, Retention: a.set.Platform.Retention,
+		Directory: a.links, Peers: a.links, Ring: a.ring, Logger: a.logger,
+	})
+}
+
+// Start begins to serve and to beat.
+func (a *Agent) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.http.Start()
+	a.rpc.Start()
+	a.done.Go(func() { a.links.run(ctx) })
+	a.done.Go(func() { a.watchUpstream(ctx) })
+	if a.once != nil {
+		a.done.Go(func() { a.once.Run(ctx) })
+	}
+	a.logger.Info().Str("http", a.http.Addr()).Str("rpc", a.self.RPC).Msg("agent started")
+}
+
+// Incarnation returns the incarnation of this run.
+func (a *Agent) Incarnation() upstream.Incarnation { return a.self.Incarnation }
+
+// State returns the state the agent reports.
+func (a *Agent) State() upstream.State {
+	if a.leaving.Load() != 0 {
+		return upstream.StateLeaving
+	}
+	s, _ := a.state.Load().(upstream.State)
+	return s
+}
+
+// Leave begins the planned end of the upstream: it is announced at once, and after a grace in which
+// routers may not know yet, new work is refused.
+func (a *Agent) Leave(now time.Time, why string) {
+	if a.leaving.CompareAndSwap(0, now.UnixNano()) {
+		a.ring.Add(now, timeline.Event{Kind: timeline.KindDrain, Name: "leaving", Detail: "why=" + why})
+		a.logger.Info().Str("why", why).Msg("leaving")
+		a.links.nudge()
+	}
+}
+
+// leaveGrace is how long a leaving agent still takes requests of routers that may not know yet.
+const leaveGrace = 1500 * time.Millisecond
+
+// closed reports whether new work is refused because the upstream leaves.
+func (a *Agent) closed(now time.Time) bool {
+	at := a.leaving.Load()
+	return at != 0 && now.UnixNano()-at > int64(leaveGrace)
+}
+
+// setConfig takes a higher revision in force.
+func (a *Agent) setConfig(now time.Time, s intent.State) {
+	a.mu.Lock()
+	if s.Intent == nil || s.Revision <= a.config.Revision {
+		a.mu.Unlock()
+		return
+	}
+	a.config = s
+	a.mu.Unlock()
+	if sv := s.Intent.Service(a.set.Upstream.Service); sv != nil {
+		a.gate.SetWeights(sv.Shares)
+	}
+	a.ring.Add(now, timeline.Event{Kind: timeline.KindConfig, Name: "in-force", Detail: fmt.Sprintf("revision=%d", s.Revision)})
+}
+
+// Config returns the configuration in force here.
+func (a *Agent) Config() intent.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.config
+}
+
+// stopPoll is the time between two looks at whether a leaving agent is done.
+const stopPoll = 50 * time.Millisecond
+
+// Stop ends the agent without cutting a request: it leaves, waits until routers know, its slices
+// are handed over and its requests have ended, and closes then. When ctx ends first, what is left is cut.
+func (a *Agent) Stop(ctx context.Context) error {
+	now := time.Now()
+	a.Leave(now, "stop")
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil && !a.drained(time.Now()) {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	err := a.http.Stop(ctx)
+	a.cancel()
+	a.done.Wait()
+	a.rpc.Close()
+	a.pool.Close()
+	a.client.CloseIdleConnections()
+	if err != nil {
+		return fmt.Errorf("stop agent: %w", err)
+	}
+	return nil
+}
+
+// drained reports whether a leaving agent has nothing left to do.
+func (a *Agent) drained(now time.Time) bool {
+	if !a.closed(now) || a.inFlight.Load() > 0 {
+		return false
+	}
+	if a.once == nil || !a.links.othersReady(now) {
+		return true
+	}
+	return len(a.once.Owned()) == 0
+}
--- /dev/null
+++ b/services/agent/api.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package agent
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/once"
+
+	"github.com/rotisserie/eris"
+)
+
+// API is what an agent offers to other processes over rpc.
+type API struct{ a *Agent }
+
+// HandoverArgs asks for the table of a slice.
+type HandoverArgs struct {
+	// Owner is the incarnation the asker takes for the owner.
+	Owner once.Owner
+	Slice request.Slice
+}
+
+var errOtherIncarnation = eris.New("another incarnation of the agent runs here")
+
+// Handover freezes a slice and returns its table.
+func (p *API) Handover(args HandoverArgs, t *once.Table) error {
+	if p.a.once == nil || args.Owner != p.a.self || args.Slice < 0 || args.Slice >= once.Slices {
+		return errOtherIncarnation
+	}
+	table, err := p.a.once.Handover(time.Now(), args.Slice)
+	if err != nil {
+		return err
+	}
+	*t = table
+	return nil
+}
+
+// Timeline returns the events of this process.
+func (p *API) Timeline(f timeline.Filter, out *[]timeline.Event) error {
+	*out = p.a.ring.Events(f)
+	return nil
+}
--- /dev/null
+++ b/services/agent/handler.go
@@ -0,0 +1,284 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/dispatch"
+	"fawnwinch.org/fawnwinch/services/once"
+	"fawnwinch.org/fawnwinch/services/share"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Reasons that routers and callers see.
+const (
+	reasonLeaving      = "leaving"
+	reasonWrongService = "wrong-service"
+	reasonBadRequest   = "bad-request"
+	reasonDown         = "upstream-unreachable"
+	reasonCut          = "upstream-cut"
+	reasonForeign      = "foreign-answer"
+	reasonNoOnce       = "not-a-plain-service"
+)
+
+// call is one request of a router.
+type call struct {
+	id       request.ID
+	account  account.ID
+	deadline time.Time
+	body     []byte
+	priority int
+}
+
+func (a *Agent) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("/", a.serve)
+	return m
+}
+
+// errBadHeader reports a header of a router that cannot be read.
+type errBadHeader struct{ name, value string }
+
+func (e errBadHeader) Error() string { return fmt.Sprintf("header %s: value %q", e.name, e.value) }
+
+func readCall(r *http.Request, now time.Time) (call, error) {
+	budget, err := strconv.Atoi(r.Header.Get(request.HeaderBudget))
+	if err != nil || budget <= 0 {
+		return call{}, errBadHeader{name: request.HeaderBudget, value: r.Header.Get(request.HeaderBudget)}
+	}
+	c := call{id: request.ID(r.Header.Get(request.HeaderID)), account: account.ID(r.Header.Get(request.HeaderAccount))}
+	if c.id == "" || c.account == "" {
+		return call{}, errBadHeader{name: request.HeaderID + " or " + request.HeaderAccount}
+	}
+	c.deadline = now.Add(time.Duration(budget) * time.Millisecond)
+	c.priority, _ = strconv.Atoi(r.Header.Get("Priority"))
+	c.body, err = httpx.ReadAll(r.Body, request.MaxBody)
+	if err != nil {
+		return call{}, fmt.Errorf("request %s: %w", c.id, err)
+	}
+	return c, nil
+}
+
+func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	now := time.Now()
+	c, err := readCall(r, now)
+	w.Header().Set(request.HeaderID, string(c.id))
+	switch {
+	case err != nil:
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonBadRequest, Status: http.StatusBadRequest}, 0)
+	case r.Header.Get(request.HeaderService) != string(a.set.Upstream.Service):
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonWrongService}, 0)
+	case r.Header.Get(request.HeaderOnce) != "":
+		a.serveOnce(w, r, c)
+	case a.closed(now):
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonLeaving}, time.Second)
+	default:
+		a.serveShared(w, r, c)
+	}
+}
+
+// serveShared runs a request that may be repeated, when its account's turn comes.
+func (a *Agent) serveShared(w http.ResponseWriter, r *http.Request, c call) {
+	leave, refusal, err := a.gate.Enter(r.Context(), share.Item{Account: c.account, Deadline: c.deadline, Priority: c.priority})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if refusal != nil {
+		a.note(c, "refused", string(refusal.Reason))
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: string(refusal.Reason)}, refusal.RetryAfter)
+		return
+	}
+	defer leave()
+	a.note(c, "sent-to-upstream", "")
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	a.pass(ctx, w, r, c)
+}
+
+func (a *Agent) note(c call, name, reason string) {
+	a.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindRequest, Name: name, Request: string(c.id), Detail: "account=" + string(c.account) + " reason=" + reason})
+}
+
+// upstreamRequest makes the request to the upstream. Its body cannot be rewound, so that the
+// transport never sends it a second time by itself, not even with an idempotency key on it.
+func (a *Agent) upstreamRequest(ctx context.Context, r *http.Request, c call) (*http.Request, error) {
+	url := "http://" + a.set.Upstream.Address + r.URL.Path
+	if r.URL.RawQuery != "" {
+		url += "?" + r.URL.RawQuery
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("make request to upstream: %w", err)
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+		req.ContentLength = int64(len(c.body))
+	}
+	for _, name := range []string{"Content-Type", "Priority", request.HeaderID, request.HeaderAccount, request.HeaderKey} {
+		if v := r.Header.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	return req, nil
+}
+
+// pass sends a request to the upstream and its answer to the router.
+func (a *Agent) pass(ctx context.Context, w http.ResponseWriter, r *http.Request, c call) {
+	req, err := a.upstreamRequest(ctx, r, c)
+	if err != nil {
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonBadRequest}, 0)
+		return
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		writeEnd(w, failed(err), 0)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get(request.HeaderID); got != string(c.id) {
+		a.note(c, "foreign-answer", got)
+		writeEnd(w, once.Answer{Outcome: request.OutcomeUnknown, Reason: reasonForeign}, 0)
+		return
+	}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		passStream(w, resp)
+		return
+	}
+	body, err := httpx.ReadAll(resp.Body, request.MaxBody)
+	if err != nil {
+		writeEnd(w, once.Answer{Outcome: request.OutcomeUnknown, Reason: reasonCut}, 0)
+		return
+	}
+	writeEnd(w, once.Answer{Outcome: request.OutcomeAnswered, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, 0)
+}
+
+// failed tells whether a request that got no answer can have run.
+func failed(err error) once.Answer {
+	if httpx.NotSent(err) {
+		return once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonDown}
+	}
+	return once.Answer{Outcome: request.OutcomeUnknown, Reason: reasonCut}
+}
+
+// passStream copies a stream as it comes. When it breaks off, so does the answer to the router.
+func passStream(w http.ResponseWriter, resp *http.Response) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(request.HeaderOutcome, string(request.OutcomeAnswered))
+	w.WriteHeader(resp.StatusCode)
+	flusher, ok := w.(http.Flusher)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return
+			}
+			if ok {
+				flusher.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// writeEnd answers a router.
+func writeEnd(w http.ResponseWriter, e once.Answer, retryAfter time.Duration) {
+	h := w.Header()
+	h.Set(request.HeaderOutcome, string(e.Outcome))
+	h.Set(request.HeaderReason, e.Reason)
+	if e.ContentType != "" {
+		h.Set("Content-Type", e.ContentType)
+	}
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((retryAfter+time.Second-1)/time.Second)))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(e.Body)))
+	status := e.Status
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(e.Body)
+}
+
+// serveOnce runs a request that may not be repeated.
+func (a *Agent) serveOnce(w http.ResponseWriter, r *http.Request, c call) {
+	slice, err := strconv.Atoi(r.Header.Get(request.HeaderOnce))
+	if err != nil || slice < 0 || slice >= once.Slices || a.once == nil {
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonNoOnce, Status: http.StatusBadRequest}, 0)
+		return
+	}
+	key := request.Key(r.Header.Get(request.HeaderKey))
+	if request.SliceOf(c.account, key, once.Slices) != request.Slice(slice) {
+		writeEnd(w, once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonBadRequest, Status: http.StatusBadRequest}, 0)
+		return
+	}
+	logAge, _ := strconv.Atoi(r.Header.Get(dispatch.HeaderLogAge))
+	attempt := once.Attempt{
+		Request: c.id, Key: once.NewKeyID(c.account, key), Slice: request.Slice(slice),
+		Digest: digest(r, c.body), Deadline: c.deadline, AskOnly: r.Header.Get(dispatch.HeaderAsk) != "",
+		RouterLogAge: time.Duration(logAge) * time.Millisecond,
+	}
+	answer := a.once.Do(r.Context(), attempt, func(ctx context.Context) once.Answer { return a.runOnce(ctx, r, c) })
+	a.note(c, "once-"+string(answer.Outcome), answer.Reason)
+	writeEnd(w, answer, 0)
+}
+
+// digest fingerprints what a key stands for: the method, the path and the body.
+func digest(r *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Method + "\x00" + r.URL.Path + "\x00" + r.URL.RawQuery + "\x00")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// runOnce waits for the account's turn and sends the request to the upstream, once.
+func (a *Agent) runOnce(ctx context.Context, r *http.Request, c call) once.Answer {
+	leave, refusal, err := a.gate.Enter(ctx, share.Item{Account: c.account, Deadline: c.deadline, Priority: c.priority})
+	if err != nil {
+		return once.Answer{Outcome: request.OutcomeNotRun, Reason: string(share.ReasonDeadline)}
+	}
+	if refusal != nil {
+		return once.Answer{Outcome: request.OutcomeNotRun, Reason: string(refusal.Reason)}
+	}
+	defer leave()
+	req, err := a.upstreamRequest(ctx, r, c)
+	if err != nil {
+		return once.Answer{Outcome: request.OutcomeNotRun, Reason: reasonBadRequest}
+	}
+	a.note(c, "sent-to-upstream", "")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return failed(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := httpx.ReadAll(resp.Body, request.MaxBody)
+	if err != nil {
+		return once.Answer{Outcome: request.OutcomeUnknown, Reason: reasonCut}
+	}
+	if resp.Header.Get(request.HeaderID) != string(c.id) {
+		return once.Answer{Outcome: request.OutcomeUnknown, Reason: reasonForeign}
+	}
+	return once.Answer{Outcome: request.OutcomeAnswered, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
+}
--- /dev/null
+++ b/services/directory/beat.go
@@ -0,0 +1,249 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/configlog"
+	"fawnwinch.org/fawnwinch/services/membership"
+	"fawnwinch.org/fawnwinch/services/once"
+	"fawnwinch.org/fawnwinch/services/routing"
+)
+
+// callTimeout bounds a control call to another process.
+const callTimeout = time.Second
+
+// beat tells every other router about this one and takes in the replies.
+func (d *Directory) beat(ctx context.Context) {
+	now := time.Now()
+	d.mu.Lock()
+	addresses := d.routers.Addresses(now)
+	b := d.routerBeat(now)
+	d.floorsKnown = d.floorsKnown || len(addresses) == 0
+	d.mu.Unlock()
+	var w sync.WaitGroup
+	for _, a := range addresses {
+		w.Go(func() { d.beatOne(ctx, a, b) })
+	}
+	w.Wait()
+}
+
+// routerBeat makes this router's heartbeat. The caller holds the lock.
+func (d *Directory) routerBeat(now time.Time) membership.RouterBeat {
+	peer := d.opts.Follower.Peer()
+	contact := d.opts.Follower.Contact()
+	age := now.Sub(contact)
+	if contact.IsZero() {
+		age = now.Sub(d.started)
+	}
+	self := d.routers.Self()
+	return membership.RouterBeat{
+		Info: self, Revision: peer.State.Revision, Anchored: peer.Anchored, LogAge: age,
+		Retired: self.State == membership.RouterLeaving && d.register.Empty(now),
+		Leaving: d.table.LeavingHere(), Lost: d.routers.Lost(now, minOutage, d.opts.Retention),
+		Stamp: d.opts.Ring.Clock.Now(now),
+	}
+}
+
+func (d *Directory) beatOne(ctx context.Context, address string, b membership.RouterBeat) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var r membership.RouterReply
+	if err := d.opts.Pool.Call(cctx, address, "Router.RouterBeat", b, &r); err != nil {
+		return
+	}
+	now := time.Now()
+	d.opts.Ring.Clock.Observe(now, r.Stamp)
+	d.mu.Lock()
+	d.routers.Hint(now, r.Routers)
+	d.routers.Beat(now, membership.RouterBeat{Info: r.Info, Revision: r.Revision, Anchored: r.Anchored, LogAge: r.LogAge})
+	needFloors := !d.floorsKnown
+	d.mu.Unlock()
+	if needFloors {
+		d.pullFloors(ctx, address)
+	}
+	mine := d.opts.Follower.Peer()
+	if r.Revision > mine.State.Revision || (r.Anchored && !mine.Anchored) || !d.opts.Follower.Ready(0) {
+		d.pullConfig(ctx, address)
+	}
+}
+
+func (d *Directory) pullConfig(ctx context.Context, address string) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var p configlog.PeerState
+	if err := d.opts.Pool.Call(cctx, address, "Router.Config", Nothing{}, &p); err != nil {
+		return
+	}
+	d.opts.Follower.Adopt(time.Now(), address, p)
+}
+
+func (d *Directory) pullFloors(ctx context.Context, address string) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var f map[once.SliceKey]once.Epoch
+	if err := d.opts.Pool.Call(cctx, address, "Router.Floors", Nothing{}, &f); err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for k, e := range f {
+		d.register.Raise(k, e)
+	}
+	d.floorsKnown = true
+}
+
+// Nothing is the argument of calls that need none.
+type Nothing struct{ Unused bool }
+
+// API is what a router offers to other processes over rpc.
+type API struct{ d *Directory }
+
+// NewAPI returns the rpc interface of a directory.
+func NewAPI(d *Directory) *API { return &API{d: d} }
+
+// Beat takes in an agent's heartbeat.
+func (a *API) Beat(b membership.Beat, r *membership.Reply) error {
+	*r = a.d.agentBeat(time.Now(), b)
+	return nil
+}
+
+func (d *Directory) agentBeat(now time.Time, b membership.Beat) membership.Reply {
+	d.opts.Ring.Clock.Observe(now, b.Stamp)
+	state := d.opts.Follower.State()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	nonce := d.table.Beat(now, b)
+	for sl, e := range b.Owned {
+		d.register.Raise(once.SliceKey{Service: b.Service, Slice: sl}, e)
+	}
+	d.tracker.Report(b.Upstream, reportOf(now, b.Load))
+	closed := false
+	if s := state.Intent.Service(b.Service); s != nil {
+		for _, u := range s.Closed {
+			closed = closed || u == b.Upstream
+		}
+	}
+	return membership.Reply{
+		Router: d.routers.Self(), Nonce: nonce, Revision: state.Revision, Routers: d.routers.Live(now),
+		Members: d.table.Members(now, b.Service), Leave: closed || d.table.Leave(b.RPC),
+		Stamp: d.opts.Ring.Clock.Now(now),
+	}
+}
+
+func reportOf(now time.Time, l membership.Load) routing.Report {
+	return routing.Report{
+		At: now, Work: l.InFlight + l.Queued, Concurrency: l.Concurrency,
+		Step: group.Step(l.Step), StepTime: time.Duration(l.StepMicros) * time.Microsecond,
+	}
+}
+
+// RouterBeat takes in another router's heartbeat.
+func (a *API) RouterBeat(b membership.RouterBeat, r *membership.RouterReply) error {
+	now := time.Now()
+	d := a.d
+	d.opts.Ring.Clock.Observe(now, b.Stamp)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routers.Beat(now, b)
+	d.table.Told(now, b.Leaving)
+	mine := d.routerBeat(now)
+	*r = membership.RouterReply{
+		Info: mine.Info, Revision: mine.Revision, Anchored: mine.Anchored, LogAge: mine.LogAge,
+		Routers: d.routers.Live(now), Stamp: mine.Stamp,
+	}
+	return nil
+}
+
+// Config returns the configuration in force here.
+func (a *API) Config(_ Nothing, p *configlog.PeerState) error {
+	*p = a.d.opts.Follower.Peer()
+	return nil
+}
+
+// Floors returns the lowest owner epochs this router sends to.
+func (a *API) Floors(_ Nothing, f *map[once.SliceKey]once.Epoch) error {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	*f = a.d.register.Floors()
+	return nil
+}
+
+// SettleArgs asks a router for the keys of a slice that it sent without the log.
+type SettleArgs struct {
+	Service service.ID
+	Slice   request.Slice
+	Epoch   once.Epoch
+	// OutageAfter is how long the log must be out before owners run keys without their journal.
+	OutageAfter time.Duration
+	Lifetime    time.Duration
+}
+
+// SettleReply lists those keys, and the routers that can no longer be asked.
+type SettleReply struct {
+	Incarnation string
+	Keys        []once.KeyID
+	Lost        []membership.Lost
+}
+
+// Settle returns the keys sent without the log and stops sending to earlier owners.
+func (a *API) Settle(s SettleArgs, r *SettleReply) error {
+	now := time.Now()
+	d := a.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.Incarnation = d.opts.Self.Incarnation
+	r.Keys = d.register.Settle(now, once.SliceKey{Service: s.Service, Slice: s.Slice}, s.Epoch)
+	r.Lost = d.routers.Lost(now, s.OutageAfter, s.Lifetime)
+	return nil
+}
+
+// Timeline returns the events of this process.
+func (a *API) Timeline(f timeline.Filter, out *[]timeline.Event) error {
+	*out = a.d.opts.Ring.Events(f)
+	return nil
+}
+
+// CollectTimeline gathers the events of all known processes and names those that did not answer.
+func (d *Directory) CollectTimeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, []string) {
+	now := time.Now()
+	d.mu.Lock()
+	targets := map[string]string{}
+	for _, a := range d.routers.Addresses(now) {
+		targets[a] = "Router.Timeline"
+	}
+	for _, e := range d.table.All(now) {
+		targets[e.Beat.RPC] = "Agent.Timeline"
+	}
+	d.mu.Unlock()
+	var mu sync.Mutex
+	lists := [][]timeline.Event{d.opts.Ring.Events(f)}
+	var silent []string
+	var w sync.WaitGroup
+	for address, method := range targets {
+		w.Go(func() {
+			cctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			var events []timeline.Event
+			err := d.opts.Pool.Call(cctx, address, method, f, &events)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				silent = append(silent, fmt.Sprintf("%s (%v)", address, err))
+				return
+			}
+			lists = append(lists, events)
+		})
+	}
+	w.Wait()
+	return timeline.Merge(lists...), silent
+}
--- /dev/null
+++ b/services/dispatch/attempt.go
@@ -0,0 +1,187 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/services/membership"
+)
+
+// kind tells how one attempt ended.
+type kind string
+
+const (
+	// kindAnswered is a whole answer.
+	kindAnswered kind = "answered"
+	// kindNotRun is an agent's word that the request has not run.
+	kindNotRun kind = "not-run"
+	// kindNotSent means that no connection came about: the request has not run.
+	kindNotSent kind = "not-sent"
+	// kindUnknown is an agent's word that the request may have run.
+	kindUnknown kind = "unknown"
+	// kindCut means that the connection broke or the answer was not whole.
+	kindCut kind = "cut"
+	// kindGone means that the caller went away or its time is over.
+	kindGone kind = "gone"
+)
+
+// attemptOptions are the marks of one attempt.
+type attemptOptions struct {
+	// onceSlice is the slice of a request that may not be repeated, with its fence.
+	once  bool
+	slice request.Slice
+	// ask says that the request must not run now: it asks what became of an earlier attempt.
+	ask    bool
+	logAge time.Duration
+	body   []byte
+}
+
+// attemptEnd is the end of one attempt.
+type attemptEnd struct {
+	kind        kind
+	reason      string
+	status      int
+	contentType string
+	body        []byte
+	retryAfter  time.Duration
+}
+
+func (a attemptEnd) result(n int, e membership.Entry) Result {
+	r := Result{
+		Reason: a.reason, Status: a.status, ContentType: a.contentType, Body: a.body,
+		RetryAfter: a.retryAfter, Upstream: e.Beat.Upstream, Attempts: n,
+	}
+	switch a.kind {
+	case kindAnswered:
+		r.Outcome = request.OutcomeAnswered
+	case kindNotRun, kindNotSent:
+		r.Outcome = request.OutcomeNotRun
+	case kindUnknown, kindCut, kindGone:
+		r.Outcome = request.OutcomeUnknown
+	}
+	return r
+}
+
+// attempt sends a request to one agent and reads the whole answer.
+func (d *Dispatcher) attempt(ctx context.Context, e membership.Entry, r *Request, o attemptOptions) attemptEnd {
+	resp, end := d.open(ctx, e, r, o)
+	if resp == nil {
+		return end
+	}
+	defer func() { _ = resp.Body.Close() }()
+	end = classify(resp, r.ID)
+	body, err := httpx.ReadAll(resp.Body, request.MaxBody)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	end.body = body
+	return end
+}
+
+// open sends a request and returns the answer's head, or how the attempt ended without one.
+func (d *Dispatcher) open(ctx context.Context, e membership.Entry, r *Request, o attemptOptions) (*http.Response, attemptEnd) {
+	body := r.Body
+	if o.body != nil {
+		body = o.body
+	}
+	url := "http://" + e.Beat.HTTP + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, attemptEnd{kind: kindNotSent, reason: err.Error()}
+	}
+	// A request that may have reached an agent must not be sent again by the transport itself.
+	req.GetBody = nil
+	setHeaders(req, r, o)
+	resp, err := d.client.Do(req)
+	if err == nil {
+		return resp, attemptEnd{}
+	}
+	if httpx.NotSent(err) {
+		d.dir.Gone(e)
+		return nil, attemptEnd{kind: kindNotSent, reason: "unreachable"}
+	}
+	return nil, broken(ctx, err)
+}
+
+func broken(ctx context.Context, err error) attemptEnd {
+	if ctx.Err() != nil {
+		return attemptEnd{kind: kindGone, reason: ReasonDeadline}
+	}
+	return attemptEnd{kind: kindCut, reason: ReasonCut + ": " + err.Error()}
+}
+
+// Headers that only routers and agents use.
+const (
+	// HeaderAsk marks a request that must not run now.
+	HeaderAsk = "Fawnwinch-Ask"
+	// HeaderLogAge carries how long the log has been out of the router's reach, in milliseconds.
+	HeaderLogAge = "Fawnwinch-Log-Age-Ms"
+)
+
+func setHeaders(req *http.Request, r *Request, o attemptOptions) {
+	h := req.Header
+	h.Set(request.HeaderID, string(r.ID))
+	h.Set(request.HeaderAccount, string(r.Account))
+	h.Set(request.HeaderService, string(r.Service.ID))
+	h.Set(request.HeaderBudget, strconv.FormatInt(max(1, time.Until(r.Deadline).Milliseconds()), 10))
+	if r.ContentType != "" {
+		h.Set("Content-Type", r.ContentType)
+	}
+	if r.Priority != "" {
+		h.Set("Priority", r.Priority)
+	}
+	if r.Key != "" {
+		h.Set(request.HeaderKey, string(r.Key))
+	}
+	if !o.once {
+		return
+	}
+	h.Set(request.HeaderOnce, strconv.Itoa(int(o.slice)))
+	h.Set(HeaderLogAge, strconv.FormatInt(o.logAge.Milliseconds(), 10))
+	if o.ask {
+		h.Set(HeaderAsk, "1")
+	}
+}
+
+// classify reads the head of an agent's answer.
+func classify(resp *http.Response, id request.ID) attemptEnd {
+	end := attemptEnd{
+		status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"),
+		reason: resp.Header.Get(request.HeaderReason),
+	}
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		end.retryAfter = time.Duration(s) * time.Second
+	}
+	if got := resp.Header.Get(request.HeaderID); got != string(id) {
+		return attemptEnd{kind: kindCut, reason: fmt.Sprintf("answer of another request: %q", got)}
+	}
+	switch request.Outcome(resp.Header.Get(request.HeaderOutcome)) {
+	case request.OutcomeAnswered:
+		end.kind = kindAnswered
+	case request.OutcomeNotRun:
+		end.kind = kindNotRun
+	case request.OutcomeUnknown:
+		end.kind = kindUnknown
+	default:
+		end.kind, end.reason = kindCut, "answer without an outcome"
+	}
+	return end
+}
+
+// streaming reports whether an answer is a stream of events.
+func streaming(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
--- /dev/null
+++ b/services/dispatch/dispatch.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package dispatch carries a caller's request to an upstream and its answer back. It is the only
+// layer that retries.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/directory"
+	"fawnwinch.org/fawnwinch/services/membership"
+	"fawnwinch.org/fawnwinch/services/routing"
+)
+
+// Request is one caller's request.
+type Request struct {
+	ID          request.ID
+	Account     account.ID
+	Service     *service.Service
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Priority    string
+	Body        []byte
+	// Key is the caller's idempotency key, if it gave one.
+	Key request.Key
+	// Once marks a request that may not be repeated.
+	Once     bool
+	Deadline time.Time
+	// Stream says that the answer is a stream of tokens.
+	Stream bool
+}
+
+// Result is the end of a request. For a streamed answer the body has gone to the Sink.
+type Result struct {
+	Outcome     request.Outcome
+	Reason      string
+	Status      int
+	ContentType string
+	Body        []byte
+	RetryAfter  time.Duration
+	Upstream    upstream.ID
+	Attempts    int
+}
+
+// Sink takes the parts of a streamed answer.
+type Sink interface {
+	// Part passes one event of the stream on. It returns an error if the caller is gone.
+	Part(event []byte) error
+}
+
+// Reasons that callers see.
+const (
+	ReasonNoUpstream = "no-upstream"
+	ReasonDeadline   = "deadline"
+	ReasonCut        = "cut"
+	ReasonNoOwner    = "no-owner"
+	ReasonBudget     = "retry-budget"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// dialTimeout bounds a connection attempt to an agent.
+	dialTimeout = 500 * time.Millisecond
+	// defaultRetryAfter is the advice when nothing better is known.
+	defaultRetryAfter = time.Second
+)
+
+// Dispatcher carries requests. It is safe for use by several goroutines.
+type Dispatcher struct {
+	dir    *directory.Directory
+	client *http.Client
+	ring   *timeline.Ring
+
+	mu     sync.Mutex
+	budget *routing.Budget
+}
+
+// New returns a dispatcher.
+func New(dir *directory.Directory, ring *timeline.Ring, retryRatio float64) *Dispatcher {
+	return &Dispatcher{
+		dir: dir, ring: ring, budget: routing.NewBudget(retryRatio),
+		client: &http.Client{Transport: httpx.Transport(dialTimeout, 256)},
+	}
+}
+
+// Close drops idle connections.
+func (d *Dispatcher) Close() { d.client.CloseIdleConnections() }
+
+// Do carries a request to its end. The sink is used for streamed answers only.
+func (d *Dispatcher) Do(ctx context.Context, r *Request, sink Sink) Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	var res Result
+	switch {
+	case r.Once:
+		res = d.doOnce(ctx, r)
+	case r.Stream:
+		res = d.doStream(ctx, r, sink)
+	default:
+		res = d.doWhole(ctx, r)
+	}
+	if res.Outcome == request.OutcomeAnswered {
+		d.mu.Lock()
+		d.budget.Answered()
+		d.mu.Unlock()
+	} else if res.RetryAfter == 0 {
+		res.RetryAfter = defaultRetryAfter
+	}
+	return res
+}
+
+func (d *Dispatcher) mayRetry() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Take()
+}
+
+// doWhole carries a request that may be repeated and has an unstreamed answer.
+func (d *Dispatcher) doWhole(ctx context.Context, r *Request) Result {
+	tried := map[upstream.ID]bool{}
+	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoUpstream}
+	for n := 1; n <= maxAttempts; n++ {
+		e, ok := d.next(r, tried)
+		if !ok {
+			return last
+		}
+		tried[e.Beat.Upstream] = true
+		out := d.attempt(ctx, e, r, attemptOptions{})
+		d.dir.Done(time.Now(), e.Beat.Upstream)
+		last = out.result(n, e)
+		d.trace(r, e, out)
+		if out.kind == kindAnswered || ctx.Err() != nil {
+			return last
+		}
+		if !d.mayRetry() {
+			return last
+		}
+	}
+	return last
+}
+
+// next picks an upstream that was not tried; when all were tried it begins again.
+func (d *Dispatcher) next(r *Request, tried map[upstream.ID]bool) (membership.Entry, bool) {
+	e, ok := d.dir.Pick(time.Now(), r.Service, tried)
+	if !ok && len(tried) > 0 {
+		return d.dir.Pick(time.Now(), r.Service, nil)
+	}
+	return e, ok
+}
+
+func (d *Dispatcher) trace(r *Request, e membership.Entry, out attemptEnd) {
+	d.ring.Add(time.Now(), timeline.Event{
+		Kind: timeline.KindRequest, Name: "attempt-end", Request: string(r.ID),
+		Detail: "upstream=" + string(e.Beat.Upstream) + " end=" + string(out.kind) + " reason=" + out.reason,
+	})
+}
+
+// jitter returns a pause of between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1) //nolint:gosec // no secret
+}
+
+// pause waits for a time or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(jitter(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/services/membership/message.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package membership tells which routers and agents are alive, leaving or suspect.
+// It joins three sources: the platform's lagging list, direct heartbeats, and what other routers say.
+package membership
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services/once"
+)
+
+// BeatInterval is the time between two heartbeats of a process to one router.
+const BeatInterval = 400 * time.Millisecond
+
+// SuspectAfter is how long a process may be silent before it gets no new work.
+const SuspectAfter = 4 * BeatInterval
+
+// ForgetAfter is how long a silent process stays in the tables.
+const ForgetAfter = 10 * time.Minute
+
+// Load is what an agent reports about its upstream.
+type Load struct {
+	// InFlight and Queued count requests at the agent.
+	InFlight, Queued int
+	// Running and Waiting count requests at the engine.
+	Running, Waiting int
+	// StepMicros is the mean duration of the group's latest steps, in microseconds.
+	StepMicros int64
+	// Step is the group's step count.
+	Step uint64
+	// Map is the version of the expert map of the rank.
+	Map uint64
+	// Skew is the largest rank load of the group against the mean.
+	Skew float64
+	// Concurrency is the number of requests the upstream works on at a time.
+	Concurrency int
+}
+
+// Beat is the heartbeat of an agent to a router.
+type Beat struct {
+	Upstream    upstream.ID
+	Incarnation upstream.Incarnation
+	Service     service.ID
+	DataCentre  vm.DataCentre
+	RPC, HTTP   string
+	State       upstream.State
+	Revision    intent.Revision
+	Load        Load
+	Owned       map[request.Slice]once.Epoch
+	// Echo is the nonce of the router's latest reply: proof that the agent is awake now.
+	Echo  uint64
+	Stamp timeline.Stamp
+}
+
+// RouterState is the state of a router.
+type RouterState string
+
+// The states of a router.
+const (
+	RouterReady    RouterState = "ready"
+	RouterStarting RouterState = "starting"
+	RouterLeaving  RouterState = "leaving"
+)
+
+// RouterInfo describes a router to other processes and to callers.
+type RouterInfo struct {
+	ID          string        `json:"id"`
+	Incarnation string        `json:"incarnation"`
+	DataCentre  vm.DataCentre `json:"data_centre"`
+	RPC         string        `json:"rpc"`
+	HTTP        string        `json:"http"`
+	State       RouterState   `json:"state"`
+}
+
+// RouterBeat is the heartbeat of a router to another.
+type RouterBeat struct {
+	Info     RouterInfo
+	Revision intent.Revision
+	Anchored bool
+	// LogAge is how long the log has been out of the sender's reach.
+	LogAge time.Duration
+	// Retired says that the sender stops and has sent no key without the log.
+	Retired bool
+	// Leaving lists upstreams that the sender knows to be leaving.
+	Leaving []upstream.ID
+	// Lost lists routers of which the sender cannot say that they died before they could send keys without the log.
+	Lost  []Lost
+	Stamp timeline.Stamp
+}
+
+// Lost is a router whose register of sent keys is gone or out of reach.
+type Lost struct {
+	Incarnation string
+	// Fresh is how long ago it is known to have had the log.
+	Fresh time.Duration
+	// Gone is how long ago it was known to be dead, or 0 if it is not known to be.
+	Gone time.Duration
+}
+
+// RouterReply answers a RouterBeat.
+type RouterReply struct {
+	Info     RouterInfo
+	Revision intent.Revision
+	Anchored bool
+	LogAge   time.Duration
+	Routers  []RouterInfo
+	Stamp    timeline.Stamp
+}
+
+// MemberInfo tells an agent about another agent of its service.
+type MemberInfo struct {
+	Owner      once.Owner
+	HTTP       string
+	DataCentre vm.DataCentre
+	State      upstream.State
+	Suspect    bool
+}
+
+// Reply answers a Beat.
+type Reply struct {
+	Router   RouterInfo
+	Nonce    uint64
+	Revision intent.Revision
+	Routers  []RouterInfo
+	Members  []MemberInfo
+	// Leave says that the platform or the configuration takes the upstream away.
+	Leave bool
+	Stamp timeline.Stamp
+}
--- /dev/null
+++ b/services/once/journal.go
@@ -0,0 +1,318 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package once
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/services"
+)
+
+// Apply takes in a page of the journal that was read from Next on.
+func (c *Core) Apply(now time.Time, p services.Page) {
+	c.contact = now
+	c.open(p)
+	for _, r := range p.Records {
+		if r.Offset < c.next {
+			continue
+		}
+		c.next = r.Offset + 1
+		rec, err := DecodeRecord(r.Data)
+		if err != nil {
+			continue
+		}
+		at := now.Add(r.At.Sub(p.Now))
+		if rec.Kind == RecordTake {
+			c.applyTakes(now, r.Offset, rec)
+			continue
+		}
+		c.applyClaims(at, rec)
+	}
+}
+
+// Contact notes that the log answered an append.
+func (c *Core) Contact(now time.Time) { c.contact = now }
+
+// LastContact returns the time of the log's latest answer.
+func (c *Core) LastContact() time.Time { return c.contact }
+
+// open deals with the edges of what the log still keeps.
+func (c *Core) open(p services.Page) {
+	switch {
+	case !c.started:
+		c.started, c.tail = true, p.Tail
+		for i := range c.slices {
+			c.slices[i].known = p.First == 0
+		}
+	case p.First <= c.next && p.Tail >= c.next:
+		return
+	default:
+		c.loseSight()
+	}
+	c.next, c.window = p.First, p.First
+}
+
+// loseSight gives up all ownership: takes may have been dropped unread.
+func (c *Core) loseSight() {
+	for i := range c.slices {
+		c.dropWaiting(request.Slice(i))
+		c.slices[i] = sliceState{}
+	}
+}
+
+func (c *Core) applyTakes(now time.Time, off services.Offset, rec *Record) {
+	for _, t := range rec.Takes {
+		sl := &c.slices[t.Slice]
+		switch {
+		case sl.known && !takeFits(sl, t, rec):
+		case !sl.known && (rec.AsOf < c.window || rec.AsOf < sl.unjudged):
+			sl.unjudged = off + 1
+		default:
+			c.setOwner(now, t, Epoch(off)+1, rec.Owner)
+		}
+	}
+}
+
+// takeFits reports whether a take follows the latest one of its slice.
+func takeFits(sl *sliceState, t Take, rec *Record) bool {
+	if t.Prev == 0 {
+		return sl.epoch <= Epoch(rec.Window)
+	}
+	return sl.epoch == t.Prev
+}
+
+func (c *Core) setOwner(now time.Time, t Take, epoch Epoch, owner Owner) {
+	sl := &c.slices[t.Slice]
+	refresh := sl.known && sl.owner == owner && sl.settled
+	first := sl.known && sl.epoch == 0
+	wasMine := sl.owner == c.self
+	*sl = sliceState{owner: owner, epoch: epoch, known: true, takenAt: now}
+	if owner != c.self {
+		if wasMine {
+			c.dropWaiting(t.Slice)
+		}
+		return
+	}
+	table, handed := c.handedOver[t.Slice]
+	delete(c.handedOver, t.Slice)
+	sl.settled = refresh || first
+	if handed && table.Epoch == t.Prev && t.Prev != 0 {
+		c.merge(now, t.Slice, epoch, table)
+		sl.settled = true
+	}
+	if refresh {
+		c.renew(t.Slice, epoch)
+	}
+}
+
+// renew moves pending keys to the new epoch of a slice that this process keeps.
+func (c *Core) renew(s request.Slice, epoch Epoch) {
+	for _, e := range c.entries {
+		if e.slice != s || e.epoch == epoch {
+			continue
+		}
+		if e.state == StatePending && !e.journaled {
+			e.epoch = epoch
+			c.unsent = append(c.unsent, e.key)
+		} else if e.state == StatePending || e.state == StateIdle {
+			e.epoch = epoch
+		}
+	}
+}
+
+// dropWaiting refuses what waits in a slice that this process no longer owns. What runs goes on.
+func (c *Core) dropWaiting(s request.Slice) {
+	for _, e := range c.entries {
+		if e.slice != s || e.state != StatePending || e.runner != 0 {
+			continue
+		}
+		c.refuse(e, ReasonNotOwner)
+		c.settleIdle(e)
+	}
+}
+
+func (c *Core) applyClaims(at time.Time, rec *Record) {
+	for _, cl := range rec.Claims {
+		sl := &c.slices[cl.Slice]
+		if sl.known && (sl.epoch != cl.Epoch || sl.owner != rec.Owner) {
+			continue
+		}
+		e, ok := c.entries[cl.Key]
+		if ok && rec.Owner == c.self {
+			c.claimed(e)
+			continue
+		}
+		if !ok || (e.epoch != cl.Epoch && e.state != StateRunning && e.state != StateDone) {
+			c.entries[cl.Key] = &entry{key: cl.Key, slice: cl.Slice, epoch: cl.Epoch, state: StateForeign, at: at, journaled: true}
+		}
+	}
+}
+
+// claimed notes that the claim of a key stands in the log.
+func (c *Core) claimed(e *entry) {
+	e.journaled = true
+	if e.state != StatePending || e.runner != 0 {
+		return
+	}
+	c.promote(e)
+	if e.runner == 0 {
+		e.state = StateIdle
+	}
+}
+
+// maxClaims bounds the claims in one record.
+const maxClaims = 4000
+
+// Batch returns the record with the claims that wait for the journal, or nil if none do.
+func (c *Core) Batch() *Record {
+	rec := &Record{Version: recordVersion, Kind: RecordClaims, Owner: c.self}
+	n := min(len(c.unsent), maxClaims)
+	for _, k := range c.unsent[:n] {
+		e, ok := c.entries[k]
+		if !ok || e.journaled || c.slices[e.slice].epoch != e.epoch {
+			continue
+		}
+		rec.Claims = append(rec.Claims, Claim{Slice: e.slice, Epoch: e.epoch, Key: k})
+	}
+	c.unsent = append([]KeyID(nil), c.unsent[n:]...)
+	if len(rec.Claims) == 0 {
+		return nil
+	}
+	return rec
+}
+
+// Requeue takes back the claims of a record whose append failed or may have failed.
+// A claim that stands twice in the log counts once.
+func (c *Core) Requeue(rec *Record) {
+	for _, cl := range rec.Claims {
+		if e, ok := c.entries[cl.Key]; ok && !e.journaled {
+			c.unsent = append(c.unsent, cl.Key)
+		}
+	}
+}
+
+// TakeRecord returns the record that makes this process the owner of slices.
+func (c *Core) TakeRecord(wanted []request.Slice) *Record {
+	rec := &Record{Version: recordVersion, Kind: RecordTake, Owner: c.self, AsOf: c.next, Window: c.window}
+	for _, s := range wanted {
+		t := Take{Slice: s}
+		if c.slices[s].known {
+			t.Prev = c.slices[s].epoch
+		}
+		rec.Takes = append(rec.Takes, t)
+	}
+	return rec
+}
+
+// SliceView is what a shell sees of a slice when it decides about ownership.
+type SliceView struct {
+	Slice   request.Slice
+	Owner   Owner
+	Epoch   Epoch
+	Mine    bool
+	Settled bool
+	Frozen  bool
+	// FrozenAt is the time of the handover that froze the slice.
+	FrozenAt time.Time
+	TakenAt  time.Time
+}
+
+// View returns all slices.
+func (c *Core) View() []SliceView {
+	out := make([]SliceView, Slices)
+	for i := range c.slices {
+		s := &c.slices[i]
+		out[i] = SliceView{
+			Slice: request.Slice(i), Owner: s.owner, Epoch: s.epoch, Mine: s.known && s.owner == c.self,
+			Settled: s.settled, Frozen: s.frozen, FrozenAt: s.frozenAt, TakenAt: s.takenAt,
+		}
+	}
+	return out
+}
+
+// Settle ends the doubt about keys that the former owners of a slice may have run without a journal:
+// keys lists all of them.
+func (c *Core) Settle(now time.Time, s request.Slice, epoch Epoch, keys []KeyID) bool {
+	sl := &c.slices[s]
+	if sl.owner != c.self || sl.epoch != epoch {
+		return false
+	}
+	for _, k := range keys {
+		if _, ok := c.entries[k]; !ok {
+			c.entries[k] = &entry{key: k, slice: s, epoch: epoch, state: StateForeign, at: now}
+		}
+	}
+	sl.settled = true
+	return true
+}
+
+// KeyRecord is one key of a table that is handed over.
+type KeyRecord struct {
+	Key    KeyID
+	State  State
+	Digest uint64
+	Age    time.Duration
+	Answer Answer
+}
+
+// Table is what an owner hands to the next one.
+type Table struct {
+	Slice request.Slice
+	Epoch Epoch
+	Keys  []KeyRecord
+}
+
+// ErrBusy reports a slice that still has keys pending or running.
+type ErrBusy struct{ Slice request.Slice }
+
+func (e ErrBusy) Error() string { return "slice has requests in progress" }
+
+// Handover freezes a slice and returns its table once nothing in it is in progress.
+// The slice stays frozen until a take of it is read.
+func (c *Core) Handover(now time.Time, s request.Slice) (Table, error) {
+	sl := &c.slices[s]
+	if sl.owner != c.self || !sl.settled {
+		return Table{}, ErrNotOwner{Slice: s}
+	}
+	if !sl.frozen {
+		sl.frozen, sl.frozenAt = true, now
+	}
+	t := Table{Slice: s, Epoch: sl.epoch}
+	for _, e := range c.entries {
+		if e.slice != s {
+			continue
+		}
+		if e.busy() {
+			return Table{}, ErrBusy{Slice: s}
+		}
+		state := e.state
+		if state == StatePending {
+			state = StateIdle
+		}
+		t.Keys = append(t.Keys, KeyRecord{Key: e.key, State: state, Digest: e.digest, Age: now.Sub(e.at), Answer: e.answer})
+	}
+	return t, nil
+}
+
+// ErrNotOwner reports a slice that this process cannot hand over.
+type ErrNotOwner struct{ Slice request.Slice }
+
+func (e ErrNotOwner) Error() string { return "slice is not owned here" }
+
+// Receive keeps the table of a slice that this process is about to take.
+func (c *Core) Receive(t Table) { c.handedOver[t.Slice] = t }
+
+// merge takes in the table of the former owner.
+func (c *Core) merge(now time.Time, s request.Slice, epoch Epoch, t Table) {
+	for _, k := range t.Keys {
+		if k.State == StateIdle {
+			delete(c.entries, k.Key)
+			continue
+		}
+		e := &entry{key: k.Key, slice: s, epoch: epoch, state: k.State, digest: k.Digest, at: now.Add(-k.Age), answer: k.Answer, journaled: true}
+		c.entries[k.Key] = e
+		c.answerBytes += len(k.Answer.Body)
+	}
+}
--- /dev/null
+++ b/services/once/record.go
@@ -0,0 +1,127 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package once makes requests that may not be repeated run at most once.
+//
+// The keys of a service fall into slices. A record in the log gives each slice one owner, an
+// incarnation of an agent; the offset of that record is the slice's epoch. Before an owner runs
+// a request it journals a claim of the key, and runs it only once it has read the claim back
+// with its own epoch still in force. So the order of the log alone decides between two owners,
+// however long either was paused.
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services"
+)
+
+// Slices is the number of slices in the key space of each service.
+const Slices = 32
+
+// Epoch numbers the owners of a slice: the offset of the record that made the owner, plus 1.
+// Epoch 0 means that the slice has had no owner.
+type Epoch uint64
+
+// KeyID is the fingerprint of an account and its idempotency key.
+type KeyID string
+
+// NewKeyID returns the fingerprint of a key of an account.
+func NewKeyID(a account.ID, k request.Key) KeyID {
+	sum := sha256.Sum256([]byte(string(a) + "\x00" + string(k)))
+	return KeyID(base64.RawURLEncoding.EncodeToString(sum[:16]))
+}
+
+// Owner is one incarnation of an agent.
+type Owner struct {
+	Upstream    upstream.ID          `json:"upstream"`
+	Incarnation upstream.Incarnation `json:"incarnation"`
+	RPC         string               `json:"rpc"`
+}
+
+// RecordKind tells what a record of the journal is.
+type RecordKind string
+
+// The kinds of record.
+const (
+	// RecordTake makes the writer the owner of slices.
+	RecordTake RecordKind = "take"
+	// RecordClaims says that the owner is about to run, or has run, keys.
+	RecordClaims RecordKind = "claims"
+)
+
+// recordVersion is the version of the journal format.
+const recordVersion = 1
+
+// Take claims ownership of a slice whose epoch was Prev. Prev 0 says that the writer has read no
+// take of the slice since Window.
+type Take struct {
+	Slice request.Slice `json:"slice"`
+	Prev  Epoch         `json:"prev"`
+}
+
+// Claim says that the owner of a slice may run a key.
+type Claim struct {
+	Slice request.Slice `json:"slice"`
+	Epoch Epoch         `json:"epoch"`
+	Key   KeyID         `json:"key"`
+}
+
+// Record is one entry of a service's journal.
+type Record struct {
+	Version int        `json:"version"`
+	Kind    RecordKind `json:"kind"`
+	Owner   Owner      `json:"owner"`
+	// AsOf is the first offset the writer of a take had not applied.
+	AsOf services.Offset `json:"as_of,omitempty"`
+	// Window is the first offset the writer of a take has read.
+	Window services.Offset `json:"window,omitempty"`
+	Takes  []Take          `json:"takes,omitempty"`
+	Claims []Claim         `json:"claims,omitempty"`
+}
+
+// StreamOf returns the journal's stream of a service.
+func StreamOf(id service.ID) services.Stream { return services.Stream("once." + string(id)) }
+
+// Encode returns the bytes of a record.
+func (r *Record) Encode() ([]byte, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode journal record: %w", err)
+	}
+	return raw, nil
+}
+
+// ErrBadRecord reports a journal record that cannot be read.
+type ErrBadRecord struct{ Reason string }
+
+func (e ErrBadRecord) Error() string { return "journal record " + e.Reason }
+
+// DecodeRecord reads a journal record.
+func DecodeRecord(raw []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, ErrBadRecord{Reason: "is not JSON: " + err.Error()}
+	}
+	if r.Version != recordVersion {
+		return nil, ErrBadRecord{Reason: fmt.Sprintf("has version %d, this program reads %d", r.Version, recordVersion)}
+	}
+	for _, t := range r.Takes {
+		if t.Slice < 0 || t.Slice >= Slices {
+			return nil, ErrBadRecord{Reason: fmt.Sprintf("takes slice %d", t.Slice)}
+		}
+	}
+	for _, c := range r.Claims {
+		if c.Slice < 0 || c.Slice >= Slices {
+			return nil, ErrBadRecord{Reason: fmt.Sprintf("claims in slice %d", c.Slice)}
+		}
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/services/once/register.go
@@ -0,0 +1,94 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package once
+
+import (
+	"fmt"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
+)
+
+// SliceKey names a slice of a service.
+type SliceKey struct {
+	Service service.ID
+	Slice   request.Slice
+}
+
+// Register is a router's memory of the keys it sent to owners while the log was out of its reach.
+// It does no I/O and reads no clock.
+type Register struct {
+	lifetime time.Duration
+	// floor holds the lowest epoch this router still sends to.
+	floor map[SliceKey]Epoch
+	sent  map[SliceKey]map[KeyID]time.Time
+}
+
+// NewRegister returns an empty register that keeps keys for lifetime.
+func NewRegister(lifetime time.Duration) *Register {
+	return &Register{lifetime: lifetime, floor: map[SliceKey]Epoch{}, sent: map[SliceKey]map[KeyID]time.Time{}}
+}
+
+// ErrOldOwner reports an owner that a newer one has replaced.
+type ErrOldOwner struct{ Have, Floor Epoch }
+
+func (e ErrOldOwner) Error() string {
+	return fmt.Sprintf("owner of epoch %d was replaced, the lowest valid epoch is %d", e.Have, e.Floor)
+}
+
+// Send is asked before a request goes to the owner of an epoch. If the log is out of reach, the
+// key is noted first.
+func (r *Register) Send(now time.Time, k SliceKey, epoch Epoch, key KeyID, logOut bool) error {
+	if epoch < r.floor[k] {
+		return ErrOldOwner{Have: epoch, Floor: r.floor[k]}
+	}
+	if !logOut {
+		return nil
+	}
+	if r.sent[k] == nil {
+		r.sent[k] = map[KeyID]time.Time{}
+	}
+	r.sent[k][key] = now
+	return nil
+}
+
+// Raise notes an owner's epoch.
+func (r *Register) Raise(k SliceKey, epoch Epoch) { r.floor[k] = max(r.floor[k], epoch) }
+
+// Floors returns the lowest valid epochs, for a router that has just started.
+func (r *Register) Floors() map[SliceKey]Epoch {
+	out := make(map[SliceKey]Epoch, len(r.floor))
+	for k, e := range r.floor {
+		out[k] = e
+	}
+	return out
+}
+
+// Settle returns the keys of a slice that were sent without the log, and promises that nothing
+// more goes to an owner before epoch.
+func (r *Register) Settle(now time.Time, k SliceKey, epoch Epoch) []KeyID {
+	r.Raise(k, epoch)
+	var keys []KeyID
+	for id, at := range r.sent[k] {
+		if now.Sub(at) > r.lifetime {
+			delete(r.sent[k], id)
+			continue
+		}
+		keys = append(keys, id)
+	}
+	return keys
+}
+
+// Empty reports whether no key that still lives was sent without the log.
+func (r *Register) Empty(now time.Time) bool {
+	for _, keys := range r.sent {
+		for _, at := range keys {
+			if now.Sub(at) <= r.lifetime {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/services/services.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package services holds the interfaces behind which everything outside fawnwinch stands.
+// The packages below it decide; none of them knows an adapter.
+package services
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
+)
+
+// Offset is the place of a record in a stream of the platform's log, from 0.
+type Offset uint64
+
+// Stream names a stream of the platform's log.
+type Stream string
+
+// LogRecord is one record of a stream.
+type LogRecord struct {
+	Offset Offset `json:"offset"`
+	// At is the log service's time of the append.
+	At   time.Time `json:"at"`
+	Data []byte    `json:"data"`
+}
+
+// Page is the answer to a read.
+type Page struct {
+	// First is the oldest offset the log still keeps, or Tail if it keeps none.
+	First Offset `json:"first"`
+	// Tail is the offset that the next append gets.
+	Tail Offset `json:"tail"`
+	// Now is the log service's present time.
+	Now     time.Time   `json:"now"`
+	Records []LogRecord `json:"records"`
+}
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds a record. After an error the record may or may not have been added.
+	Append(ctx context.Context, s Stream, data []byte) (Offset, error)
+	// Read returns records from an offset on, and waits up to wait if there are none yet.
+	Read(ctx context.Context, s Stream, from Offset, wait time.Duration) (Page, error)
+}
+
+// VMList is the platform's lagging list of VMs.
+type VMList interface {
+	VMs(ctx context.Context) ([]vm.VM, error)
+}
+
+// WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Fetch brings bytes of weights to an upstream and returns when they are there.
+	Fetch(ctx context.Context, u upstream.ID, bytes int64) error
+}
+
+// Fence numbers the authority behind an order; an engine that checks refuses lower ones.
+type Fence uint64
+
+// EngineState is what a model engine tells about its rank.
+type EngineState struct {
+	Rank    group.Rank        `json:"rank"`
+	Step    group.Step        `json:"step"`
+	Map     expertmap.Version `json:"map"`
+	Fence   Fence             `json:"fence"`
+	Running int               `json:"running"`
+	Waiting int               `json:"waiting"`
+	// StepMicros is the mean duration of the latest steps, in microseconds.
+	StepMicros int64 `json:"step_micros"`
+	// Load is the expert load of the rank against the mean of its group; 1 is even.
+	Load float64 `json:"load"`
+}
+
+// OrderKind tells what an engine shall do.
+type OrderKind string
+
+// The kinds of order.
+const (
+	// OrderStage loads the weights a map needs beside those in use.
+	OrderStage OrderKind = "stage"
+	// OrderHold keeps the rank from entering a step before a decision.
+	OrderHold OrderKind = "hold"
+	// OrderSwitch uses a map from a step on and ends the hold.
+	OrderSwitch OrderKind = "switch"
+	// OrderRelease ends the hold without a change of map.
+	OrderRelease OrderKind = "release"
+	// OrderReset restarts the group on a map; its requests are dropped.
+	OrderReset OrderKind = "reset"
+)
+
+// Order is a fenced order to a model engine.
+type Order struct {
+	Kind  OrderKind      `json:"kind"`
+	Fence Fence          `json:"fence"`
+	Step  group.Step     `json:"step,omitempty"`
+	Map   *expertmap.Map `json:"map,omitempty"`
+}
+
+// Engine is one rank of a model engine.
+type Engine interface {
+	State(ctx context.Context) (EngineState, error)
+	Order(ctx context.Context, o Order) error
+}
+
+// ErrRefused reports an order that an engine refused.
+type ErrRefused struct{ Reason string }
+
+func (e ErrRefused) Error() string { return fmt.Sprintf("order refused: %s", e.Reason) }
+
+// ErrNotSent wraps a failure that happened before anything was sent: the action has not taken effect.
+type ErrNotSent struct{ Err error }
+
+func (e ErrNotSent) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e ErrNotSent) Unwrap() error { return e.Err }
--- /dev/null
+++ b/services/share/queue.go
@@ -0,0 +1,273 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package share divides an upstream among the client accounts that use it.
+//
+// It is start-time fair queueing: each account has a virtual time that advances by the work it
+// got, divided by its weight; the waiting account that is furthest behind is served next. What one
+// account leaves idle goes to the others, and an account that comes back starts at the present
+// virtual time, so that it neither saves up nor owes for its absence.
+package share
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+)
+
+// Ticket identifies one request in a queue.
+type Ticket uint64
+
+// Item is one request that wants to run.
+type Item struct {
+	Ticket   Ticket
+	Account  account.ID
+	Deadline time.Time
+	// Priority orders the requests of one account; higher goes first.
+	Priority int
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonFull     Reason = "queue-full"
+	ReasonDeadline Reason = "deadline-unreachable"
+	ReasonNoShare  Reason = "no-share"
+	ReasonPushed   Reason = "over-share"
+)
+
+// Refusal is the final answer to a request that will not run here.
+type Refusal struct {
+	Ticket Ticket
+	Reason Reason
+	// RetryAfter is how long the caller should wait before it asks again.
+	RetryAfter time.Duration
+}
+
+// Limits bounds a queue.
+type Limits struct {
+	// Concurrency is the number of requests that run at a time.
+	Concurrency int
+	// Waiting is the number of requests that may wait.
+	Waiting int
+}
+
+// flow is the state of one account.
+type flow struct {
+	weight  float64
+	virtual float64
+	waiting []Item
+	running int
+}
+
+// running is a request that has started.
+type running struct {
+	account account.ID
+	charged float64
+	started time.Time
+}
+
+// Queue decides which request runs next. It does no I/O and reads no clock.
+type Queue struct {
+	limits  Limits
+	flows   map[account.ID]*flow
+	running map[Ticket]running
+	waiting int
+	virtual float64
+	// meanSeconds is the smoothed time a request runs, in seconds.
+	meanSeconds float64
+}
+
+// initialMean is the run time assumed before any request has ended, in seconds.
+const initialMean = 0.02
+
+// smoothing is the weight of the latest run time in the mean.
+const smoothing = 0.05
+
+// NewQueue returns an empty queue.
+func NewQueue(l Limits) *Queue {
+	return &Queue{limits: l, flows: map[account.ID]*flow{}, running: map[Ticket]running{}, meanSeconds: initialMean}
+}
+
+// SetWeights changes the shares. Requests of accounts without a share are refused from now on.
+func (q *Queue) SetWeights(shares []account.Share) {
+	seen := map[account.ID]bool{}
+	for _, s := range shares {
+		seen[s.Account] = true
+		if f, ok := q.flows[s.Account]; ok {
+			f.weight = s.Weight
+			continue
+		}
+		q.flows[s.Account] = &flow{weight: s.Weight, virtual: q.virtual}
+	}
+	for id, f := range q.flows {
+		if seen[id] {
+			continue
+		}
+		f.weight = 0
+		if len(f.waiting)+f.running == 0 {
+			delete(q.flows, id)
+		}
+	}
+}
+
+// Counts returns the numbers of running and waiting requests.
+func (q *Queue) Counts() (run, wait int) { return len(q.running), q.waiting }
+
+// Enqueue takes a request in. It returns refusals: of this request, or of another one that had to
+// give way because its account has taken more than its part of the queue.
+func (q *Queue) Enqueue(now time.Time, it Item) []Refusal {
+	f, ok := q.flows[it.Account]
+	if !ok || f.weight <= 0 {
+		return []Refusal{{Ticket: it.Ticket, Reason: ReasonNoShare, RetryAfter: time.Minute}}
+	}
+	wait := q.estimate(f, len(f.waiting)+1)
+	if !it.Deadline.IsZero() && now.Add(wait+q.mean()).After(it.Deadline) && q.busy() {
+		return []Refusal{{Ticket: it.Ticket, Reason: ReasonDeadline, RetryAfter: q.retryAfter(f)}}
+	}
+	var refused []Refusal
+	if q.waiting >= q.limits.Waiting && q.busy() {
+		victim, found := q.pushOut(it.Account)
+		if !found {
+			return []Refusal{{Ticket: it.Ticket, Reason: ReasonFull, RetryAfter: q.retryAfter(f)}}
+		}
+		refused = append(refused, victim)
+	}
+	if len(f.waiting)+f.running == 0 {
+		f.virtual = max(f.virtual, q.virtual)
+	}
+	f.insert(it)
+	q.waiting++
+	return refused
+}
+
+// insert keeps the waiting requests of an account ordered by priority, then by arrival.
+func (f *flow) insert(it Item) {
+	i := len(f.waiting)
+	for i > 0 && f.waiting[i-1].Priority < it.Priority {
+		i--
+	}
+	f.waiting = append(f.waiting, Item{})
+	copy(f.waiting[i+1:], f.waiting[i:])
+	f.waiting[i] = it
+}
+
+func (q *Queue) busy() bool { return len(q.running) >= q.limits.Concurrency }
+
+func (q *Queue) mean() time.Duration { return time.Duration(q.meanSeconds * float64(time.Second)) }
+
+// estimate returns how long n waiting requests of an account take at its present part of the upstream.
+func (q *Queue) estimate(f *flow, n int) time.Duration {
+	var backlogged float64
+	for _, o := range q.flows {
+		if len(o.waiting) > 0 || o == f {
+			backlogged += o.weight
+		}
+	}
+	rate := float64(q.limits.Concurrency) / q.meanSeconds * f.weight / backlogged
+	return time.Duration(float64(n) / rate * float64(time.Second))
+}
+
+// The bounds of the advice when to come back.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+)
+
+// retryAfter returns when half of what the account has waiting will be done.
+func (q *Queue) retryAfter(f *flow) time.Duration {
+	return min(max(q.estimate(f, len(f.waiting)/2+1), minRetryAfter), maxRetryAfter)
+}
+
+// pushOut refuses the newest waiting request of the account that is furthest over its part of the
+// queue, if that account is further over than the arriving one would be.
+func (q *Queue) pushOut(arriving account.ID) (Refusal, bool) {
+	var worst account.ID
+	a := q.flows[arriving]
+	high := float64(len(a.waiting)+1) / a.weight
+	for id, f := range q.flows {
+		over := float64(len(f.waiting)) / max(f.weight, 1e-9)
+		if id != arriving && (over > high || (over == high && worst != "" && id < worst)) {
+			worst, high = id, over
+		}
+	}
+	if worst == "" {
+		return Refusal{}, false
+	}
+	f := q.flows[worst]
+	last := f.waiting[len(f.waiting)-1]
+	f.waiting = f.waiting[:len(f.waiting)-1]
+	q.waiting--
+	return Refusal{Ticket: last.Ticket, Reason: ReasonPushed, RetryAfter: q.retryAfter(f)}, true
+}
+
+// Next returns the requests that start now, and refuses those whose deadline has passed.
+func (q *Queue) Next(now time.Time) (start []Item, refused []Refusal) {
+	for !q.busy() && q.waiting > 0 {
+		f := q.behind()
+		it := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		q.waiting--
+		if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
+			refused = append(refused, Refusal{Ticket: it.Ticket, Reason: ReasonDeadline, RetryAfter: q.retryAfter(f)})
+			continue
+		}
+		q.virtual = max(q.virtual, f.virtual)
+		charge := q.meanSeconds
+		f.virtual += charge / f.weightOr()
+		f.running++
+		q.running[it.Ticket] = running{account: it.Account, charged: charge, started: now}
+		start = append(start, it)
+	}
+	return start, refused
+}
+
+// weightOr returns the weight, or a small one for an account that has lost its share.
+func (f *flow) weightOr() float64 { return max(f.weight, 1e-3) }
+
+// behind returns the waiting flow with the smallest virtual time.
+func (q *Queue) behind() *flow {
+	var best *flow
+	var bestID account.ID
+	for id, f := range q.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		if best == nil || f.virtual < best.virtual || (f.virtual == best.virtual && id < bestID) {
+			best, bestID = f, id
+		}
+	}
+	return best
+}
+
+// Done ends a running request and charges its account for the time it took.
+func (q *Queue) Done(now time.Time, t Ticket) {
+	r, ok := q.running[t]
+	if !ok {
+		return
+	}
+	delete(q.running, t)
+	took := now.Sub(r.started).Seconds()
+	q.meanSeconds += smoothing * (took - q.meanSeconds)
+	q.meanSeconds = max(q.meanSeconds, 1e-4)
+	if f, ok := q.flows[r.account]; ok {
+		f.running--
+		f.virtual += (took - r.charged) / f.weightOr()
+	}
+}
+
+// Cancel takes a waiting request out. It reports whether the request was still waiting.
+func (q *Queue) Cancel(t Ticket) bool {
+	for _, f := range q.flows {
+		for i, it := range f.waiting {
+			if it.Ticket == t {
+				f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+				q.waiting--
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/tests/integration/path_test.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+)
+
+// TestPath serves model and plain requests end to end with real processes.
+func TestPath(t *testing.T) {
+	c := newCluster(t, options{routers: 2, groups: 1, ranks: 3, plains: 2})
+	for r := range c.routers {
+		for _, stream := range []bool{false, true} {
+			prompt := fmt.Sprintf("memo %d %t", r, stream)
+			text, end := c.chat(r, "large", prompt, 20, stream)
+			if end.outcome != request.OutcomeAnswered || text != want(prompt, 20) {
+				t.Errorf("router %d, stream %t: outcome %s (%s), text %q", r, stream, end.outcome, end.reason, text)
+			}
+		}
+		key := fmt.Sprintf("key-%d", r)
+		if got := c.hold(r, "small", key, 10*time.Second); got.outcome != request.OutcomeAnswered {
+			t.Errorf("hold: %+v", got)
+		}
+	}
+	first := c.hold(0, "small", "same", 10*time.Second)
+	again := c.hold(1, "small", "same", 10*time.Second)
+	if first.body != again.body || again.outcome != request.OutcomeAnswered {
+		t.Errorf("retry at another router: got %q, want the kept answer %q", again.body, first.body)
+	}
+	other := c.hold(1, "large", "same", 10*time.Second)
+	if other.body == first.body {
+		t.Errorf("another account read a kept answer: %q", other.body)
+	}
+	for key, n := range c.effects() {
+		if n != 1 {
+			t.Errorf("key %s had %d effects", key, n)
+		}
+	}
+	var a struct{ Routers []string }
+	if err := getJSON(c.routers[0]+"/api/v1/endpoints", "small", &a); err != nil || len(a.Routers) != 2 {
+		t.Errorf("endpoints: %v %v", a, err)
+	}
+}
+
+// TestBadInput checks that bad input names its field and value and reaches nobody.
+func TestBadInput(t *testing.T) {
+	c := newCluster(t, options{routers: 1, groups: 1, ranks: 2, plains: 1})
+	cases := map[string]struct {
+		method, path, token string
+		header              map[string]string
+		body                string
+		status              int
+		say                 string
+	}{
+		"no token":       {"POST", "/v1/chat/completions", "nobody", nil, "{}", http.StatusUnauthorized, "Authorization"},
+		"no operator":    {"GET", "/api/v1/status", "small", nil, "", http.StatusForbidden, "operator"},
+		"not json":       {"POST", "/v1/chat/completions", "small", nil, "{", http.StatusBadRequest, "body"},
+		"no model":       {"POST", "/v1/chat/completions", "small", nil, `{"model":"x"}`, http.StatusNotFound, `\"x\"`},
+		"no key":         {"POST", "/svc/ledger/v1/holds", "small", nil, "", http.StatusBadRequest, request.HeaderKey},
+		"bad time":       {"POST", "/svc/ledger/v1/holds", "small", map[string]string{"Fawnwinch-Timeout-Ms": "soon"}, "", http.StatusBadRequest, "soon"},
+		"bad intent":     {"POST", "/api/v1/plans", "operator", nil, "version: 1\nshares: 3\n", http.StatusBadRequest, "shares"},
+		"intent value":   {"POST", "/api/v1/plans", "operator", nil, "version: 7\n", http.StatusBadRequest, "Version"},
+		"long key":       {"POST", "/svc/ledger/v1/holds", "small", map[string]string{request.HeaderKey: strings.Repeat("k", 300)}, "", http.StatusBadRequest, "longer"},
+		"no plan":        {"POST", "/api/v1/plans/confirm", "operator", nil, "{}", http.StatusBadRequest, "plan.intent"},
+		"since is wrong": {"GET", "/api/v1/timeline?since=today", "operator", nil, "", http.StatusBadRequest, "since"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			resp, raw, err := do(tc.method, c.routers[0]+tc.path, tc.token, tc.header, []byte(tc.body))
+			if err != nil || resp.StatusCode != tc.status || !strings.Contains(string(raw), tc.say) {
+				t.Errorf("got %v %v %s, want %d and %q", err, resp, raw, tc.status, tc.say)
+			}
+		})
+	}
+	if e := c.effects(); len(e) != 0 {
+		t.Errorf("bad requests had effects: %v", e)
+	}
+}
