--- a/services/configlog/core.go
+++ b/services/configlog/core.go
@@ -41,6 +41,8 @@
 	Next services.Offset
 	// Anchored says that State is exact as of Next.
 	Anchored bool
+	// Outcomes holds the latest verdicts: whoever takes over the position has not judged those records.
+	Outcomes map[intent.ConfirmID]Outcome
 }
 
 // NoteKind names something that an operator should see in the time line.
@@ -116,10 +118,23 @@
 
 // Peer returns the state to hand to another process.
 func (c *Core) Peer() PeerState {
+	p := PeerState{State: c.inForce, Outcomes: c.latestOutcomes()}
 	if c.anchored && c.judged.Revision == c.inForce.Revision {
-		return PeerState{State: c.judged, Next: c.next, Anchored: true}
+		p.Next, p.Anchored = c.next, true
 	}
-	return PeerState{State: c.inForce}
+	return p
+}
+
+// handedOutcomes is the number of verdicts handed to a peer.
+const handedOutcomes = 256
+
+func (c *Core) latestOutcomes() map[intent.ConfirmID]Outcome {
+	ids := c.order[max(0, len(c.order)-handedOutcomes):]
+	out := make(map[intent.ConfirmID]Outcome, len(ids))
+	for _, id := range ids {
+		out[id] = c.outcomes[id]
+	}
+	return out
 }
 
 // Outcome returns what became of a confirmation.
@@ -252,6 +267,9 @@
 	if p.State.Intent == nil {
 		return false
 	}
+	for id, o := range p.Outcomes {
+		c.remember(id, o)
+	}
 	if p.Anchored && (!c.anchored || p.Next > c.next) {
 		c.adoptPosition(now, p)
 	}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -23,6 +23,7 @@
 	"fawnwinch.org/fawnwinch/services/once"
 	"fawnwinch.org/fawnwinch/services/routing"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -216,6 +217,12 @@
 	return fmt.Sprintf("slice %d of %s has no live owner", e.Slice, e.Service)
 }
 
+// ErrLogOut reports that the log has been out of reach for so long that no slice can change hands soon.
+var ErrLogOut = eris.New("the log is out of reach")
+
+// outageCertain is how long the log must be out of reach before waiting for it is no use.
+const outageCertain = 3 * time.Second
+
 // Ownership is the owner a request that may not be repeated goes to.
 type Ownership struct {
 	Entry membership.Entry
@@ -229,10 +236,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, epoch, ok := d.table.Owner(now, s, sl)
+	age := d.logAge(now)
 	if !ok || e.Suspect {
-		return Ownership{}, ErrNoOwner{Service: s, Slice: sl}
+		none := ErrNoOwner{Service: s, Slice: sl}
+		if age > outageCertain {
+			return Ownership{}, fmt.Errorf("%w: %w", none, ErrLogOut)
+		}
+		return Ownership{}, none
 	}
-	age := d.logAge(now)
 	if err := d.register.Send(now, once.SliceKey{Service: s, Slice: sl}, epoch, key, age > 0 && age > minOutage); err != nil {
 		return Ownership{}, fmt.Errorf("slice %d of %s: %w", sl, s, err)
 	}
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/once"
 )
@@ -29,6 +31,10 @@
 	giveUp := time.Now().Add(ownerPatience)
 	for n := 1; ctx.Err() == nil && time.Now().Before(giveUp); n++ {
 		own, err := d.dir.Owner(time.Now(), r.Service.ID, slice, once.NewKeyID(r.Account, r.Key))
+		if errors.Is(err, directory.ErrLogOut) {
+			// No slice changes hands while the log is out: waiting is no use.
+			return late(last, ask)
+		}
 		if err != nil {
 			pause(ctx, ownerPause)
 			continue
@@ -96,7 +102,7 @@
 	case kindNotRun:
 	}
 	switch end.reason {
-	case once.ReasonNotOwner, once.ReasonMoving:
+	case once.ReasonNotOwner, once.ReasonMoving, once.ReasonJournalWait:
 		if asked {
 			return onceAsk
 		}
--- a/services/once/core.go
+++ b/services/once/core.go
@@ -197,17 +197,19 @@
 
 // Reasons that callers see.
 const (
-	ReasonNotOwner   = "not-owner"
-	ReasonMoving     = "moving"
-	ReasonNoJournal  = "journal-unreachable"
-	ReasonFull       = "table-full"
-	ReasonKeyReused  = "key-reused"
-	ReasonForbidden  = "forbidden"
-	ReasonDeadline   = "deadline"
-	ReasonUnsettled  = "unsettled"
-	ReasonOtherOwner = "claimed-before"
-	ReasonRunning    = "running"
-	ReasonCut        = "upstream-cut"
+	ReasonNotOwner  = "not-owner"
+	ReasonMoving    = "moving"
+	ReasonNoJournal = "journal-unreachable"
+	// ReasonJournalWait means that the log is out but the router has not seen so for long enough.
+	ReasonJournalWait = "journal-waiting"
+	ReasonFull        = "table-full"
+	ReasonKeyReused   = "key-reused"
+	ReasonForbidden   = "forbidden"
+	ReasonDeadline    = "deadline"
+	ReasonUnsettled   = "unsettled"
+	ReasonOtherOwner  = "claimed-before"
+	ReasonRunning     = "running"
+	ReasonCut         = "upstream-cut"
 )
 
 func notRun(reason string) Decision {
@@ -259,7 +261,7 @@
 	e := &entry{key: a.Key, slice: a.Slice, epoch: sl.epoch, state: StatePending, digest: a.Digest, at: now}
 	if c.journalLost(now) {
 		if !c.mayRunUnjournaled(a) {
-			return notRun(ReasonNoJournal)
+			return notRun(c.noJournal())
 		}
 		e.runner = a.Token
 		c.entries[a.Key] = e
@@ -278,6 +280,28 @@
 	return c.cfg.OutageAfter > 0 && a.RouterLogAge > c.cfg.OutageAfter
 }
 
+// noJournal says whether a request without a journal may soon be let through, or is refused for good.
+func (c *Core) noJournal() string {
+	if c.cfg.OutageAfter == 0 {
+		return ReasonNoJournal
+	}
+	return ReasonJournalWait
+}
+
+// Tick refuses what waits for a journal that is out of reach. A claim that is on its way may still
+// be read later; its key then stands as not run.
+func (c *Core) Tick(now time.Time) {
+	if !c.journalLost(now) {
+		return
+	}
+	for _, e := range c.entries {
+		if e.state == StatePending && e.runner == 0 && !e.journaled && len(e.waiting) > 0 {
+			c.refuse(e, c.noJournal())
+			c.settleIdle(e)
+		}
+	}
+}
+
 func (e *entry) wait(a Attempt) {
 	e.waiting = append(e.waiting, waiter{token: a.Token, request: a.Request, deadline: a.Deadline, ask: a.AskOnly})
 }
--- a/services/once/service.go
+++ b/services/once/service.go
@@ -328,6 +328,8 @@
 	members, complete := s.directory.Members(now)
 	s.mu.Lock()
 	s.core.Expire(now)
+	s.core.Tick(now)
+	s.dispatch()
 	ready := s.core.CaughtUp()
 	moves := Decide(now, s.self, s.core.View(), members, s.retention)
 	s.mu.Unlock()
--- /dev/null
+++ b/tests/integration/outage_test.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/setting"
+	platformstandin "fawnwinch.org/fawnwinch/standin/platform"
+)
+
+func shortOutage(s *setting.Agent) { s.Once.OutageAfter = 1500 * time.Millisecond }
+
+// TestOutage takes the platform away: holds go on at their living owners, an owner that dies in the
+// outage leaves its slices refused until the log is back, and nothing runs twice after it.
+func TestOutage(t *testing.T) {
+	faults := map[string]func(c *cluster, w *workload){
+		"outage alone": func(*cluster, *workload) {},
+		"owner dies in the outage": func(c *cluster, w *workload) {
+			c.procs["ledger-0"].kill()
+			w.answered(40)
+			c.procs["ledger-0"].start()
+		},
+		"owner sleeps through the end of the outage": func(c *cluster, w *workload) {
+			c.procs["ledger-1"].signal(syscall.SIGSTOP)
+			w.answered(40)
+			c.fault(platformstandin.Fault{})
+			w.answered(40)
+			c.procs["ledger-1"].signal(syscall.SIGCONT)
+		},
+		"router dies in the outage": func(c *cluster, w *workload) {
+			c.procs["router-0"].kill()
+			w.answered(40)
+			c.procs["router-0"].start()
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, options{routers: 2, plains: 3, agent: shortOutage})
+			w := c.holds(4)
+			w.answered(20)
+			c.fault(platformstandin.Fault{Down: true})
+			w.answered(100)
+			fault(c, w)
+			c.fault(platformstandin.Fault{})
+			w.answered(40)
+			w.check(t)
+		})
+	}
+}
+
+// TestOutageRefuses checks that an owner that may not run without its journal says so at once.
+func TestOutageRefuses(t *testing.T) {
+	c := newCluster(t, options{routers: 1, plains: 1, agent: func(s *setting.Agent) { s.Once.OutageAfter = 0 }})
+	c.fault(platformstandin.Fault{Down: true})
+	var got told
+	c.await("refusal for lack of a journal", 20*time.Second, func() bool {
+		got = c.hold(0, "small", "k", 20*time.Second)
+		return got.reason == "journal-unreachable"
+	})
+	if again := c.hold(0, "small", "k", 20*time.Second); again.outcome != request.OutcomeNotRun || again.took > 2*time.Second {
+		t.Errorf("got %+v, want a refusal at once", again)
+	}
+	c.fault(platformstandin.Fault{})
+	c.await("holds again", 10*time.Second, func() bool { return c.hold(0, "small", "k2", 5*time.Second).outcome == request.OutcomeAnswered })
+	if n := c.effects()["small/k"]; n != 0 {
+		t.Errorf("refused hold had %d effects", n)
+	}
+}
