Placement of experts by priced moves; expert map switch as pure machines

Cause: expert popularity drifts, and the slowest rank of a layer sets the step time. A full recompute keeps steps short but loads nearly all experts anew each time.

--- a/models/expertmap/expertmap.go
+++ b/models/expertmap/expertmap.go
@@ -65,9 +65,19 @@
 	for l := range m.Layers {
 		m.Layers[l].Slots = make([][]Expert, ranks)
 		for i := range ranks * slots {
-			r := i % ranks
-			m.Layers[l].Slots[r] = append(m.Layers[l].Slots[r], Expert(i%experts)) //nolint:gosec // experts are few
+			held := &m.Layers[l].Slots[i%ranks]
+			*held = append(*held, nextFree(*held, i, experts))
 		}
 	}
 	return m, nil
 }
+
+// nextFree returns the first expert from i on that is not held yet, or i's own if all are.
+func nextFree(held []Expert, i, experts int) Expert {
+	for k := range experts {
+		if e := Expert((i + k) % experts); !slices.Contains(held, e) { //nolint:gosec // experts are few
+			return e
+		}
+	}
+	return Expert(i % experts) //nolint:gosec // experts are few
+}
--- a/models/service/service.go
+++ b/models/service/service.go
@@ -33,7 +33,7 @@
 // Group lists the ranks of one model group in rank order.
 type Group struct {
 	ID    group.ID      `yaml:"id" json:"id" validate:"required"`
-	Ranks []upstream.ID `yaml:"ranks" json:"ranks" validate:"min=1,max=512,unique,dive,required"`
+	Ranks []upstream.ID `yaml:"ranks" json:"ranks" validate:"min=1,max=128,unique,dive,required"`
 }
 
 // Service is one service of a sharing intent.
--- /dev/null
+++ b/services/expertswitch/participant.go
@@ -0,0 +1,51 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package expertswitch
+
+import "fawnwinch.org/fawnwinch/services"
+
+// Participant decides for one rank which coordinator to obey. It does no I/O and reads no clock.
+type Participant struct {
+	promised Ballot
+	// recovered is false after a start until the promise is learnt anew.
+	recovered bool
+}
+
+// Recover ends the start: the promise is the highest ballot that the engine or any other rank knows.
+func (p *Participant) Recover(engine Ballot, others ...Ballot) {
+	p.promised = max(p.promised, engine)
+	for _, o := range others {
+		p.promised = max(p.promised, o)
+	}
+	p.recovered = true
+}
+
+// Recovered reports whether the rank may obey anyone yet.
+func (p *Participant) Recovered() bool { return p.recovered }
+
+// Promised returns the highest ballot the rank obeys.
+func (p *Participant) Promised() Ballot { return p.promised }
+
+// Admit reports whether a message may be carried out, and the order for the engine if so.
+// It must be asked again just before the order is given if time has passed.
+func (p *Participant) Admit(m Message) (services.Order, error) {
+	if !p.recovered || m.Ballot < p.promised || (m.Kind != KindPromise && m.Ballot != p.promised) {
+		return services.Order{}, ErrOldBallot{Have: m.Ballot, Promised: p.promised}
+	}
+	p.promised = m.Ballot
+	o := services.Order{Fence: m.Ballot, Step: m.Step, Map: m.Map}
+	switch m.Kind {
+	case KindPromise:
+		o.Kind = services.OrderFence
+	case KindStage:
+		o.Kind = services.OrderStage
+	case KindPrepare:
+		o.Kind = services.OrderHold
+	case KindCommit:
+		o.Kind = services.OrderSwitch
+	case KindAbort:
+		o.Kind = services.OrderRelease
+	}
+	return o, nil
+}
--- a/services/once/explore_test.go
+++ b/services/once/explore_test.go
@@ -45,7 +45,6 @@
 	inbox   []message
 	chosen  []Attempt
 	runs    []run
-	unread  []*Record
 	waiting map[Token]Attempt
 	tokens  Token
 }
--- /dev/null
+++ b/services/placement/layer.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+)
+
+// maxRanks is the largest number of ranks of a group.
+const maxRanks = 128
+
+const wordBits = 64
+
+// rankSet is a set of ranks.
+type rankSet [maxRanks / wordBits]uint64
+
+func (s *rankSet) has(r int) bool { return s[r/wordBits]&(1<<(r%wordBits)) != 0 }
+func (s *rankSet) add(r int)      { s[r/wordBits] |= 1 << (r % wordBits) }
+func (s *rankSet) remove(r int)   { s[r/wordBits] &^= 1 << (r % wordBits) }
+
+// empty marks a slot that holds nothing of use: a second replica on the same rank serves nobody.
+const empty expertmap.Expert = -1
+
+// layer is one layer while it is being changed.
+type layer struct {
+	popularity []float64
+	speed      []float64
+	// slots[rank] lists the experts held.
+	slots [][]expertmap.Expert
+	// holders and replicas tell for each expert which ranks hold it, and how many.
+	holders  []rankSet
+	replicas []int
+	// parts holds the load of one replica of each expert; more, what each holder gets on top when
+	// one replica is dropped. Both follow from replicas and are kept because the search asks often.
+	parts, more []float64
+	// inverse holds 1/speed.
+	inverse []float64
+	load    []float64
+	mean    float64
+}
+
+// ErrShape reports an input whose sizes do not fit together.
+type ErrShape struct{ What string }
+
+func (e ErrShape) Error() string { return "placement: " + e.What }
+
+func newLayer(slots [][]expertmap.Expert, popularity, speed []float64) (*layer, error) {
+	if len(speed) != len(slots) || len(slots) > maxRanks {
+		return nil, ErrShape{What: fmt.Sprintf("%d speeds for %d ranks", len(speed), len(slots))}
+	}
+	l := &layer{
+		popularity: popularity, speed: speed, slots: make([][]expertmap.Expert, len(slots)),
+		holders: make([]rankSet, len(popularity)), replicas: make([]int, len(popularity)), load: make([]float64, len(slots)),
+		parts: make([]float64, len(popularity)), more: make([]float64, len(popularity)), inverse: make([]float64, len(slots)),
+	}
+	for r, s := range speed {
+		l.inverse[r] = 1 / s
+	}
+	for r, held := range slots {
+		if err := l.hold(r, held); err != nil {
+			return nil, err
+		}
+	}
+	for e := range popularity {
+		l.count(expertmap.Expert(e), 0) //nolint:gosec // experts are few
+	}
+	l.reload()
+	var total, speeds float64
+	for r := range slots {
+		total += l.load[r] * speed[r]
+		speeds += speed[r]
+	}
+	l.mean = total / speeds
+	return l, nil
+}
+
+// hold takes in the slots of one rank.
+func (l *layer) hold(r int, held []expertmap.Expert) error {
+	l.slots[r] = held
+	for i, e := range held {
+		if int(e) >= len(l.popularity) || e < 0 {
+			return ErrShape{What: fmt.Sprintf("expert %d of %d", e, len(l.popularity))}
+		}
+		if l.holders[e].has(r) {
+			l.replace(r, i, empty)
+			continue
+		}
+		l.holders[e].add(r)
+		l.replicas[e]++
+	}
+	return nil
+}
+
+// clone returns a copy that can be changed without changing l. Slot lists are shared until replaced.
+func (l *layer) clone() *layer {
+	c := *l
+	c.slots = slices.Clone(l.slots)
+	c.holders = slices.Clone(l.holders)
+	c.replicas = slices.Clone(l.replicas)
+	c.load = slices.Clone(l.load)
+	c.parts, c.more = slices.Clone(l.parts), slices.Clone(l.more)
+	return &c
+}
+
+// count changes the number of replicas of an expert.
+func (l *layer) count(e expertmap.Expert, by int) {
+	l.replicas[e] += by
+	n := float64(l.replicas[e])
+	l.parts[e] = l.popularity[e] / n
+	l.more[e] = l.popularity[e]/(n-1) - l.parts[e]
+}
+
+// part returns the load of one replica of an expert.
+func (l *layer) part(e expertmap.Expert) float64 {
+	if e == empty {
+		return 0
+	}
+	return l.parts[e]
+}
+
+// reload computes the loads anew, so that rounding does not build up.
+func (l *layer) reload() {
+	for r, held := range l.slots {
+		l.load[r] = 0
+		for _, e := range held {
+			l.load[r] += l.part(e)
+		}
+		l.load[r] *= l.inverse[r]
+	}
+}
+
+// heaviest returns the rank with the largest load, and that load.
+func (l *layer) heaviest() (int, float64) {
+	high := 0
+	for r, load := range l.load {
+		if load > l.load[high] {
+			high = r
+		}
+	}
+	return high, l.load[high]
+}
+
+// skew returns the largest load against the mean; 1 is even.
+func (l *layer) skew() float64 {
+	if l.mean == 0 {
+		return 1
+	}
+	_, high := l.heaviest()
+	return high / l.mean
+}
+
+func (l *layer) replace(r, slot int, e expertmap.Expert) {
+	held := append([]expertmap.Expert(nil), l.slots[r]...)
+	held[slot] = e
+	l.slots[r] = held
+}
+
+// raised returns the largest load among the holders of an expert, other than two ranks, once each
+// has more of it.
+func (l *layer) raised(e expertmap.Expert, more float64, a, b int) float64 {
+	var high float64
+	for w, word := range l.holders[e] {
+		for ; word != 0; word &= word - 1 {
+			r := w*wordBits + bits.TrailingZeros64(word)
+			if r != a && r != b {
+				high = max(high, l.load[r]+more*l.inverse[r])
+			}
+		}
+	}
+	return high
+}
--- a/services/services.go
+++ b/services/services.go
@@ -65,12 +65,21 @@
 
 // EngineState is what a model engine tells about its rank.
 type EngineState struct {
-	Rank    group.Rank        `json:"rank"`
-	Step    group.Step        `json:"step"`
-	Map     expertmap.Version `json:"map"`
-	Fence   Fence             `json:"fence"`
-	Running int               `json:"running"`
-	Waiting int               `json:"waiting"`
+	Rank group.Rank        `json:"rank"`
+	Step group.Step        `json:"step"`
+	Map  expertmap.Version `json:"map"`
+	// Staged is the version of the map whose weights are loaded beside those in use, or 0.
+	Staged expertmap.Version `json:"staged"`
+	// Hold is the step the rank will not enter before a decision about HoldMap, or 0.
+	Hold    group.Step        `json:"hold"`
+	HoldMap expertmap.Version `json:"hold_map"`
+	// SwitchAt is the step from which the rank uses SwitchMap, or 0.
+	SwitchAt  group.Step        `json:"switch_at"`
+	SwitchMap expertmap.Version `json:"switch_map"`
+	// Fence is the highest fence the engine has seen.
+	Fence   Fence `json:"fence"`
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
 	// StepMicros is the mean duration of the latest steps, in microseconds.
 	StepMicros int64 `json:"step_micros"`
 	// Load is the expert load of the rank against the mean of its group; 1 is even.
@@ -82,6 +91,8 @@
 
 // The kinds of order.
 const (
+	// OrderFence raises the fence and does nothing else.
+	OrderFence OrderKind = "fence"
 	// OrderStage loads the weights a map needs beside those in use.
 	OrderStage OrderKind = "stage"
 	// OrderHold keeps the rank from entering a step before a decision.
--- a/standin/upstream/group.go
+++ b/standin/upstream/group.go
@@ -62,6 +62,7 @@
 	current  *expertmap.Map
 	staged   *expertmap.Map
 	hold     group.Step
+	holdMap  expertmap.Version
 	switchAt group.Step
 	switchTo *expertmap.Map
 	fence    services.Fence
@@ -159,7 +160,7 @@
 	switched := false
 	for i, r := range g.ranks {
 		if r.switchTo != nil && g.step >= r.switchAt {
-			r.current, r.switchTo = r.switchTo, nil
+			r.current, r.switchTo, r.switchAt = r.switchTo, nil, 0
 			switched = true
 		}
 		maps[i] = r.current.Version
@@ -317,9 +318,17 @@
 	return services.EngineState{
 		Rank: n, Step: g.step, Map: r.current.Version, Fence: r.fence, Running: len(r.running),
 		Waiting: len(r.waiting), StepMicros: int64(g.micros), Load: g.expertLoads()[n],
+		Staged: version(r.staged), Hold: r.hold, HoldMap: r.holdMap, SwitchAt: r.switchAt, SwitchMap: version(r.switchTo),
 	}
 }
 
+func version(m *expertmap.Map) expertmap.Version {
+	if m == nil {
+		return 0
+	}
+	return m.Version
+}
+
 // Order carries out an order at a rank.
 func (g *Group) Order(n group.Rank, o services.Order) error {
 	g.mu.Lock()
@@ -331,6 +340,7 @@
 	}
 	r.fence = max(r.fence, o.Fence)
 	switch o.Kind {
+	case services.OrderFence:
 	case services.OrderStage:
 		r.staged = o.Map
 	case services.OrderHold:
@@ -340,16 +350,16 @@
 		if r.staged == nil || r.staged.Version != o.Map.Version {
 			return services.ErrRefused{Reason: "not staged"}
 		}
-		r.hold = o.Step
+		r.hold, r.holdMap = o.Step, o.Map.Version
 	case services.OrderSwitch:
 		if r.staged == nil || r.staged.Version != o.Map.Version {
 			return services.ErrRefused{Reason: "not staged"}
 		}
-		r.switchTo, r.switchAt, r.hold = r.staged, o.Step, 0
+		r.switchTo, r.switchAt, r.hold, r.holdMap = r.staged, o.Step, 0, 0
 	case services.OrderRelease:
-		r.hold, r.switchTo = 0, nil
+		r.hold, r.holdMap = 0, 0
 	case services.OrderReset:
-		r.current, r.hold, r.switchTo = o.Map, 0, nil
+		r.current, r.hold, r.holdMap, r.switchTo, r.switchAt = o.Map, 0, 0, nil, 0
 		for _, s := range append(r.running, r.waiting...) {
 			close(s.tokens)
 		}
--- a/tests/integration/config_test.go
+++ b/tests/integration/config_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -72,7 +73,7 @@
 					continue
 				}
 				// A router that does not know the configuration yet says so and serves nobody.
-				if resp, _, err := do("GET", c.routers[r]+"/readyz", "", nil, nil); err != nil || resp.StatusCode != 200 {
+				if resp, _, err := do("GET", c.routers[r]+"/readyz", "", nil, nil); err != nil || resp.StatusCode != http.StatusOK {
 					continue
 				}
 				if s.Revision < high {
@@ -187,7 +188,7 @@
 			c.everywhere(rev)
 			c.await("router-0 serves", inForce, func() bool {
 				resp, _, err := do("GET", c.routers[0]+"/readyz", "", nil, nil)
-				return err == nil && resp.StatusCode == 200
+				return err == nil && resp.StatusCode == http.StatusOK
 			})
 			c.fault(platformstandin.Fault{})
 			c.everywhere(c.accept(0, "after", c.variant(4)))
