--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -9,6 +9,7 @@
 
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/timeline"
+	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/agent"
 	"fawnwinch.org/fawnwinch/services/engine"
 	"fawnwinch.org/fawnwinch/services/platform"
@@ -54,7 +55,7 @@
 }
 
 func runAgent(lc fx.Lifecycle, set setting.Agent, ss sockets, client *platform.Client, eng *engine.Client, ring *timeline.Ring, logger zerolog.Logger) error {
-	a, err := agent.New(set, client, eng, agent.Listeners{HTTP: ss.HTTP, RPC: ss.RPC}, ring, logger)
+	a, err := agent.New(set, client, client, eng, func(address string) services.Engine { return engine.NewClient(address) }, agent.Listeners{HTTP: ss.HTTP, RPC: ss.RPC}, ring, logger)
 	if err != nil {
 		return wrap(err, "make agent")
 	}
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -124,7 +124,7 @@
 	}
 	d.intent = intent.Intent{
 		Version: intent.FormatVersion, Deployment: "demo",
-		Rebalance: intent.Rebalance{Prefer: intent.PreferCost, QuietFrom: 11, QuietTo: 22},
+		Rebalance: intent.Rebalance{Prefer: intent.PreferSkew},
 	}
 	if err := d.startGroups(ctx); err != nil {
 		return err
--- a/models/expertmap/expertmap.go
+++ b/models/expertmap/expertmap.go
@@ -54,6 +54,25 @@
 	return c
 }
 
+// Loads counts the experts that a rank must load to go from one map to m.
+func (m *Map) Loads(from *Map, rank int) int {
+	n := 0
+	for i, l := range m.Layers {
+		if rank >= len(l.Slots) || i >= len(from.Layers) || rank >= len(from.Layers[i].Slots) {
+			continue
+		}
+		had := slices.Clone(from.Layers[i].Slots[rank])
+		for _, e := range l.Slots[rank] {
+			if k := slices.Index(had, e); k >= 0 {
+				had = slices.Delete(had, k, k+1)
+				continue
+			}
+			n++
+		}
+	}
+	return n
+}
+
 // RoundRobin returns the map that a group starts with: every rank holds slots experts of each layer,
 // dealt in turn, so that every expert has at least one replica.
 // It returns an error if ranks*slots is smaller than experts.
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -88,6 +88,8 @@
 	Address string `yaml:"address" validate:"required,hostname_port"`
 	// ChecksFence says whether the upstream refuses orders with an old fence by itself.
 	ChecksFence bool `yaml:"checks_fence"`
+	// ExpertBytes is the size of one expert's weights in one layer, in bytes.
+	ExpertBytes int64 `yaml:"expert_bytes" validate:"gte=0"`
 	// Concurrency is the number of requests the upstream works on at a time.
 	Concurrency int `yaml:"concurrency" validate:"min=1,max=100000"`
 	// QueueLimit is the number of requests that may wait.
@@ -133,7 +135,7 @@
 	return Agent{
 		Process:  Process{LogLevel: "info"},
 		Platform: Platform{Retention: time.Hour},
-		Upstream: AgentUpstream{Concurrency: 64, QueueLimit: 512},
+		Upstream: AgentUpstream{Concurrency: 64, QueueLimit: 512, ExpertBytes: 8 << 20},
 		Once:     Once{Lifetime: 10 * time.Minute, Batch: 20 * time.Millisecond, Capacity: 200000, OutageAfter: 5 * time.Second},
 	}
 }
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -50,12 +50,16 @@
 	http *httpx.Server
 	rpc  *rpc.Server
 
-	links *links
+	links    *links
+	switcher *switcher
 
 	state    atomic.Value // upstream.State
 	leaving  atomic.Int64 // unix nanoseconds at which leaving began, or 0
+	stopping atomic.Bool  // the process stops: leaving is final
 	load     atomic.Pointer[engineLoad]
 	inFlight atomic.Int64
+	// moved counts the experts this rank has loaded.
+	moved atomic.Int64
 
 	mu     sync.Mutex
 	config intent.State
@@ -69,8 +73,11 @@
 	HTTP, RPC net.Listener
 }
 
+// EngineDialer returns a client of the engine at an address.
+type EngineDialer func(address string) services.Engine
+
 // New returns an agent that does not run yet.
-func New(set setting.Agent, log services.Log, engine services.Engine, ls Listeners, ring *timeline.Ring, logger zerolog.Logger) (*Agent, error) {
+func New(set setting.Agent, log services.Log, weights services.WeightStore, engine services.Engine, dial EngineDialer, ls Listeners, ring *timeline.Ring, logger zerolog.Logger) (*Agent, error) {
 	incarnation, err := uuid.NewV7()
 	if err != nil {
 		return nil, fmt.Errorf("make incarnation: %w", err)
@@ -83,6 +90,7 @@
 		client:  &http.Client{Transport: httpx.Transport(upstreamDialTimeout, 256)},
 		config:  intent.Empty(),
 	}
+	a.switcher = &switcher{a: a, weights: weights, dial: dial}
 	a.state.Store(upstream.StateReady)
 	a.load.Store(&engineLoad{})
 	a.links = newLinks(a, set.Routers)
@@ -123,6 +131,9 @@
 	if a.once != nil {
 		a.done.Go(func() { a.once.Run(ctx) })
 	}
+	if a.set.Upstream.Kind == service.KindModel {
+		a.done.Go(func() { a.switcher.run(ctx) })
+	}
 	a.logger.Info().Str("http", a.http.Addr()).Str("rpc", a.self.RPC).Msg("agent started")
 }
 
@@ -138,9 +149,22 @@
 	return s
 }
 
-// Leave begins the planned end of the upstream: it is announced at once, and after a grace in which
+// Asked follows what the routers say of the platform's list and the configuration: the upstream
+// leaves while one of them says so, and comes back when none does any more.
+func (a *Agent) Asked(now time.Time, leave bool) {
+	if leave {
+		a.leave(now, "platform or configuration")
+		return
+	}
+	if at := a.leaving.Load(); at != 0 && !a.stopping.Load() && a.leaving.CompareAndSwap(at, 0) {
+		a.ring.Add(now, timeline.Event{Kind: timeline.KindDrain, Name: "back"})
+		a.links.nudge()
+	}
+}
+
+// leave begins the planned end of the upstream: it is announced at once, and after a grace in which
 // routers may not know yet, new work is refused.
-func (a *Agent) Leave(now time.Time, why string) {
+func (a *Agent) leave(now time.Time, why string) {
 	if a.leaving.CompareAndSwap(0, now.UnixNano()) {
 		a.ring.Add(now, timeline.Event{Kind: timeline.KindDrain, Name: "leaving", Detail: "why=" + why})
 		a.logger.Info().Str("why", why).Msg("leaving")
@@ -186,7 +210,8 @@
 // are handed over and its requests have ended, and closes then. When ctx ends first, what is left is cut.
 func (a *Agent) Stop(ctx context.Context) error {
 	now := time.Now()
-	a.Leave(now, "stop")
+	a.stopping.Store(true)
+	a.leave(now, "stop")
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for ctx.Err() == nil && !a.drained(time.Now()) {
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -117,13 +117,15 @@
 		return
 	}
 	l.take(now, k, r)
+	leave := false
+	for _, f := range l.fresh(now) {
+		leave = leave || f.Leave
+	}
 	pull := r.Revision > l.a.Config().Revision && !k.pulling
 	k.pulling = k.pulling || pull
 	l.mu.Unlock()
 	l.a.ring.Clock.Observe(now, r.Stamp)
-	if r.Leave {
-		l.a.Leave(now, "platform or configuration")
-	}
+	l.a.Asked(now, leave)
 	if pull {
 		l.pull(ctx, address, k)
 	}
@@ -151,7 +153,7 @@
 	load := a.load.Load()
 	b := membership.Beat{
 		Upstream: a.self.Upstream, Incarnation: a.self.Incarnation, Service: a.set.Upstream.Service,
-		DataCentre: a.set.Process.DataCentre, RPC: a.self.RPC, HTTP: a.address, State: a.State(),
+		DataCentre: a.set.Process.DataCentre, RPC: a.self.RPC, HTTP: a.address, Engine: a.set.Upstream.Address, ChecksFence: a.set.Upstream.ChecksFence, State: a.State(),
 		Revision: a.Config().Revision, Stamp: a.ring.Clock.Now(now),
 		Load: membership.Load{InFlight: run, Queued: wait, Concurrency: a.set.Upstream.Concurrency},
 	}
@@ -218,6 +220,22 @@
 	return out, !l.first.IsZero() && now.Sub(l.first) > joinTime
 }
 
+// Peer returns what the routers know of another agent of the service.
+func (l *links) Peer(now time.Time, id upstream.ID) (membership.MemberInfo, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best membership.MemberInfo
+	found := false
+	for _, r := range l.fresh(now) {
+		for _, m := range r.Members {
+			if m.Owner.Upstream == id && (!found || !m.Suspect) {
+				best, found = m, true
+			}
+		}
+	}
+	return best, found
+}
+
 // othersReady reports whether another agent of the service can take slices over.
 func (l *links) othersReady(now time.Time) bool {
 	members, _ := l.Members(now)
--- a/services/expertswitch/coordinator.go
+++ b/services/expertswitch/coordinator.go
@@ -36,8 +36,10 @@
 	Retry time.Duration
 	// Margin is the number of steps between the latest known step and the step of the switch.
 	Margin group.Step
-	// PhaseLimit is the time after which a promise, a stage or a prepare is given up.
-	PhaseLimit time.Duration
+	// StageLimit is the time after which a stage is given up.
+	StageLimit time.Duration
+	// HoldLimit is the time after which a promise or a prepare is given up: ranks may be holding.
+	HoldLimit time.Duration
 }
 
 // Result is how a round ended.
@@ -64,6 +66,7 @@
 	cfg   Config
 	group group.ID
 	self  group.Rank
+	run   Incarnation
 	ranks int
 
 	phase    Phase
@@ -82,9 +85,9 @@
 	result     Result
 }
 
-// NewCoordinator returns an idle coordinator beside rank self of a group.
-func NewCoordinator(cfg Config, id group.ID, self group.Rank, ranks int) *Coordinator {
-	return &Coordinator{cfg: cfg, group: id, self: self, ranks: ranks, phase: PhaseIdle, states: map[group.Rank]services.EngineState{}}
+// NewCoordinator returns an idle coordinator beside rank self of a group. Each has a random incarnation.
+func NewCoordinator(cfg Config, id group.ID, self group.Rank, run Incarnation, ranks int) *Coordinator {
+	return &Coordinator{cfg: cfg, group: id, self: self, run: run, ranks: ranks, phase: PhaseIdle, states: map[group.Rank]services.EngineState{}}
 }
 
 // Phase returns how far the present round has come.
@@ -109,7 +112,7 @@
 	if c.phase != PhaseIdle {
 		return nil
 	}
-	c.ballot = NewBallot(Counter(max(c.seen, c.ballot))+1, c.self)
+	c.ballot = NewBallot(Counter(max(c.seen, c.ballot))+1, c.self, c.run)
 	c.seen = max(c.seen, c.ballot)
 	c.proposal = proposal
 	if proposal != nil {
@@ -168,15 +171,13 @@
 	if c.phase == PhaseIdle {
 		return nil
 	}
-	if now.Sub(c.since) >= c.cfg.PhaseLimit {
-		switch c.phase {
-		case PhasePromise:
-			c.end(ResultGivenUp)
-			return nil
-		case PhaseStage, PhasePrepare:
-			return c.enter(now, PhaseAbort)
-		case PhaseIdle, PhaseCommit, PhaseAbort:
-		}
+	took := now.Sub(c.since)
+	switch {
+	case c.phase == PhasePromise && took >= c.cfg.HoldLimit:
+		c.end(ResultGivenUp)
+		return nil
+	case c.phase == PhaseStage && took >= c.cfg.StageLimit, c.phase == PhasePrepare && took >= c.cfg.HoldLimit:
+		return c.enter(now, PhaseAbort)
 	}
 	if now.Sub(c.sentAt) < c.cfg.Retry {
 		return nil
--- a/services/expertswitch/message.go
+++ b/services/expertswitch/message.go
@@ -24,16 +24,25 @@
 // propose, so that no two proposals share a version.
 type Ballot = services.Fence
 
-// ranksBits is the number of low bits of a ballot that name its coordinator's rank.
-const ranksBits = 10
+// Incarnation tells the runs of a coordinator apart: one that has restarted must never use a ballot
+// that an earlier run has used, and cannot know them all.
+type Incarnation uint32
 
-// NewBallot returns the ballot with a counter of the coordinator beside a rank.
-func NewBallot(counter uint64, r group.Rank) Ballot {
-	return Ballot(counter<<ranksBits | uint64(r)) //nolint:gosec // a rank is small and not negative
+// The low bits of a ballot name the rank and the incarnation of its coordinator.
+const (
+	rankBits        = 10
+	incarnationBits = 30
+	lowBits         = rankBits + incarnationBits
+)
+
+// NewBallot returns the ballot with a counter of a coordinator.
+func NewBallot(counter uint64, r group.Rank, i Incarnation) Ballot {
+	low := uint64(r)<<incarnationBits | uint64(i)&(1<<incarnationBits-1) //nolint:gosec // a rank is small and not negative
+	return Ballot(counter<<lowBits | low)
 }
 
 // Counter returns the counter of a ballot.
-func Counter(b Ballot) uint64 { return uint64(b) >> ranksBits }
+func Counter(b Ballot) uint64 { return uint64(b) >> lowBits }
 
 // Kind tells what a message asks of a rank.
 type Kind string
--- a/services/membership/message.go
+++ b/services/membership/message.go
@@ -51,6 +51,9 @@
 	Service     service.ID
 	DataCentre  vm.DataCentre
 	RPC, HTTP   string
+	// Engine is the address of the upstream itself; ChecksFence says whether it refuses old orders.
+	Engine      string
+	ChecksFence bool
 	State       upstream.State
 	Revision    intent.Revision
 	Load        Load
@@ -117,11 +120,13 @@
 
 // MemberInfo tells an agent about another agent of its service.
 type MemberInfo struct {
-	Owner      once.Owner
-	HTTP       string
-	DataCentre vm.DataCentre
-	State      upstream.State
-	Suspect    bool
+	Owner       once.Owner
+	HTTP        string
+	Engine      string
+	ChecksFence bool
+	DataCentre  vm.DataCentre
+	State       upstream.State
+	Suspect     bool
 }
 
 // Reply answers a Beat.
--- a/services/membership/table.go
+++ b/services/membership/table.go
@@ -80,7 +80,10 @@
 		r.lastBeat, r.gone = now, false
 	}
 	r.beat = b
-	if b.State == upstream.StateLeaving && r.leaving.IsZero() {
+	switch {
+	case b.State != upstream.StateLeaving:
+		r.leaving = time.Time{}
+	case r.leaving.IsZero():
 		r.leaving = now
 	}
 	t.nonces++
@@ -160,7 +163,7 @@
 		}
 		out = append(out, MemberInfo{
 			Owner: once.Owner{Upstream: id, Incarnation: e.Beat.Incarnation, RPC: e.Beat.RPC},
-			HTTP:  e.Beat.HTTP, DataCentre: e.Beat.DataCentre, State: state, Suspect: e.Suspect,
+			HTTP:  e.Beat.HTTP, Engine: e.Beat.Engine, ChecksFence: e.Beat.ChecksFence, DataCentre: e.Beat.DataCentre, State: state, Suspect: e.Suspect,
 		})
 	}
 	slices.SortFunc(out, func(a, b MemberInfo) int {
--- a/services/placement/full.go
+++ b/services/placement/full.go
@@ -72,7 +72,7 @@
 	order := make([]expertmap.Expert, 0, slots)
 	for e, n := range replicas {
 		for range n {
-			order = append(order, expertmap.Expert(e)) //nolint:gosec // experts are few
+			order = append(order, expertmap.Expert(e))
 		}
 	}
 	part := func(e expertmap.Expert) float64 { return popularity[e] / float64(replicas[e]) }
--- a/services/placement/layer.go
+++ b/services/placement/layer.go
@@ -67,7 +67,7 @@
 		}
 	}
 	for e := range popularity {
-		l.count(expertmap.Expert(e), 0) //nolint:gosec // experts are few
+		l.count(expertmap.Expert(e), 0)
 	}
 	l.reload()
 	var total, speeds float64
--- a/services/placement/placement.go
+++ b/services/placement/placement.go
@@ -27,20 +27,8 @@
 // Moves counts the experts that ranks must load to go from one map to another.
 func Moves(from, to *expertmap.Map) int {
 	n := 0
-	for i := range to.Layers {
-		for r, held := range to.Layers[i].Slots {
-			had := map[expertmap.Expert]int{}
-			for _, e := range from.Layers[i].Slots[r] {
-				had[e]++
-			}
-			for _, e := range held {
-				if had[e] > 0 {
-					had[e]--
-					continue
-				}
-				n++
-			}
-		}
+	for r := range to.Layers[0].Slots {
+		n += to.Loads(from, r)
 	}
 	return n
 }
--- a/services/services.go
+++ b/services/services.go
@@ -82,6 +82,8 @@
 	Waiting int   `json:"waiting"`
 	// StepMicros is the mean duration of the latest steps, in microseconds.
 	StepMicros int64 `json:"step_micros"`
+	// BusyMicros is the mean time the rank itself worked in a step, in microseconds.
+	BusyMicros int64 `json:"busy_micros"`
 	// Load is the expert load of the rank against the mean of its group; 1 is even.
 	Load float64 `json:"load"`
 }
@@ -115,7 +117,13 @@
 
 // Engine is one rank of a model engine.
 type Engine interface {
+	// State returns what the rank tells about itself.
 	State(ctx context.Context) (EngineState, error)
+	// Map returns the expert map in use.
+	Map(ctx context.Context) (*expertmap.Map, error)
+	// Popularity returns how many tokens each expert of each layer has had since the engine started.
+	Popularity(ctx context.Context) ([][]float64, error)
+	// Order gives a fenced order. An ErrRefused means that it was not carried out.
 	Order(ctx context.Context, o Order) error
 }
 
--- a/standin/upstream/plain.go
+++ b/standin/upstream/plain.go
@@ -45,6 +45,11 @@
 	m.HandleFunc("GET /control/effects", func(w http.ResponseWriter, _ *http.Request) {
 		httpx.WriteJSON(w, http.StatusOK, p.Effects())
 	})
+	m.HandleFunc("GET /control/calls", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		httpx.WriteJSON(w, http.StatusOK, p.calls)
+	})
 	m.HandleFunc("PUT /control/fault", func(w http.ResponseWriter, r *http.Request) {
 		var f PlainFault
 		if err := httpx.ReadJSON(r.Body, 4096, &f); err != nil {
