--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -200,6 +200,27 @@
 	d.tracker.Done(now, id)
 }
 
+// StreamBegan notes that a request placed by Pick streams.
+func (d *Directory) StreamBegan(now time.Time, id upstream.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker.Streaming(now, id)
+}
+
+// StreamProgress notes a token of a streamed request.
+func (d *Directory) StreamProgress(now time.Time, id upstream.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker.Progress(now, id)
+}
+
+// StreamEnded notes the end of a streamed request.
+func (d *Directory) StreamEnded(id upstream.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker.StreamEnded(id)
+}
+
 // Gone notes that an agent cannot be reached.
 func (d *Directory) Gone(e membership.Entry) {
 	d.mu.Lock()
--- a/services/dispatch/stream.go
+++ b/services/dispatch/stream.go
@@ -15,6 +15,7 @@
 
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
 
 	"github.com/rotisserie/eris"
@@ -78,6 +79,9 @@
 	if err != nil {
 		return attemptEnd{kind: kindNotSent, reason: err.Error()}
 	}
+	d.dir.StreamBegan(time.Now(), e.Beat.Upstream)
+	defer d.dir.StreamEnded(e.Beat.Upstream)
+	sink = &watched{Sink: sink, dir: d.dir, upstream: e.Beat.Upstream}
 	resp, end := d.open(ctx, e, r, attemptOptions{body: body})
 	if resp == nil {
 		return end
@@ -99,6 +103,27 @@
 	return end
 }
 
+// progressEvery is the least time between two notes of progress of one stream.
+const progressEvery = 20 * time.Millisecond
+
+// watched tells the directory that a stream goes on.
+type watched struct {
+	Sink
+
+	dir      *directory.Directory
+	upstream upstream.ID
+	noted    time.Time
+}
+
+// Part passes one event on.
+func (w *watched) Part(event []byte) error {
+	if now := time.Now(); now.Sub(w.noted) >= progressEvery {
+		w.noted = now
+		w.dir.StreamProgress(now, w.upstream)
+	}
+	return w.Sink.Part(event)
+}
+
 // readRefused reads the whole answer of an upstream that did not stream, such as an error.
 func readRefused(ctx context.Context, resp *http.Response, end attemptEnd) attemptEnd {
 	var b bytes.Buffer
--- a/services/routing/pick.go
+++ b/services/routing/pick.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -53,7 +54,9 @@
 	ranks []Candidate
 	// fullest is the most work a rank of the group has.
 	fullest float64
-	lead    *track
+	// progress is the latest time one of this router's streams got a token, or zero if it has none.
+	progress time.Time
+	lead     *track
 }
 
 // groups collects the candidates by group; an upstream of a plain service is a group of its own.
@@ -74,10 +77,27 @@
 		v.ranks = append(v.ranks, c)
 		v.step = max(v.step, t.stepTime(now, c.Upstream))
 		v.fullest = max(v.fullest, t.work(c.Upstream))
+		if tr := t.track(c.Upstream); tr.streams > 0 && tr.progress.After(v.progress) {
+			v.progress = tr.progress
+		}
+	}
+	for _, v := range out {
+		v.noteStall(now)
 	}
 	return out
 }
 
+// noteStall counts the time since any of this router's streams got a token as the group's step, once
+// that is too long for a step. It shows a stall before the reports do.
+func (v *view) noteStall(now time.Time) {
+	if v.progress.IsZero() || v.step <= 0 {
+		return
+	}
+	if age := now.Sub(v.progress); age > stallSteps*v.step {
+		v.step = max(v.step, age)
+	}
+}
+
 // cost estimates how long a request takes at a rank, and how much longer it makes everybody else's.
 // The unit is the step time of the group.
 func (t *Tracker) cost(g *view, c Candidate) float64 {
@@ -87,7 +107,7 @@
 	queue := max(0, work+1-slots) / slots
 	fill := (work + 1) / slots
 	gating := max(0, work+1-g.fullest) / slots
-	return step * (1 + queueWeight*queue + fillWeight*fill + gating)
+	return step * (1 + queueWeight*queue + fillWeight*math.Pow(min(1, fill), fillPower) + gating)
 }
 
 const (
@@ -95,8 +115,10 @@
 	minStep = 0.001
 	// queueWeight is what a full round of waiting costs against a step.
 	queueWeight = 20
-	// fillWeight is what a full rank costs against an empty one.
-	fillWeight = 1
+	// fillWeight is what a full rank costs against an empty one. The power makes the last places dear:
+	// a slow group with room is better than a fast one where the next request would wait.
+	fillWeight = 4
+	fillPower  = 4
 )
 
 // eject leaves out groups that are slow against the median, within the limit, and lets recovered
--- a/services/routing/tracker.go
+++ b/services/routing/tracker.go
@@ -49,6 +49,10 @@
 	report   Report
 	inFlight int
 	marks    []mark
+	// streams is the number of this router's streamed requests, progress the latest time one of them
+	// got a token, or the first of them was sent.
+	streams  int
+	progress time.Time
 	// stepSeen is the time the step count was last seen to rise.
 	stepSeen time.Time
 	// slowSince is the time since which the group has been shut out, or zero.
@@ -121,18 +125,37 @@
 	}
 }
 
+// Streaming notes that a streamed request of this router was sent.
+func (t *Tracker) Streaming(now time.Time, id upstream.ID) {
+	tr := t.track(id)
+	if tr.streams == 0 {
+		tr.progress = now
+	}
+	tr.streams++
+}
+
+// Progress notes that a streamed request of this router got a token.
+func (t *Tracker) Progress(now time.Time, id upstream.ID) { t.track(id).progress = now }
+
+// StreamEnded notes the end of a streamed request of this router.
+func (t *Tracker) StreamEnded(id upstream.ID) { t.track(id).streams-- }
+
 // InFlight returns the number of this router's requests at an upstream.
 func (t *Tracker) InFlight(id upstream.ID) int { return t.track(id).inFlight }
 
-// work estimates the requests an upstream has now: the report, and what all routers have sent and
-// seen finished since, taking the others to do as this one does.
+// work estimates the requests an upstream has now. There are two views: the report, and what all
+// routers have sent and seen finished since, taking the others to do as this one does; and this
+// router's own requests times the number of routers. The first is exact when reports are fresh, the
+// second does not lag. Their mean has less noise than either.
 func (t *Tracker) work(id upstream.ID) float64 {
 	tr := t.track(id)
 	since := 0
 	for _, m := range tr.marks {
 		since += m.delta
 	}
-	return max(float64(tr.report.Work+since*max(1, t.opts.Routers)), float64(tr.inFlight))
+	routers := max(1, t.opts.Routers)
+	reported := max(tr.report.Work+since*routers, tr.inFlight)
+	return (float64(reported) + float64(tr.inFlight*routers)) / 2
 }
 
 // stepTime estimates the group's step time as seen at one rank: a step that does not end counts with its age.
--- a/services/share/queue.go
+++ b/services/share/queue.go
@@ -10,6 +10,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/account"
@@ -71,13 +72,15 @@
 
 // Queue decides which request runs next. It does no I/O and reads no clock.
 type Queue struct {
-	limits  Limits
-	flows   map[account.ID]*flow
+	limits Limits
+	flows  map[account.ID]*flow
+	// backlog holds the flows with waiting requests.
+	backlog map[account.ID]*flow
 	running map[Ticket]running
 	waiting int
 	virtual float64
-	// meanSeconds is the smoothed time a request runs, in seconds.
-	meanSeconds float64
+	// meanSeconds is the smoothed time a request runs, deviation its mean distance from that, in seconds.
+	meanSeconds, deviation float64
 }
 
 // initialMean is the run time assumed before any request has ended, in seconds.
@@ -88,7 +91,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(l Limits) *Queue {
-	return &Queue{limits: l, flows: map[account.ID]*flow{}, running: map[Ticket]running{}, meanSeconds: initialMean}
+	return &Queue{limits: l, flows: map[account.ID]*flow{}, backlog: map[account.ID]*flow{}, running: map[Ticket]running{}, meanSeconds: initialMean}
 }
 
 // SetWeights changes the shares. Requests of accounts without a share are refused from now on.
@@ -124,7 +127,7 @@
 		return []Refusal{{Ticket: it.Ticket, Reason: ReasonNoShare, RetryAfter: time.Minute}}
 	}
 	wait := q.estimate(f, len(f.waiting)+1)
-	if !it.Deadline.IsZero() && now.Add(wait+q.mean()).After(it.Deadline) && q.busy() {
+	if !it.Deadline.IsZero() && now.Add(wait+q.runTime()).After(it.Deadline) && q.busy() {
 		return []Refusal{{Ticket: it.Ticket, Reason: ReasonDeadline, RetryAfter: q.retryAfter(f)}}
 	}
 	var refused []Refusal
@@ -139,6 +142,7 @@
 		f.virtual = max(f.virtual, q.virtual)
 	}
 	f.insert(it)
+	q.backlog[it.Account] = f
 	q.waiting++
 	return refused
 }
@@ -156,15 +160,30 @@
 
 func (q *Queue) busy() bool { return len(q.running) >= q.limits.Concurrency }
 
-func (q *Queue) mean() time.Duration { return time.Duration(q.meanSeconds * float64(time.Second)) }
+// runTime returns the time within which most requests end once they run.
+func (q *Queue) runTime() time.Duration {
+	return time.Duration((q.meanSeconds + deviations*q.deviation) * float64(time.Second))
+}
+
+// deviations is how many mean deviations above the mean the time of most requests lies.
+const deviations = 2
+
+// shrink notes that a flow has one waiting request less.
+func (q *Queue) shrink(id account.ID, f *flow) {
+	q.waiting--
+	if len(f.waiting) == 0 {
+		delete(q.backlog, id)
+	}
+}
 
 // estimate returns how long n waiting requests of an account take at its present part of the upstream.
 func (q *Queue) estimate(f *flow, n int) time.Duration {
-	var backlogged float64
-	for _, o := range q.flows {
-		if len(o.waiting) > 0 || o == f {
-			backlogged += o.weight
-		}
+	backlogged := 0.0
+	if len(f.waiting) == 0 {
+		backlogged = f.weight
+	}
+	for _, o := range q.backlog {
+		backlogged += o.weight
 	}
 	rate := float64(q.limits.Concurrency) / q.meanSeconds * f.weight / backlogged
 	return time.Duration(float64(n) / rate * float64(time.Second))
@@ -181,13 +200,17 @@
 	return min(max(q.estimate(f, len(f.waiting)/2+1), minRetryAfter), maxRetryAfter)
 }
 
+// half of a request is what the arriving one counts for: of two accounts that are level, the one
+// with the smaller share does not lose its only place to rounding.
+const half = 0.5
+
 // pushOut refuses the newest waiting request of the account that is furthest over its part of the
 // queue, if that account is further over than the arriving one would be.
 func (q *Queue) pushOut(arriving account.ID) (Refusal, bool) {
 	var worst account.ID
 	a := q.flows[arriving]
-	high := float64(len(a.waiting)+1) / a.weight
-	for id, f := range q.flows {
+	high := (float64(len(a.waiting)) + half) / a.weight
+	for id, f := range q.backlog {
 		over := float64(len(f.waiting)) / max(f.weight, 1e-9)
 		if id != arriving && (over > high || (over == high && worst != "" && id < worst)) {
 			worst, high = id, over
@@ -199,7 +222,7 @@
 	f := q.flows[worst]
 	last := f.waiting[len(f.waiting)-1]
 	f.waiting = f.waiting[:len(f.waiting)-1]
-	q.waiting--
+	q.shrink(worst, f)
 	return Refusal{Ticket: last.Ticket, Reason: ReasonPushed, RetryAfter: q.retryAfter(f)}, true
 }
 
@@ -209,8 +232,9 @@
 		f := q.behind()
 		it := f.waiting[0]
 		f.waiting = f.waiting[1:]
-		q.waiting--
-		if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
+		q.shrink(it.Account, f)
+		// A request that will most likely be late takes no place from one that can be in time.
+		if !it.Deadline.IsZero() && (!now.Before(it.Deadline) || (q.waiting > 0 && now.Add(q.runTime()).After(it.Deadline))) {
 			refused = append(refused, Refusal{Ticket: it.Ticket, Reason: ReasonDeadline, RetryAfter: q.retryAfter(f)})
 			continue
 		}
@@ -231,10 +255,7 @@
 func (q *Queue) behind() *flow {
 	var best *flow
 	var bestID account.ID
-	for id, f := range q.flows {
-		if len(f.waiting) == 0 {
-			continue
-		}
+	for id, f := range q.backlog {
 		if best == nil || f.virtual < best.virtual || (f.virtual == best.virtual && id < bestID) {
 			best, bestID = f, id
 		}
@@ -250,6 +271,7 @@
 	}
 	delete(q.running, t)
 	took := now.Sub(r.started).Seconds()
+	q.deviation += smoothing * (math.Abs(took-q.meanSeconds) - q.deviation)
 	q.meanSeconds += smoothing * (took - q.meanSeconds)
 	q.meanSeconds = max(q.meanSeconds, 1e-4)
 	if f, ok := q.flows[r.account]; ok {
@@ -260,11 +282,11 @@
 
 // Cancel takes a waiting request out. It reports whether the request was still waiting.
 func (q *Queue) Cancel(t Ticket) bool {
-	for _, f := range q.flows {
+	for id, f := range q.backlog {
 		for i, it := range f.waiting {
 			if it.Ticket == t {
 				f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
-				q.waiting--
+				q.shrink(id, f)
 				return true
 			}
 		}
