--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 
+	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
@@ -49,13 +50,17 @@
 		fx.Provide(
 			func() *platform.Client { return platform.NewClient(set.Platform.Address) },
 			func() *engine.Client { return engine.NewClient(set.Upstream.Address) },
+			func() *metrics.Metrics { return metrics.New(set.Process.ID) },
 		),
 		fx.Invoke(runAgent),
 	)
 }
 
-func runAgent(lc fx.Lifecycle, set setting.Agent, ss sockets, client *platform.Client, eng *engine.Client, ring *timeline.Ring, logger zerolog.Logger) error {
-	a, err := agent.New(set, client, client, eng, func(address string) services.Engine { return engine.NewClient(address) }, agent.Listeners{HTTP: ss.HTTP, RPC: ss.RPC}, ring, logger)
+func runAgent(lc fx.Lifecycle, set setting.Agent, ss sockets, client *platform.Client, eng *engine.Client, m *metrics.Metrics, ring *timeline.Ring, logger zerolog.Logger) error {
+	a, err := agent.New(set, agent.Outside{
+		Log: client, Weights: client, Engine: eng,
+		Dial: func(address string) services.Engine { return engine.NewClient(address) },
+	}, agent.Listeners{HTTP: ss.HTTP, RPC: ss.RPC}, m, ring, logger)
 	if err != nil {
 		return wrap(err, "make agent")
 	}
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -20,6 +20,7 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/timeline"
@@ -73,35 +74,45 @@
 	HTTP, RPC net.Listener
 }
 
+// Outside holds the interfaces to what is not fawnwinch.
+type Outside struct {
+	Log     services.Log
+	Weights services.WeightStore
+	// Engine is the agent's own rank; Dial reaches the engines of other ranks.
+	Engine services.Engine
+	Dial   EngineDialer
+}
+
 // EngineDialer returns a client of the engine at an address.
 type EngineDialer func(address string) services.Engine
 
 // New returns an agent that does not run yet.
-func New(set setting.Agent, log services.Log, weights services.WeightStore, engine services.Engine, dial EngineDialer, ls Listeners, ring *timeline.Ring, logger zerolog.Logger) (*Agent, error) {
+func New(set setting.Agent, out Outside, ls Listeners, m *metrics.Metrics, ring *timeline.Ring, logger zerolog.Logger) (*Agent, error) {
 	incarnation, err := uuid.NewV7()
 	if err != nil {
 		return nil, fmt.Errorf("make incarnation: %w", err)
 	}
 	a := &Agent{
-		set: set, ring: ring, logger: logger, log: log, engine: engine, pool: rpc.NewPool(),
+		set: set, ring: ring, logger: logger, log: out.Log, engine: out.Engine, pool: rpc.NewPool(),
 		self:    once.Owner{Upstream: set.Upstream.ID, Incarnation: upstream.Incarnation(incarnation.String()), RPC: cmp.Or(set.Process.AdvertiseRPC, ls.RPC.Addr().String())},
 		address: cmp.Or(set.Process.AdvertiseHTTP, ls.HTTP.Addr().String()),
 		gate:    share.NewGate(share.Limits{Concurrency: set.Upstream.Concurrency, Waiting: set.Upstream.QueueLimit}),
 		client:  &http.Client{Transport: httpx.Transport(upstreamDialTimeout, 256)},
 		config:  intent.Empty(),
 	}
-	a.switcher = &switcher{a: a, weights: weights, dial: dial}
+	a.switcher = &switcher{a: a, weights: out.Weights, dial: out.Dial}
 	a.state.Store(upstream.StateReady)
 	a.load.Store(&engineLoad{})
 	a.links = newLinks(a, set.Routers)
 	if set.Upstream.Kind == service.KindPlain {
 		a.once = a.newOnce()
 	}
-	a.http = httpx.NewServer(ls.HTTP, a.handler())
+	a.http = httpx.NewServer(ls.HTTP, a.handler(m))
 	a.rpc = rpc.NewServer(ls.RPC)
 	if err := a.rpc.Register("Agent", &API{a: a}); err != nil {
 		return nil, fmt.Errorf("agent rpc: %w", err)
 	}
+	a.register(m)
 	return a, nil
 }
 
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -136,6 +136,9 @@
 	if l.first.IsZero() {
 		l.first = now
 	}
+	if r.Routers == nil && r.Lists == k.reply.Lists {
+		r.Routers, r.Members = k.reply.Routers, k.reply.Members
+	}
 	k.reply, k.at, k.echo, k.until = r, now, r.Nonce, now.Add(routerFor)
 	for _, i := range r.Routers {
 		other, ok := l.routers[i.RPC]
@@ -163,7 +166,7 @@
 	}
 	l.mu.Lock()
 	if k, ok := l.routers[address]; ok {
-		b.Echo = k.echo
+		b.Echo, b.Known = k.echo, k.reply.Lists
 	}
 	l.mu.Unlock()
 	return b
--- a/services/directory/beat.go
+++ b/services/directory/beat.go
@@ -133,13 +133,40 @@
 			closed = closed || u == b.Upstream
 		}
 	}
-	return membership.Reply{
-		Router: d.routers.Self(), Nonce: nonce, Revision: state.Revision, Routers: d.routers.Live(now),
-		Members: d.table.Members(now, b.Service), Leave: closed || d.table.Leave(b.RPC),
+	reply := membership.Reply{
+		Router: d.routers.Self(), Nonce: nonce, Revision: state.Revision, Leave: closed || d.table.Leave(b.RPC),
 		Stamp: d.opts.Ring.Clock.Now(now),
 	}
+	l := d.listsFor(now, b.Service)
+	if reply.Lists = l.fingerprint; reply.Lists != b.Known {
+		reply.Routers, reply.Members = l.routers, l.members
+	}
+	return reply
+}
+
+// lists is what the agents of one service are told about the processes around them.
+type lists struct {
+	at          time.Time
+	fingerprint uint64
+	routers     []membership.RouterInfo
+	members     []membership.MemberInfo
 }
 
+// listsFor returns the lists for a service. They are made at most once in listsAge, not once a
+// heartbeat. The caller holds the lock.
+func (d *Directory) listsFor(now time.Time, s service.ID) *lists {
+	if l, ok := d.lists[s]; ok && now.Sub(l.at) < listsAge {
+		return l
+	}
+	l := &lists{at: now, routers: d.routers.Live(now), members: d.table.Members(now, s)}
+	l.fingerprint = membership.Fingerprint(l.routers, l.members)
+	d.lists[s] = l
+	return l
+}
+
+// listsAge is how old the lists that agents are told may be.
+const listsAge = 100 * time.Millisecond
+
 func reportOf(now time.Time, l membership.Load) routing.Report {
 	return routing.Report{
 		At: now, Work: l.InFlight + l.Queued, Concurrency: l.Concurrency,
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -52,6 +52,7 @@
 	// floorsKnown says that another router's floors were taken in, or that there is no other router.
 	floorsKnown bool
 	started     time.Time
+	lists       map[service.ID]*lists
 	// suspects holds the last known suspicion, to tell changes in the time line.
 	suspects map[upstream.ID]bool
 }
@@ -61,7 +62,7 @@
 	return &Directory{
 		opts: o, table: membership.NewTable(), routers: membership.NewRouters(o.Self, o.Seeds),
 		tracker: routing.NewTracker(o.Tracker), register: once.NewRegister(o.Retention),
-		started: time.Now(), suspects: map[upstream.ID]bool{},
+		started: time.Now(), lists: map[service.ID]*lists{}, suspects: map[upstream.ID]bool{},
 	}
 }
 
--- a/services/membership/message.go
+++ b/services/membership/message.go
@@ -6,6 +6,7 @@
 package membership
 
 import (
+	"fmt"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/intent"
@@ -15,6 +16,8 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/once"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // BeatInterval is the time between two heartbeats of a process to one router.
@@ -58,6 +61,9 @@
 	Revision    intent.Revision
 	Load        Load
 	Owned       map[request.Slice]once.Epoch
+	// Known is the fingerprint of the lists in the router's latest full reply: lists that have not
+	// changed are not sent again, or the bytes would grow with the square of the agents.
+	Known uint64
 	// Echo is the nonce of the router's latest reply: proof that the agent is awake now.
 	Echo  uint64
 	Stamp timeline.Stamp
@@ -134,9 +140,23 @@
 	Router   RouterInfo
 	Nonce    uint64
 	Revision intent.Revision
-	Routers  []RouterInfo
-	Members  []MemberInfo
+	// Lists is the fingerprint of Routers and Members, which are empty if the agent knows them.
+	Lists   uint64
+	Routers []RouterInfo
+	Members []MemberInfo
 	// Leave says that the platform or the configuration takes the upstream away.
 	Leave bool
 	Stamp timeline.Stamp
 }
+
+// Fingerprint returns a short fingerprint of the lists of a reply. It is never 0.
+func Fingerprint(routers []RouterInfo, members []MemberInfo) uint64 {
+	h := xxhash.New()
+	for _, r := range routers {
+		_, _ = fmt.Fprintf(h, "%s %s %s %s\n", r.Incarnation, r.RPC, r.HTTP, r.State)
+	}
+	for _, m := range members {
+		_, _ = fmt.Fprintf(h, "%s %s %s %s %s %t\n", m.Owner.Upstream, m.Owner.Incarnation, m.Owner.RPC, m.HTTP, m.State, m.Suspect)
+	}
+	return max(h.Sum64(), 1)
+}
--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,7 +49,12 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "fawnwinch")
-	build := exec.Command("go", "build", "-race", "-o", binary, "../..")
+	args := []string{"build", "-race", "-o", binary, "../.."}
+	if os.Getenv("FAWNWINCH_BENCH") != "" {
+		// Measurements want the program as it ships.
+		args = slices.Delete(args, 1, 2)
+	}
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -59,7 +65,7 @@
 
 // process is one running program.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	args []string
 	cmd  *exec.Cmd
@@ -105,7 +111,7 @@
 
 // cluster is a whole deployment on loopback addresses of its own.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	ip       string
 	port     int
@@ -134,14 +140,14 @@
 
 var accounts = []account.Share{{Account: "large", Weight: 4}, {Account: "small", Weight: 1}}
 
-func newCluster(t *testing.T, o options) *cluster {
+func newCluster(t testing.TB, o options) *cluster {
 	t.Helper()
 	var c *cluster
 	return newClusterInto(t, &c, o)
 }
 
 // newClusterInto sets *into before it starts processes, for options that need the cluster.
-func newClusterInto(t *testing.T, into **cluster, o options) *cluster {
+func newClusterInto(t testing.TB, into **cluster, o options) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, clusters.Add(1)), port: 20000,
--- a/tests/integration/once_test.go
+++ b/tests/integration/once_test.go
@@ -4,6 +4,7 @@
 package integration
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -50,7 +51,7 @@
 	}
 }
 
-func (l *links) mend(t *testing.T) {
+func (l *links) mend(t testing.TB) {
 	for _, p := range l.proxies {
 		if err := p.Start(); err != nil {
 			t.Error(err)
@@ -59,10 +60,10 @@
 }
 
 // reset makes connections break in the direction of the answers for as long as it is on.
-func (l *links) reset(t *testing.T, on bool) {
+func (l *links) reset(t testing.TB, on bool) {
 	for _, p := range l.proxies {
 		if !on {
-			p.Toxics.ResetToxics(t.Context())
+			p.Toxics.ResetToxics(context.Background())
 			continue
 		}
 		raw := `{"name":"reset","type":"reset_peer","stream":"downstream","toxicity":0.5,"attributes":{"timeout":5}}`
