--- a/cmd/demo_test.go
+++ b/cmd/demo_test.go
@@ -12,10 +12,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/goleak"
 )
 
 // TestDemo runs the demo as a new user would, and checks its summary.
 func TestDemo(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
 	var out, errs bytes.Buffer
 	if code := Execute([]string{"demo", "--duration", "2s"}, &out, &errs); code != exitOK {
 		t.Fatalf("exit code %d\n%s%s", code, out.String(), errs.String())
--- a/models/intent/intent.go
+++ b/models/intent/intent.go
@@ -77,14 +77,29 @@
 	if len(raw) > MaxSize {
 		return nil, ErrInvalid{Field: "document", Value: fmt.Sprintf("%d bytes", len(raw)), Reason: fmt.Sprintf("is larger than %d bytes", MaxSize)}
 	}
-	var in Intent
-	if err := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict()).Decode(&in); err != nil {
-		return nil, ErrInvalid{Field: "document", Value: "", Reason: "is not an intent: " + err.Error()}
+	in, err := decode(raw)
+	if err != nil {
+		return nil, err
 	}
 	if err := in.Check(); err != nil {
 		return nil, err
 	}
-	return &in, nil
+	return in, nil
+}
+
+// decode reads strict YAML. The library panics on some malformed documents: such a document is as
+// invalid as any other.
+func decode(raw []byte) (in *Intent, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			in, err = nil, ErrInvalid{Field: "document", Reason: fmt.Sprintf("is not an intent: %v", p)}
+		}
+	}()
+	in = &Intent{}
+	if err := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict()).Decode(in); err != nil {
+		return nil, ErrInvalid{Field: "document", Reason: "is not an intent: " + err.Error()}
+	}
+	return in, nil
 }
 
 // Check returns an ErrInvalid for the first field that is not acceptable.
--- /dev/null
+++ b/modules/rpc/rpc_test.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rpc_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+
+	"go.uber.org/goleak"
+)
+
+// echo answers at once, or not before it is let go.
+type echo struct{ gate chan struct{} }
+
+// Now answers at once.
+func (e *echo) Now(in int, out *int) error { *out = in; return nil }
+
+// Late answers when it is let go.
+func (e *echo) Late(in int, out *int) error { <-e.gate; *out = in; return nil }
+
+// TestCall checks that a late answer meets nobody, that the next call works, and that nothing is left behind.
+func TestCall(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &echo{gate: make(chan struct{})}
+	s := rpc.NewServer(l)
+	if err := s.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	p := rpc.NewPool()
+	address := l.Addr().String()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	var out int
+	if err := p.Call(ctx, address, "Echo.Late", 1, &out); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("late call: %v", err)
+	}
+	cancel()
+	if err := p.Call(t.Context(), address, "Echo.Now", 2, &out); err != nil || out != 2 {
+		t.Errorf("next call: %d, %v", out, err)
+	}
+	close(e.gate)
+	s.Close()
+	var unsent rpc.ErrNotSent
+	if err := p.Call(t.Context(), "127.0.0.1:1", "Echo.Now", 2, &out); !errors.As(err, &unsent) {
+		t.Errorf("call of nobody: %v", err)
+	}
+	p.Close()
+}
--- a/tests/integration/outage_test.go
+++ b/tests/integration/outage_test.go
@@ -72,3 +72,42 @@
 		t.Errorf("refused hold had %d effects", n)
 	}
 }
+
+// longRetention is the log's retention, and the keys' lifetime, in the test of a long outage.
+const longRetention = 12 * time.Second
+
+// TestLongOutage keeps the platform away for longer than the log keeps its records, lets an owner and
+// a router die meanwhile, and an owner sleep from before the outage to after it.
+func TestLongOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{
+		routers: 3, plains: 4, platformArgs: []string{"--retention", longRetention.String()},
+		router: func(s *setting.Router) { s.Platform.Retention = longRetention },
+		agent: func(s *setting.Agent) {
+			s.Platform.Retention, s.Once.Lifetime, s.Once.OutageAfter = longRetention, longRetention, 1500*time.Millisecond
+		},
+	})
+	rev := c.accept(0, "before", c.variant(3))
+	c.everywhere(rev)
+	w := c.holds(4)
+	w.answered(20)
+	stop := c.watch()
+	c.procs["ledger-3"].signal(syscall.SIGSTOP)
+	c.fault(platformstandin.Fault{Down: true})
+	began := time.Now()
+	w.answered(60)
+	c.procs["ledger-0"].kill()
+	c.procs["router-0"].kill()
+	w.answered(60)
+	c.procs["router-0"].start()
+	c.await("outage over", 3*longRetention, func() bool { return time.Since(began) > longRetention*3/2 })
+	w.answered(20)
+	c.fault(platformstandin.Fault{})
+	c.procs["ledger-0"].start()
+	c.procs["ledger-3"].signal(syscall.SIGCONT)
+	w.answered(100)
+	c.everywhere(rev)
+	c.everywhere(c.accept(1, "after", c.variant(4)))
+	stop()
+	w.check(t)
+}
