Upstreams outside the configuration own no slices; accounts' metrics; documents

Cause: an agent that the intent does not list, or lists no more, could own slices and so run holds. Change: it counts as leaving for ownership and hands over. A coordinator begins anew when the ranks of its group change. Queue, work and share of each account are metrics. Ruled out: dropping unlisted agents from the members, which would take their slices without their tables. Conclusion: TestLeaving has a case for it.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -12,6 +12,7 @@
 
 	"fawnwinch.org/fawnwinch/routers"
 	"fawnwinch.org/fawnwinch/services/directory"
+	"fawnwinch.org/fawnwinch/services/expertswitch"
 
 	"github.com/spf13/cobra"
 )
@@ -42,10 +43,10 @@
 
 func printStatus(w io.Writer, s directory.Status) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "PROCESS\tROLE\tDATA CENTRE\tSTATE\tREVISION\tIN FLIGHT\tQUEUED\tSTEP ms\tMAP\tSKEW\tSLICES\n")
+	_, _ = fmt.Fprintf(t, "PROCESS\tROLE\tDATA CENTRE\tSTATE\tREVISION\tIN FLIGHT\tQUEUED\tSTEP ms\tMAP ROUND\tSKEW\tSLICES\n")
 	for _, p := range s.Processes {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t%d\t%.2f\t%d\n", p.ID, p.Role, p.DataCentre, p.State, p.Revision,
-			p.InFlight, p.Queued, float64(p.StepMicros)/float64(time.Millisecond/time.Microsecond), p.Map, p.Skew, p.Slices)
+			p.InFlight, p.Queued, float64(p.StepMicros)/float64(time.Millisecond/time.Microsecond), expertswitch.Counter(expertswitch.Ballot(p.Map)), p.Skew, p.Slices)
 	}
 	return wrap(t.Flush(), "print status")
 }
--- a/models/intent/intent_test.go
+++ b/models/intent/intent_test.go
@@ -70,7 +70,7 @@
 // TestExamples checks the intents in custom/conf.
 func TestExamples(t *testing.T) {
 	files, _ := filepath.Glob("../../custom/conf/*/intent.yaml")
-	if len(files) != 2 {
+	if len(files) != 3 {
 		t.Fatalf("found %v", files)
 	}
 	for _, f := range files {
--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -62,6 +62,40 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, read))
 }
 
+// Sample is one value of a metric with one label.
+type Sample struct {
+	Label string
+	Value float64
+}
+
+// Each registers a metric whose labelled values are read when metrics are. Rising says that values
+// only rise.
+func (m *Metrics) Each(name, help, label string, rising bool, read func() []Sample) {
+	kind := prometheus.GaugeValue
+	if rising {
+		kind = prometheus.CounterValue
+	}
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil)
+	m.Registry.MustRegister(&samples{desc: desc, kind: kind, read: read})
+}
+
+// samples collects the values of one metric.
+type samples struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func() []Sample
+}
+
+// Describe implements prometheus.Collector.
+func (s *samples) Describe(ch chan<- *prometheus.Desc) { ch <- s.desc }
+
+// Collect implements prometheus.Collector.
+func (s *samples) Collect(ch chan<- prometheus.Metric) {
+	for _, v := range s.read() {
+		ch <- prometheus.MustNewConstMetric(s.desc, s.kind, v.Value, v.Label)
+	}
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
--- a/modules/setting/setting_test.go
+++ b/modules/setting/setting_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -16,7 +17,7 @@
 // TestExamples checks the settings in custom/conf.
 func TestExamples(t *testing.T) {
 	files, _ := filepath.Glob("../../custom/conf/*/*.yaml")
-	if len(files) != 8 {
+	if len(files) != 9 {
 		t.Fatalf("found %v", files)
 	}
 	for _, f := range files {
@@ -61,3 +62,38 @@
 		})
 	}
 }
+
+// TestDocumented checks that docs/CONFIGURATION.md names every key of the settings.
+func TestDocumented(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(raw)
+	for _, v := range []any{setting.Router{}, setting.Agent{}} {
+		for _, key := range keys(reflect.TypeOf(v)) {
+			if !strings.Contains(page, "`"+key) && !strings.Contains(page, "`."+key) && !strings.Contains(page, "."+key+"`") {
+				t.Errorf("docs/CONFIGURATION.md does not name %s", key)
+			}
+		}
+	}
+}
+
+// keys lists the last parts of all yaml keys of a struct.
+func keys(t reflect.Type) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		ft := f.Type
+		if ft.Kind() == reflect.Slice {
+			ft = ft.Elem()
+		}
+		if ft.Kind() == reflect.Struct {
+			out = append(out, keys(ft)...)
+			continue
+		}
+		out = append(out, name)
+	}
+	return out
+}
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -214,6 +214,14 @@
 	return a.config
 }
 
+// listed returns the upstreams that the configuration lists for the agent's service.
+func (a *Agent) listed() []upstream.ID {
+	if sv := a.Config().Intent.Service(a.set.Upstream.Service); sv != nil {
+		return sv.Members()
+	}
+	return nil
+}
+
 // stopPoll is the time between two looks at whether a leaving agent is done.
 const stopPoll = 50 * time.Millisecond
 
--- a/services/agent/coordinate.go
+++ b/services/agent/coordinate.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
@@ -46,6 +47,7 @@
 	defer ticker.Stop()
 	var planner *placement.Planner
 	var coord *expertswitch.Coordinator
+	var ranks []upstream.ID
 	for {
 		select {
 		case <-ctx.Done():
@@ -57,7 +59,8 @@
 			planner, coord = nil, nil
 			continue
 		}
-		if planner == nil {
+		if planner == nil || !slices.Equal(ranks, g.Ranks) {
+			ranks = g.Ranks
 			planner = placement.NewPlanner()
 			coord = expertswitch.NewCoordinator(expertswitch.Config{Retry: switchRetry, Margin: switchMargin, StageLimit: stageLimit, HoldLimit: holdLimit}, g.ID, self, expertswitch.Incarnation(rand.Uint32()), len(g.Ranks)) //nolint:gosec // no secret
 			s.finish(ctx, coord, g)
--- a/services/agent/handler.go
+++ b/services/agent/handler.go
@@ -66,28 +66,6 @@
 	return mux
 }
 
-// register offers the agent's values as metrics.
-func (a *Agent) register(m *metrics.Metrics) {
-	gauge := func(name, help string, read func() float64) { m.Gauge(name, help, nil, read) }
-	gauge("upstream_running", "Requests at the upstream.", func() float64 { n, _ := a.gate.Counts(); return float64(n) })
-	gauge("upstream_queued", "Requests waiting for the upstream.", func() float64 { _, n := a.gate.Counts(); return float64(n) })
-	gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(a.Config().Revision) })
-	gauge("expert_skew_ratio", "Expert load of the rank against the mean of its group.", func() float64 { return a.load.Load().state.Load })
-	gauge("step_duration_seconds", "Mean duration of the group's latest steps.", func() float64 { return float64(a.load.Load().state.StepMicros) / 1e6 })
-	gauge("once_slices", "Slices of idempotency keys owned here.", func() float64 {
-		if a.once == nil {
-			return 0
-		}
-		return float64(len(a.once.Owned()))
-	})
-	moved := func() float64 { return float64(a.moved.Load() * a.set.Upstream.ExpertBytes) }
-	m.Counter("expert_weight_moved_bytes_total", "Expert weights that this rank has loaded.", nil, moved)
-	sent := func() float64 { return float64(a.pool.Stats.Sent.Load() + a.rpc.Stats.Sent.Load()) }
-	received := func() float64 { return float64(a.pool.Stats.Received.Load() + a.rpc.Stats.Received.Load()) }
-	m.Counter("control_sent_bytes_total", "Bytes sent to other fawnwinch processes for control.", nil, sent)
-	m.Counter("control_received_bytes_total", "Bytes received from other fawnwinch processes for control.", nil, received)
-}
-
 // errBadHeader reports a header of a router that cannot be read.
 type errBadHeader struct{ name, value string }
 
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -275,8 +275,13 @@
 		}
 	}
 	merged[l.a.self] = once.Member{Owner: l.a.self, State: l.a.State()}
+	listed := l.a.listed()
 	out := make([]once.Member, 0, len(merged))
 	for _, m := range merged {
+		if !slices.Contains(listed, m.Owner.Upstream) {
+			// What the configuration does not list gets no slices, and hands over those it has.
+			m.State = upstream.StateLeaving
+		}
 		out = append(out, m)
 	}
 	return out, !l.first.IsZero() && now.Sub(l.first) > joinTime
--- a/services/agent/switcher.go
+++ b/services/agent/switcher.go
@@ -56,8 +56,8 @@
 	return service.Group{}, 0, false
 }
 
-// recover learns the promise from the engine and all other ranks, after a start.
-func (s *switcher) recover(ctx context.Context) error {
+// relearn learns the promise from the engine and all other ranks, after a start.
+func (s *switcher) relearn(ctx context.Context) error {
 	s.mu.Lock()
 	done := s.part.Recovered()
 	s.mu.Unlock()
@@ -127,7 +127,7 @@
 // handle carries out a coordinator's message.
 func (s *switcher) handle(ctx context.Context, m expertswitch.Message) (expertswitch.Reply, error) {
 	reply := expertswitch.Reply{Kind: m.Kind, Ballot: m.Ballot}
-	if err := s.recover(ctx); err != nil {
+	if err := s.relearn(ctx); err != nil {
 		return reply, err
 	}
 	if m.Kind == expertswitch.KindStage {
--- a/services/share/gate.go
+++ b/services/share/gate.go
@@ -38,6 +38,13 @@
 	return g.queue.Counts()
 }
 
+// Accounts returns all accounts with a share.
+func (g *Gate) Accounts() []Account {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Accounts()
+}
+
 // Enter waits until the request may run, and returns the function to call when it has ended.
 // A refusal is final: the request has not run. It returns ctx's error if that ends first.
 func (g *Gate) Enter(ctx context.Context, it Item) (func(), *Refusal, error) {
--- a/services/share/queue.go
+++ b/services/share/queue.go
@@ -61,6 +61,8 @@
 	virtual float64
 	waiting []Item
 	running int
+	// work is the time its requests ran, in seconds.
+	work float64
 }
 
 // running is a request that has started.
@@ -119,6 +121,25 @@
 // Counts returns the numbers of running and waiting requests.
 func (q *Queue) Counts() (run, wait int) { return len(q.running), q.waiting }
 
+// Account is what one account has and had of an upstream.
+type Account struct {
+	ID      account.ID
+	Weight  float64
+	Running int
+	Waiting int
+	// Work is the time its requests ran.
+	Work time.Duration
+}
+
+// Accounts returns all accounts with a share.
+func (q *Queue) Accounts() []Account {
+	out := make([]Account, 0, len(q.flows))
+	for id, f := range q.flows {
+		out = append(out, Account{ID: id, Weight: f.weight, Running: f.running, Waiting: len(f.waiting), Work: time.Duration(f.work * float64(time.Second))})
+	}
+	return out
+}
+
 // Enqueue takes a request in. It returns refusals: of this request, or of another one that had to
 // give way because its account has taken more than its part of the queue.
 func (q *Queue) Enqueue(now time.Time, it Item) []Refusal {
@@ -276,6 +297,7 @@
 	q.meanSeconds = max(q.meanSeconds, 1e-4)
 	if f, ok := q.flows[r.account]; ok {
 		f.running--
+		f.work += took
 		f.virtual += (took - r.charged) / f.weightOr()
 	}
 }
--- a/tests/integration/control_test.go
+++ b/tests/integration/control_test.go
@@ -63,7 +63,7 @@
 
 // BenchmarkControl reports what control costs each role without load, by the number of routers and agents.
 func BenchmarkControl(b *testing.B) {
-	for _, size := range []struct{ routers, agents int }{{2, 8}, {2, 16}, {2, 32}, {4, 16}, {7, 16}} {
+	for _, size := range []struct{ routers, agents int }{{2, 8}, {2, 16}, {2, 32}, {4, 16}, {7, 16}, {7, 32}, {7, 64}} {
 		b.Run(fmt.Sprintf("%drouters-%dagents", size.routers, size.agents), func(b *testing.B) {
 			urls := map[string]string{}
 			c := newCluster(b, options{
--- a/tests/integration/leave_test.go
+++ b/tests/integration/leave_test.go
@@ -178,6 +178,14 @@
 				c.t.Fatalf("close: %s", v)
 			}
 		},
+		"taken out of the configuration": func(c *cluster) {
+			in := c.intent
+			in.Services = append(in.Services[:0:0], in.Services...)
+			in.Services[0].Upstreams = in.Services[0].Upstreams[1:]
+			if v := c.confirm(0, "remove", in); v != configlog.VerdictAccepted {
+				c.t.Fatalf("remove: %s", v)
+			}
+		},
 		"agent": func(c *cluster) { c.procs[string(id)].signal(syscall.SIGTERM) },
 	}
 	for name, announce := range cases {
