Control messages tell what has changed; a router that cannot vouch refuses at once

Change: heartbeats are brief while nothing but the load changes, loads are relayed within a budget of bytes, who is not named silent is alive, lists are sent when they differ; a lost message resets what was told.

--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -224,10 +224,15 @@
 	}
 	l.mu.Lock()
 	b.Seq = l.seq
-	if k, ok := l.routers[address]; ok {
-		b.Echo, b.Known = k.echo, k.reply.Lists
+	defer l.mu.Unlock()
+	k, ok := l.routers[address]
+	if !ok {
+		return b
+	}
+	b.Echo, b.Known = k.echo, k.reply.Lists
+	if k.reply.Have == b.Fingerprint() {
+		return b.Shorten()
 	}
-	l.mu.Unlock()
 	return b
 }
 
--- a/services/directory/beat.go
+++ b/services/directory/beat.go
@@ -59,6 +59,7 @@
 	defer cancel()
 	d.mu.Lock()
 	b.Agents = d.outbox.For(time.Now(), address, d.table)
+	b.Known = d.listOf(address, time.Now())
 	d.mu.Unlock()
 	var r membership.RouterReply
 	if err := d.opts.Pool.Call(cctx, address, "Router.RouterBeat", b, &r); err != nil {
@@ -73,6 +74,9 @@
 	if d.routers.Restarted(r.Info) {
 		d.outbox.Forget(address)
 	}
+	if len(r.Routers) > 0 {
+		d.listsOf[address] = routerList{fingerprint: r.Lists, at: now}
+	}
 	d.routers.Hint(now, r.Routers)
 	d.routers.Beat(now, membership.RouterBeat{Info: r.Info, Revision: r.Revision, Anchored: r.Anchored, LogAge: r.LogAge})
 	needFloors := !d.floorsKnown
@@ -86,6 +90,24 @@
 	}
 }
 
+// routerList is the latest list of routers that another one has sent.
+type routerList struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// listEvery is the time after which a list of routers is asked for again: addresses heard of age.
+const listEvery = 4 * time.Second
+
+// listOf returns the fingerprint of the list a router need not send again, or 0. The caller holds the lock.
+func (d *Directory) listOf(address string, now time.Time) uint64 {
+	l := d.listsOf[address]
+	if now.Sub(l.at) > listEvery {
+		return 0
+	}
+	return l.fingerprint
+}
+
 func (d *Directory) pullConfig(ctx context.Context, address string) {
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -142,9 +164,10 @@
 			closed = closed || u == b.Upstream
 		}
 	}
+	known, _ := d.table.Entry(now, b.Upstream)
 	reply := membership.Reply{
-		Router: d.routers.Self(), Nonce: nonce, Revision: state.Revision, Leave: closed || d.table.Leave(b.RPC),
-		Stamp: d.opts.Ring.Clock.Now(now),
+		Nonce: nonce, Revision: state.Revision, Leave: closed || d.table.Leave(known.Beat.RPC),
+		Have: d.table.Have(b.Upstream), Stamp: d.opts.Ring.Clock.Now(now),
 	}
 	l := d.listsFor(now, b.Service)
 	if reply.Lists = l.fingerprint; reply.Lists != b.Known {
@@ -192,23 +215,27 @@
 	defer d.mu.Unlock()
 	d.routers.Beat(now, b)
 	d.table.Told(now, b.Leaving)
-	d.relayed(now, b.Agents)
+	d.relayed(now, b.Info.Incarnation, b.Agents)
 	mine := d.routerBeat(now)
+	live := d.routers.Live(now)
 	*r = membership.RouterReply{
 		Info: mine.Info, Revision: mine.Revision, Anchored: mine.Anchored, LogAge: mine.LogAge,
-		Routers: d.routers.Live(now), Stamp: mine.Stamp,
+		Lists: membership.Fingerprint(live, nil), Stamp: mine.Stamp,
+	}
+	if r.Lists != b.Known {
+		r.Routers = live
 	}
 	return nil
 }
 
 // relayed takes in what another router says of its agents. The caller holds the lock.
-func (d *Directory) relayed(now time.Time, m membership.Relay) {
-	for _, id := range d.table.Relay(now, m) {
+func (d *Directory) relayed(now time.Time, from string, m membership.Relay) {
+	for _, id := range d.table.Relay(now, from, m) {
 		e, ok := d.table.Entry(now, id)
 		if !ok {
 			continue
 		}
-		d.tracker.Report(id, reportOf(e.LastBeat, e.Beat.Load))
+		d.tracker.Report(id, reportOf(e.LoadAt, e.Beat.Load))
 		for sl, epoch := range e.Beat.Owned {
 			d.register.Raise(once.SliceKey{Service: e.Beat.Service, Slice: sl}, epoch)
 		}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -54,6 +54,8 @@
 	started     time.Time
 	lists       map[service.ID]*lists
 	outbox      *membership.Outbox
+	// listsOf holds the lists of routers heard from each address.
+	listsOf map[string]routerList
 	// suspects holds the last known suspicion, to tell changes in the time line.
 	suspects map[upstream.ID]bool
 }
@@ -63,7 +65,7 @@
 	return &Directory{
 		opts: o, table: membership.NewTable(), routers: membership.NewRouters(o.Self, o.Seeds),
 		tracker: routing.NewTracker(o.Tracker), register: once.NewRegister(o.Retention),
-		started: time.Now(), lists: map[service.ID]*lists{}, outbox: membership.NewOutbox(), suspects: map[upstream.ID]bool{},
+		started: time.Now(), lists: map[service.ID]*lists{}, outbox: membership.NewOutbox(), listsOf: map[string]routerList{}, suspects: map[upstream.ID]bool{},
 	}
 }
 
@@ -117,7 +119,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	d.table.Expire(now)
-	d.routers.Expire(now, d.opts.Retention)
+	for _, run := range d.routers.Expire(now, d.opts.Retention) {
+		d.table.ForgetRouter(run)
+	}
 	live := d.routers.Live(now)
 	anchored := d.routers.AnchoredElsewhere(now)
 	d.noteSuspects(now)
@@ -155,6 +159,14 @@
 	return now.Sub(contact)
 }
 
+// logOut returns how long the log has been out of this router's reach, since its start if need be.
+func (d *Directory) logOut(now time.Time) time.Duration {
+	if contact := d.opts.Follower.Contact(); !contact.IsZero() {
+		return now.Sub(contact)
+	}
+	return now.Sub(d.started)
+}
+
 // Pick returns the upstream of a service that should take a request.
 func (d *Directory) Pick(now time.Time, s *service.Service, exclude map[upstream.ID]bool) (membership.Entry, bool) {
 	d.mu.Lock()
@@ -250,8 +262,10 @@
 type Ownership struct {
 	Entry membership.Entry
 	Epoch once.Epoch
-	// LogAge is how long the log has been out of this router's reach.
+	// LogAge is how long the log has been out of this router's reach, if it can vouch for that.
 	LogAge time.Duration
+	// NoVoucher says that the log is out and this router cannot vouch for it: it has started since.
+	NoVoucher bool
 }
 
 // Owner returns the owner of a slice. If the log is out of reach, the key is noted in the register first.
@@ -262,7 +276,7 @@
 	age := d.logAge(now)
 	if !ok || e.Suspect {
 		none := ErrNoOwner{Service: s, Slice: sl}
-		if age > outageCertain {
+		if d.logOut(now) > outageCertain {
 			return Ownership{}, fmt.Errorf("%w: %w", none, ErrLogOut)
 		}
 		return Ownership{}, none
@@ -273,7 +287,7 @@
 	if age <= minOutage {
 		age = 0
 	}
-	return Ownership{Entry: e, Epoch: epoch, LogAge: age}, nil
+	return Ownership{Entry: e, Epoch: epoch, LogAge: age, NoVoucher: age == 0 && d.logOut(now) > outageCertain}, nil
 }
 
 // minOutage is the shortest outage that a router vouches for. Every agent's outage_after is longer.
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -41,6 +41,10 @@
 		}
 		end := d.attemptOnce(ctx, own.Entry, r, attemptOptions{once: true, slice: slice, epoch: own.Epoch, ask: ask, logAge: own.LogAge})
 		last = end.result(n, own.Entry)
+		if own.NoVoucher && !ask && end.reason == once.ReasonJournalWait {
+			// Another router may be able to vouch for the outage; this one will not be before it ends.
+			return last
+		}
 		switch next := judgeOnce(end, ask); next {
 		case onceFinal:
 			return last
--- a/services/membership/message.go
+++ b/services/membership/message.go
@@ -51,6 +51,8 @@
 type Beat struct {
 	Upstream    upstream.ID
 	Incarnation upstream.Incarnation
+	// Brief says that the fields that seldom change are left out: the router has them (Reply.Have).
+	Brief bool
 	// Seq numbers the heartbeats of an incarnation.
 	Seq        uint64
 	Service    service.ID
@@ -106,7 +108,9 @@
 	Lost []Lost
 	// Agents tells about the agents that beat to the sender.
 	Agents Relay
-	Stamp  timeline.Stamp
+	// Known is the fingerprint of the list in the receiver's latest full reply.
+	Known uint64
+	Stamp timeline.Stamp
 }
 
 // Lost is a router whose register of sent keys is gone or out of reach.
@@ -124,8 +128,10 @@
 	Revision intent.Revision
 	Anchored bool
 	LogAge   time.Duration
-	Routers  []RouterInfo
-	Stamp    timeline.Stamp
+	// Lists is the fingerprint of Routers, which is empty if the sender knows it.
+	Lists   uint64
+	Routers []RouterInfo
+	Stamp   timeline.Stamp
 }
 
 // MemberInfo tells an agent about another agent of its service.
@@ -141,9 +147,10 @@
 
 // Reply answers a Beat.
 type Reply struct {
-	Router   RouterInfo
 	Nonce    uint64
 	Revision intent.Revision
+	// Have is the fingerprint of the agent's latest full heartbeat, or 0 if the router has none.
+	Have uint64
 	// Lists is the fingerprint of Routers and Members, which are empty if the agent knows them.
 	Lists   uint64
 	Routers []RouterInfo
--- a/services/membership/relay.go
+++ b/services/membership/relay.go
@@ -15,7 +15,8 @@
 )
 
 // An agent beats to a few routers, its homes. Routers tell each other about the agents they are home
-// to: all that is known when it changes, and the load alone otherwise.
+// to: all that is known when it changes; the loads, as often as a budget of bytes allows; and in every
+// heartbeat the few that have fallen silent. Who was told and is not named silent is alive.
 
 // Digest tells a router about an agent that beats elsewhere.
 type Digest struct {
@@ -32,10 +33,29 @@
 	Load     Load
 }
 
-// Relay holds the digests of one message between routers.
+// Relay holds what one message between routers tells about agents.
 type Relay struct {
+	// Reset says that what was told before no longer holds: a message may have been lost.
+	Reset bool
 	Full  []Digest
 	Loads []LoadDigest
+	// Silent lists agents that were told and have not proved lately that they are awake.
+	Silent []upstream.ID
+}
+
+const (
+	// provedWithin is how lately an agent must have proved that it is awake to count as alive for others.
+	provedWithin = 2 * BeatInterval
+	// loadBytes is about what one LoadDigest takes on the wire.
+	loadBytes = 45
+	// loadBudget is what a router spends on load digests, in bytes a second.
+	loadBudget = 12000
+)
+
+// loadInterval is the time between two tellings of all loads to all peers, within the budget.
+func loadInterval(agents, peers int) time.Duration {
+	need := time.Duration(agents*peers*loadBytes) * time.Second / loadBudget
+	return max(BeatInterval, need)
 }
 
 // refreshEvery is the time after which all is told again even if nothing has changed.
@@ -49,41 +69,57 @@
 
 // Outbox remembers what each peer was told, for one router. It does no I/O and reads no clock.
 type Outbox struct {
-	peers map[string]map[upstream.ID]toldOf
+	peers map[string]*toldPeer
+}
+
+// toldPeer is what one peer was told.
+type toldPeer struct {
+	agents map[upstream.ID]toldOf
+	// loadsAt is the time the peer was last told the loads.
+	loadsAt time.Time
 }
 
 // NewOutbox returns an outbox that has told nobody anything.
-func NewOutbox() *Outbox { return &Outbox{peers: map[string]map[upstream.ID]toldOf{}} }
+func NewOutbox() *Outbox { return &Outbox{peers: map[string]*toldPeer{}} }
 
 // Forget drops what a peer was told: it did not answer, or it has restarted.
 func (o *Outbox) Forget(peer string) { delete(o.peers, peer) }
 
 // For makes the message for a peer about the agents that beat to this router.
 func (o *Outbox) For(now time.Time, peer string, t *Table) Relay {
-	known, ok := o.peers[peer]
+	p, ok := o.peers[peer]
 	if !ok {
-		known = map[upstream.ID]toldOf{}
-		o.peers[peer] = known
+		p = &toldPeer{agents: map[upstream.ID]toldOf{}}
+		o.peers[peer] = p
 	}
-	var out Relay
+	out := Relay{Reset: !ok}
+	var loads []LoadDigest
 	for id, r := range t.agents {
 		age := now.Sub(r.proved)
-		if r.proved.IsZero() || age > SuspectAfter {
+		k, told := p.agents[id]
+		if r.proved.IsZero() || age > provedWithin {
+			if told {
+				out.Silent = append(out.Silent, id)
+				delete(p.agents, id)
+			}
 			continue
 		}
-		f := fingerprint(r.beat)
-		if k, ok := known[id]; ok && k.fingerprint == f && now.Sub(k.at) < refreshEvery {
-			out.Loads = append(out.Loads, LoadDigest{Upstream: id, Seq: r.beat.Seq, Age: age, Load: r.beat.Load})
+		f := r.beat.Fingerprint()
+		if told && k.fingerprint == f && now.Sub(k.at) < refreshEvery {
+			loads = append(loads, LoadDigest{Upstream: id, Seq: r.beat.Seq, Age: age, Load: r.beat.Load})
 			continue
 		}
-		known[id] = toldOf{fingerprint: f, at: now}
+		p.agents[id] = toldOf{fingerprint: f, at: now}
 		out.Full = append(out.Full, Digest{Beat: r.beat, Age: age})
 	}
+	if now.Sub(p.loadsAt) >= loadInterval(len(loads), len(o.peers)) {
+		out.Loads, p.loadsAt = loads, now
+	}
 	return out
 }
 
-// fingerprint covers all of a heartbeat but its load and its marks.
-func fingerprint(b Beat) uint64 {
+// Fingerprint covers all of a heartbeat but its load and its marks. It is never 0.
+func (b *Beat) Fingerprint() uint64 {
 	h := xxhash.New()
 	_, _ = fmt.Fprintf(h, "%s %s %s %s %s %t %s %d", b.Incarnation, b.RPC, b.HTTP, b.Engine, b.DataCentre, b.ChecksFence, b.State, b.Revision)
 	slicesOwned := make([]int, 0, len(b.Owned))
@@ -94,25 +130,46 @@
 	for _, s := range slicesOwned {
 		_, _ = fmt.Fprintf(h, " %d:%d", s, b.Owned[request.Slice(s)])
 	}
-	return h.Sum64()
+	return max(h.Sum64(), 1)
+}
+
+// Shorten returns the heartbeat without the fields that a router has already.
+func (b *Beat) Shorten() Beat {
+	return Beat{
+		Upstream: b.Upstream, Incarnation: b.Incarnation, Service: b.Service, Seq: b.Seq, Brief: true,
+		Load: b.Load, Known: b.Known, Echo: b.Echo, Stamp: b.Stamp,
+	}
 }
 
 // Relay takes in what another router tells, and returns the upstreams whose load is news.
-func (t *Table) Relay(now time.Time, m Relay) []upstream.ID {
+func (t *Table) Relay(now time.Time, from string, m Relay) []upstream.ID {
+	heard, ok := t.heard[from]
+	if !ok || m.Reset {
+		heard = map[upstream.ID]upstream.Incarnation{}
+		t.heard[from] = heard
+	}
 	var news []upstream.ID
 	for _, d := range m.Full {
+		heard[d.Beat.Upstream] = d.Beat.Incarnation
 		if t.relayFull(now, d) {
 			news = append(news, d.Beat.Upstream)
 		}
 	}
+	for _, id := range m.Silent {
+		delete(heard, id)
+	}
 	for _, d := range m.Loads {
 		r, ok := t.agents[d.Upstream]
-		if !ok || d.Seq <= r.beat.Seq {
-			continue
+		if ok && d.Seq > r.beat.Seq {
+			r.beat.Load, r.beat.Seq = d.Load, d.Seq
+			r.loadAt = now.Add(-d.Age)
+			news = append(news, d.Upstream)
+		}
+	}
+	for id, incarnation := range heard {
+		if r, ok := t.agents[id]; ok && r.beat.Incarnation == incarnation {
+			r.seen(now.Add(-provedWithin))
 		}
-		r.beat.Load, r.beat.Seq = d.Load, d.Seq
-		r.seen(now.Add(-d.Age))
-		news = append(news, d.Upstream)
 	}
 	return news
 }
@@ -129,7 +186,8 @@
 		return false
 	}
 	r.take(now, d.Beat)
-	r.seen(now.Add(-d.Age))
+	r.loadAt = now.Add(-d.Age)
+	r.seen(r.loadAt)
 	return true
 }
 
--- /dev/null
+++ b/services/membership/relay_test.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/upstream"
+)
+
+// TestRelay lets a home router tell another one about an agent.
+func TestRelay(t *testing.T) {
+	const id = upstream.ID("u")
+	home, other, out := NewTable(), NewTable(), NewOutbox()
+	seq, echo := uint64(0), uint64(0)
+	beat := func(now time.Time, state upstream.State, load int) {
+		seq++
+		echo = home.Beat(now, Beat{Upstream: id, Incarnation: "1", Seq: seq, State: state, Echo: echo, Load: Load{InFlight: load}})
+	}
+	relay := func(now time.Time) Relay {
+		m := out.For(now, "other", home)
+		other.Relay(now, "home", m)
+		return m
+	}
+	check := func(now time.Time, what string, suspect, leaving bool, load int) {
+		t.Helper()
+		e, ok := other.Entry(now, id)
+		if !ok || e.Suspect != suspect || e.Leaving != leaving || e.Beat.Load.InFlight != load {
+			t.Errorf("%s: known %t, suspect %t, leaving %t, load %d", what, ok, e.Suspect, e.Leaving, e.Beat.Load.InFlight)
+		}
+	}
+	now := start
+	tick := func(state upstream.State, load int) Relay {
+		now = now.Add(BeatInterval)
+		beat(now, state, load)
+		return relay(now)
+	}
+	beat(now, upstream.StateReady, 1)
+	if m := relay(now); len(m.Full) != 0 {
+		t.Errorf("told of an agent that has proved nothing: %+v", m)
+	}
+	tick(upstream.StateReady, 2)
+	check(now, "told in full", false, false, 2)
+	if m := tick(upstream.StateReady, 3); len(m.Full) != 0 || len(m.Loads) != 1 {
+		t.Errorf("nothing but the load has changed: %+v", m)
+	}
+	check(now, "load", false, false, 3)
+	tick(upstream.StateLeaving, 3)
+	check(now, "leaving", false, true, 3)
+	tick(upstream.StateReady, 4)
+	check(now, "back", false, false, 4)
+	for range 10 {
+		now = now.Add(BeatInterval)
+		relay(now)
+	}
+	check(now, "the agent fell silent", true, false, 4)
+	tick(upstream.StateReady, 5)
+	tick(upstream.StateReady, 5)
+	check(now, "awake again", false, false, 5)
+	check(now.Add(SuspectAfter+BeatInterval), "the home fell silent", true, false, 5)
+
+	// The message that names an agent silent is lost.
+	for range 3 {
+		now = now.Add(BeatInterval)
+		out.For(now, "other", home)
+	}
+	out.Forget("other")
+	for range 10 {
+		now = now.Add(BeatInterval)
+		relay(now)
+	}
+	check(now, "silent by a lost message", true, false, 5)
+}
+
+func TestLoadInterval(t *testing.T) {
+	cases := map[string]struct {
+		agents, peers int
+		want          time.Duration
+	}{
+		"today":  {5, 6, BeatInterval},
+		"target": {39, 19, 2778750 * time.Microsecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := loadInterval(tc.agents, tc.peers); got != tc.want {
+				t.Errorf("interval %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestBrief checks that a brief heartbeat says the same as a full one, and that a router which has no
+// full one asks for it.
+func TestBrief(t *testing.T) {
+	full := Beat{Upstream: "u", Incarnation: "1", Service: "s", Seq: 1, RPC: "10.0.0.1:1", State: upstream.StateReady}
+	known, fresh := NewTable(), NewTable()
+	echo := known.Beat(start, full)
+	next := full
+	next.Seq, next.Echo, next.Load.InFlight = 2, echo, 7
+	if known.Have("u") != next.Fingerprint() {
+		t.Error("the router does not know that it has the full heartbeat")
+	}
+	known.Beat(start, next.Shorten())
+	e, _ := known.Entry(start, "u")
+	if e.Suspect || e.Beat.RPC != full.RPC || e.Beat.State != upstream.StateReady || e.Beat.Load.InFlight != 7 || e.Beat.Seq != 2 {
+		t.Errorf("after a brief heartbeat: %+v", e)
+	}
+	fresh.Beat(start, next.Shorten())
+	if fresh.Have("u") != 0 {
+		t.Error("a router that has only a brief heartbeat does not ask for a full one")
+	}
+}
--- a/services/membership/routers.go
+++ b/services/membership/routers.go
@@ -189,11 +189,14 @@
 	return out
 }
 
-// Expire forgets routers that have been silent for longer than any key lives.
-func (r *Routers) Expire(now time.Time, lifetime time.Duration) {
+// Expire forgets routers that have been silent for longer than any key lives, and returns their runs.
+func (r *Routers) Expire(now time.Time, lifetime time.Duration) []string {
+	var gone []string
 	for inc, p := range r.peers {
 		if now.Sub(p.LastBeat) > lifetime+ForgetAfter {
 			delete(r.peers, inc)
+			gone = append(gone, inc)
 		}
 	}
+	return gone
 }
--- a/services/membership/table.go
+++ b/services/membership/table.go
@@ -19,6 +19,8 @@
 	Beat Beat
 	// LastBeat is the time of the latest heartbeat that proved freshness.
 	LastBeat time.Time
+	// LoadAt is the time the load holds for.
+	LoadAt time.Time
 	// Suspect says that the agent is silent or has not yet proved freshness.
 	Suspect bool
 	// Leaving says that someone announced the end of the upstream.
@@ -31,6 +33,8 @@
 	lastBeat time.Time
 	// proved is the latest time at which the agent proved to this router that it was awake.
 	proved time.Time
+	// loadAt is the time the load holds for.
+	loadAt time.Time
 	// gone is the latest time at which the agent could not be reached.
 	gone time.Time
 	// nonces holds the latest nonces given out, newest last.
@@ -55,7 +59,9 @@
 	// listed says that the platform's list was read at least once.
 	listed bool
 	// told holds upstreams that other routers know to be leaving, until their time.
-	told   map[upstream.ID]time.Time
+	told map[upstream.ID]time.Time
+	// heard holds, for each other router's run, the agents it has told of and not called silent.
+	heard  map[string]map[upstream.ID]upstream.Incarnation
 	nonces uint64
 }
 
@@ -64,7 +70,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{agents: map[upstream.ID]*record{}, vms: map[string]vm.State{}, told: map[upstream.ID]time.Time{}}
+	return &Table{agents: map[upstream.ID]*record{}, vms: map[string]vm.State{}, told: map[upstream.ID]time.Time{}, heard: map[string]map[upstream.ID]upstream.Incarnation{}}
 }
 
 // Beat takes in a heartbeat and returns the nonce that the next one must echo.
@@ -81,8 +87,12 @@
 	if r.proves(now, b.Echo) {
 		r.lastBeat, r.proved = now, now
 	}
+	if b.Brief {
+		b = r.complete(b)
+	}
 	if b.Seq >= r.beat.Seq {
 		r.take(now, b)
+		r.loadAt = now
 	}
 	t.nonces++
 	r.nonces = append(r.nonces, nonce{value: t.nonces, at: now})
@@ -90,6 +100,23 @@
 	return t.nonces
 }
 
+// complete fills a brief heartbeat up with what the latest full one said.
+func (r *record) complete(b Beat) Beat {
+	full := r.beat
+	full.Upstream, full.Incarnation, full.Service = b.Upstream, b.Incarnation, b.Service
+	full.Seq, full.Load, full.Known, full.Echo, full.Stamp = b.Seq, b.Load, b.Known, b.Echo, b.Stamp
+	return full
+}
+
+// Have returns the fingerprint of the latest full heartbeat of an agent, or 0.
+func (t *Table) Have(id upstream.ID) uint64 {
+	r, ok := t.agents[id]
+	if !ok || r.beat.RPC == "" {
+		return 0
+	}
+	return r.beat.Fingerprint()
+}
+
 // take keeps what an agent says of itself.
 func (r *record) take(now time.Time, b Beat) {
 	r.beat = b
@@ -137,7 +164,7 @@
 	if !ok {
 		return Entry{}, false
 	}
-	e := Entry{Beat: r.beat, LastBeat: r.lastBeat}
+	e := Entry{Beat: r.beat, LastBeat: r.lastBeat, LoadAt: r.loadAt}
 	e.Suspect = !r.lastBeat.After(r.gone) || now.Sub(r.lastBeat) > SuspectAfter
 	e.Leaving = !r.leaving.IsZero() || t.vms[r.beat.RPC] == vm.StateLeaving || now.Before(t.told[id])
 	return e, true
@@ -209,6 +236,9 @@
 	return out
 }
 
+// ForgetRouter drops what a run of a router has told.
+func (t *Table) ForgetRouter(incarnation string) { delete(t.heard, incarnation) }
+
 // Expire forgets agents that have been silent for long.
 func (t *Table) Expire(now time.Time) {
 	for id, r := range t.agents {
--- a/tests/integration/answers_test.go
+++ b/tests/integration/answers_test.go
@@ -97,6 +97,29 @@
 	return err == nil && bytes.Contains(raw, []byte("end=cut"))
 }
 
+// TestNoRetryStorm lets every upstream fail and checks that retries stay within their budget.
+func TestNoRetryStorm(t *testing.T) {
+	c := newCluster(t, options{routers: 1, plains: 2})
+	for _, address := range c.plain {
+		c.put(address+"/control/fault", upstreamstandin.PlainFault{LoseAnswers: true})
+	}
+	const calls, saved = 300, 20
+	for range calls {
+		resp, raw, err := do(http.MethodGet, c.routers[0]+"/svc/ledger/v1/balance", "small", nil, nil)
+		if err != nil || resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("failed call without advice when to come back: %v %s", err, raw)
+		}
+	}
+	_, raw, err := do(http.MethodGet, c.routers[0]+"/metrics", "", nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	attempts := metric(raw, `fawnwinch_attempts_total{process="router-0",service="ledger"}`)
+	if attempts < calls || attempts > calls+saved+1 {
+		t.Errorf("%.0f attempts for %d calls of which none was answered", attempts, calls)
+	}
+}
+
 // TestCallerGone checks that a caller that goes away frees its place at the engine.
 func TestCallerGone(t *testing.T) {
 	c := newCluster(t, options{routers: 1, groups: 1, ranks: 2})
--- a/tests/integration/map_test.go
+++ b/tests/integration/map_test.go
@@ -14,6 +14,7 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
+	platformstandin "fawnwinch.org/fawnwinch/standin/platform"
 	upstreamstandin "fawnwinch.org/fawnwinch/standin/upstream"
 )
 
@@ -144,6 +145,9 @@
 			c.procs["group-0-2"].kill()
 			c.procs["group-0-2"].start()
 		},
+		"weight store and log away": func(c *cluster, i int) {
+			c.fault(platformstandin.Fault{Down: i%2 == 0})
+		},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
