--- a/cmd/confirm.go
+++ b/cmd/confirm.go
@@ -128,6 +128,7 @@
 	ctx, cancel := context.WithTimeout(c.Context(), confirmWait)
 	defer cancel()
 	var s directory.Status
+	_, _ = fmt.Fprintf(c.ErrOrStderr(), "accepted as revision %d, waiting until it is in force everywhere\n", ca.Outcome.Revision)
 	for ctx.Err() == nil {
 		if err := o.get(ctx, "/api/v1/status", &s); err == nil && s.Everywhere(ca.Outcome.Revision) {
 			if o.output == "json" {
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -85,7 +85,7 @@
 			ID: set.Process.ID, Incarnation: incarnation.String(), DataCentre: set.Process.DataCentre,
 			RPC: cmp.Or(set.Process.AdvertiseRPC, ss.RPC.Addr().String()), HTTP: cmp.Or(set.Process.AdvertiseHTTP, ss.HTTP.Addr().String()), State: membership.RouterStarting,
 		},
-		Seeds: set.Routers, VMs: vms, Follower: f, Pool: pool, Ring: ring, Logger: logger, Retention: set.Platform.Retention,
+		Interval: membership.Interval(set.Process.Heartbeat), Seeds: set.Routers, VMs: vms, Follower: f, Pool: pool, Ring: ring, Logger: logger, Retention: set.Platform.Retention,
 		Tracker: routing.Options{Routers: 1, EjectLimit: set.EjectLimit, Seed: xxhash.Sum64String(set.Process.ID)},
 	}), nil
 }
@@ -168,7 +168,7 @@
 	p.dir.SetState(membership.RouterLeaving)
 	p.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindDrain, Name: "leaving"})
 	p.logger.Info().Msg("leaving")
-	t := time.NewTimer(p.set.AddressTTL + membership.SuspectAfter)
+	t := time.NewTimer(p.set.AddressTTL + membership.Interval(p.set.Process.Heartbeat).Suspect())
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -68,6 +68,7 @@
 	f.StringVar(&addresses, "listen", "127.0.0.1:7800", "addresses to listen on, one a rank, with commas between")
 	f.StringVar(&id, "group", "group", "id of the group")
 	f.DurationVar(&o.StepTime, "step", o.StepTime, "duration of an even step")
+	f.DurationVar(&o.ReportLag, "report-lag", o.ReportLag, "how old the reported load may be")
 	f.BoolVar(&o.ChecksFence, "checks-fence", o.ChecksFence, "refuse orders with an old fence")
 	return c
 }
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -33,6 +33,9 @@
 	// AdvertiseRPC and AdvertiseHTTP are the addresses that others use, if they are not those above.
 	AdvertiseRPC  string `yaml:"advertise_rpc,omitempty" validate:"omitempty,hostname_port"`
 	AdvertiseHTTP string `yaml:"advertise_http,omitempty" validate:"omitempty,hostname_port"`
+	// Heartbeat is the time between two heartbeats; the same at all processes. A process that is silent
+	// for five of them gets no new work.
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=100ms,max=10s"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level" validate:"omitempty,oneof=debug info warn error"`
 }
@@ -119,10 +122,13 @@
 
 var validate = validator.New(validator.WithRequiredStructEnabled())
 
+// DefaultHeartbeat carries the deployments of today.
+const DefaultHeartbeat = 400 * time.Millisecond
+
 // DefaultRouter returns the settings that a file need not give.
 func DefaultRouter() Router {
 	return Router{
-		Process:    Process{LogLevel: "info"},
+		Process:    Process{LogLevel: "info", Heartbeat: DefaultHeartbeat},
 		Platform:   Platform{Retention: time.Hour},
 		AddressTTL: 5 * time.Second,
 		RetryRatio: 0.1,
@@ -133,7 +139,7 @@
 // DefaultAgent returns the settings that a file need not give.
 func DefaultAgent() Agent {
 	return Agent{
-		Process:  Process{LogLevel: "info"},
+		Process:  Process{LogLevel: "info", Heartbeat: DefaultHeartbeat},
 		Platform: Platform{Retention: time.Hour},
 		Upstream: AgentUpstream{Concurrency: 64, QueueLimit: 512, ExpertBytes: 8 << 20},
 		Once:     Once{Lifetime: 10 * time.Minute, Batch: 20 * time.Millisecond, Capacity: 200000, OutageAfter: 5 * time.Second},
--- a/modules/timeline/timeline.go
+++ b/modules/timeline/timeline.go
@@ -116,50 +116,72 @@
 		(f.Kind == "" || f.Kind == e.Kind)
 }
 
-// DefaultCapacity is the number of events a process keeps.
-const DefaultCapacity = 8192
+// DefaultCapacity is the number of events of each class that a process keeps.
+const DefaultCapacity = 4096
 
-// Ring keeps the latest events of one process. It is safe for use by several goroutines.
+// Ring keeps the latest events of one process. Those of single requests are kept apart from the
+// others, which are few and must not be pushed out by them. It is safe for use by several goroutines.
 type Ring struct {
 	Clock Clock
 
 	process string
 	mu      sync.Mutex
-	events  []Event
-	next    int
+	// requests holds events of single requests, rare all others.
+	requests, rare buffer
 }
 
-// NewRing returns a ring for a process that keeps up to capacity events.
+// buffer keeps the latest events of one class.
+type buffer struct {
+	events []Event
+	next   int
+}
+
+func (b *buffer) add(e Event) {
+	if len(b.events) < cap(b.events) {
+		b.events = append(b.events, e)
+		return
+	}
+	b.events[b.next] = e
+	b.next = (b.next + 1) % len(b.events)
+}
+
+func (b *buffer) matching(f Filter) []Event {
+	var out []Event
+	for i := range b.events {
+		if e := b.events[(b.next+i)%len(b.events)]; f.Match(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// NewRing returns a ring for a process that keeps up to capacity events of each class.
 func NewRing(process string, capacity int) *Ring {
-	return &Ring{process: process, events: make([]Event, 0, capacity)}
+	return &Ring{
+		process:  process,
+		requests: buffer{events: make([]Event, 0, capacity)},
+		rare:     buffer{events: make([]Event, 0, capacity)},
+	}
 }
 
-// Add stamps an event and keeps it; the oldest one goes when the ring is full.
+// Add stamps an event and keeps it; the oldest one of its class goes when there is no room.
 func (r *Ring) Add(now time.Time, e Event) {
 	e.Stamp = r.Clock.Now(now)
 	e.Process = r.process
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.events) < cap(r.events) {
-		r.events = append(r.events, e)
+	if e.Request != "" {
+		r.requests.add(e)
 		return
 	}
-	r.events[r.next] = e
-	r.next = (r.next + 1) % len(r.events)
+	r.rare.add(e)
 }
 
 // Events returns the kept events that pass a filter, oldest first.
 func (r *Ring) Events(f Filter) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Event
-	for i := range r.events {
-		e := r.events[(r.next+i)%len(r.events)]
-		if f.Match(e) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return Merge(r.requests.matching(f), r.rare.matching(f))
 }
 
 // Merge returns the events of several processes in one order.
--- a/modules/timeline/timeline_test.go
+++ b/modules/timeline/timeline_test.go
@@ -31,14 +31,16 @@
 	for i := range 5 {
 		r.Add(time.Unix(int64(i), 0), timeline.Event{Name: fmt.Sprint(i), Request: fmt.Sprint(i % 2)})
 	}
+	r.Add(time.Unix(0, 0), timeline.Event{Name: "rare", Kind: timeline.KindMap})
 	cases := map[string]struct {
 		filter timeline.Filter
 		want   string
 	}{
-		"all":        {timeline.Filter{}, "[2 3 4]"},
+		"all":        {timeline.Filter{}, "[2 3 4 rare]"},
 		"a request":  {timeline.Filter{Request: "0"}, "[2 4]"},
-		"since":      {timeline.Filter{Since: time.Unix(3, 0)}, "[3 4]"},
-		"other kind": {timeline.Filter{Kind: timeline.KindMap}, "[]"},
+		"since":      {timeline.Filter{Since: time.Unix(3, 0)}, "[3 4 rare]"},
+		"rare ones":  {timeline.Filter{Kind: timeline.KindMap}, "[rare]"},
+		"other kind": {timeline.Filter{Kind: timeline.KindFault}, "[]"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -6,17 +6,13 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/request"
-	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/configlog"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
-	"fawnwinch.org/fawnwinch/services/once"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -37,16 +33,17 @@
 }
 
 // healthy reports whether the router can serve as a home.
-func (k *link) healthy(now time.Time) bool {
-	return !k.leaving && (k.failed.IsZero() || now.Sub(k.failed) < membership.BeatInterval)
+func (k *link) healthy(now time.Time, i membership.Interval) bool {
+	return !k.leaving && (k.failed.IsZero() || now.Sub(k.failed) < i.Beat())
 }
 
 // links beats to the agent's home routers and keeps what they reply. The other routers hear of the
 // agent from them. It implements once.Directory and once.Peers.
 type links struct {
-	a     *Agent
-	seeds map[string]bool
-	wake  chan struct{}
+	a        *Agent
+	interval membership.Interval
+	seeds    map[string]bool
+	wake     chan struct{}
 
 	mu      sync.Mutex
 	routers map[string]*link
@@ -56,7 +53,7 @@
 }
 
 func newLinks(a *Agent, seeds []string) *links {
-	l := &links{a: a, seeds: map[string]bool{}, routers: map[string]*link{}, wake: make(chan struct{}, 1)}
+	l := &links{a: a, interval: membership.Interval(a.set.Process.Heartbeat), seeds: map[string]bool{}, routers: map[string]*link{}, wake: make(chan struct{}, 1)}
 	for _, s := range seeds {
 		l.seeds[s] = true
 		l.routers[s] = &link{}
@@ -69,8 +66,9 @@
 	callTimeout = time.Second
 	// routerFor is how long a router heard of is called without an answer.
 	routerFor = 10 * time.Second
-	// joinTime is how long after the first reply the list of members is taken as complete.
-	joinTime = 5 * membership.BeatInterval
+	// joinBeats is the number of heartbeats after the first reply after which the list of members is
+	// taken as complete.
+	joinBeats = 5
 )
 
 func (l *links) nudge() {
@@ -81,7 +79,7 @@
 }
 
 func (l *links) run(ctx context.Context) {
-	ticker := time.NewTicker(membership.BeatInterval)
+	ticker := time.NewTicker(l.interval.Beat())
 	defer ticker.Stop()
 	var w sync.WaitGroup
 	for {
@@ -114,7 +112,7 @@
 	for i, address := range l.ranked(now) {
 		k := l.routers[address]
 		home := i < homes || l.first.IsZero()
-		probe := !k.healthy(now) && now.Sub(k.tried) > probeEvery
+		probe := !k.healthy(now, l.interval) && now.Sub(k.tried) > probeEvery
 		if k.busy || (!home && !probe) {
 			continue
 		}
@@ -137,7 +135,7 @@
 	}
 	score := func(address string) uint64 { return xxhash.Sum64String(string(l.a.self.Upstream) + " " + address) }
 	slices.SortFunc(all, func(a, b string) int {
-		if x, y := l.routers[a].healthy(now), l.routers[b].healthy(now); x != y {
+		if x, y := l.routers[a].healthy(now, l.interval), l.routers[b].healthy(now, l.interval); x != y {
 			if x {
 				return -1
 			}
@@ -254,137 +252,9 @@
 func (l *links) fresh(now time.Time) []membership.Reply {
 	var out []membership.Reply
 	for _, k := range l.routers {
-		if !k.at.IsZero() && now.Sub(k.at) <= membership.SuspectAfter {
+		if !k.at.IsZero() && now.Sub(k.at) <= l.interval.Suspect() {
 			out = append(out, k.reply)
 		}
 	}
 	return out
 }
-
-// Members returns the agents of the service. An agent is suspect only if every router that answers says so.
-func (l *links) Members(now time.Time) ([]once.Member, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	merged := map[once.Owner]once.Member{}
-	for _, r := range l.fresh(now) {
-		for _, m := range r.Members {
-			old, ok := merged[m.Owner]
-			member := once.Member{Owner: m.Owner, State: m.State, Suspect: m.Suspect}
-			if ok {
-				member.Suspect = member.Suspect && old.Suspect
-				if old.State == upstream.StateLeaving {
-					member.State = old.State
-				}
-			}
-			merged[m.Owner] = member
-		}
-	}
-	merged[l.a.self] = once.Member{Owner: l.a.self, State: l.a.State()}
-	listed := l.a.listed()
-	out := make([]once.Member, 0, len(merged))
-	for _, m := range merged {
-		if !slices.Contains(listed, m.Owner.Upstream) {
-			// What the configuration does not list gets no slices, and hands over those it has.
-			m.State = upstream.StateLeaving
-		}
-		out = append(out, m)
-	}
-	return out, !l.first.IsZero() && now.Sub(l.first) > joinTime
-}
-
-// Peer returns what the routers know of another agent of the service.
-func (l *links) Peer(now time.Time, id upstream.ID) (membership.MemberInfo, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var best membership.MemberInfo
-	found := false
-	for _, r := range l.fresh(now) {
-		for _, m := range r.Members {
-			if m.Owner.Upstream == id && (!found || !m.Suspect) {
-				best, found = m, true
-			}
-		}
-	}
-	return best, found
-}
-
-// othersReady reports whether another agent of the service can take slices over.
-func (l *links) othersReady(now time.Time) bool {
-	members, _ := l.Members(now)
-	for _, m := range members {
-		if m.Owner != l.a.self && m.State == upstream.StateReady && !m.Suspect {
-			return true
-		}
-	}
-	return false
-}
-
-// Handover asks the owner of a slice for its table.
-func (l *links) Handover(ctx context.Context, owner once.Owner, s request.Slice) (once.Table, error) {
-	cctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var t once.Table
-	err := l.a.pool.Call(cctx, owner.RPC, "Agent.Handover", HandoverArgs{Owner: owner, Slice: s}, &t)
-	return t, err
-}
-
-// Settle asks every known router for the keys of a slice that it sent without the log.
-func (l *links) Settle(ctx context.Context, s request.Slice, epoch once.Epoch) ([]once.KeyID, bool) {
-	l.mu.Lock()
-	var addresses []string
-	for address := range l.routers {
-		addresses = append(addresses, address)
-	}
-	live := map[string]bool{}
-	for _, r := range l.fresh(time.Now()) {
-		for _, i := range r.Routers {
-			live[i.Incarnation] = true
-		}
-	}
-	l.mu.Unlock()
-	args := directory.SettleArgs{
-		Service: l.a.set.Upstream.Service, Slice: s, Epoch: epoch,
-		OutageAfter: l.a.set.Once.OutageAfter, Lifetime: l.a.set.Once.Lifetime,
-	}
-	replies := make([]*directory.SettleReply, len(addresses))
-	var w sync.WaitGroup
-	for i, address := range addresses {
-		w.Go(func() {
-			cctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			var r directory.SettleReply
-			if err := l.a.pool.Call(cctx, address, "Router.Settle", args, &r); err == nil {
-				replies[i] = &r
-			}
-		})
-	}
-	w.Wait()
-	if l.a.set.Once.OutageAfter == 0 {
-		return nil, true
-	}
-	return settled(replies, live)
-}
-
-// settled joins the routers' replies. They are complete if every router that is alive, or that may
-// have sent keys without the log before it was lost, is among them.
-func settled(replies []*directory.SettleReply, live map[string]bool) ([]once.KeyID, bool) {
-	var keys []once.KeyID
-	answered := map[string]bool{}
-	needed := maps.Clone(live)
-	for _, r := range replies {
-		if r == nil {
-			continue
-		}
-		answered[r.Incarnation] = true
-		keys = append(keys, r.Keys...)
-		for _, lost := range r.Lost {
-			needed[lost.Incarnation] = true
-		}
-	}
-	for incarnation := range needed {
-		if !answered[incarnation] {
-			return keys, false
-		}
-	}
-	return keys, len(answered) > 0
-}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -29,6 +29,7 @@
 
 // Options holds what a Directory needs.
 type Options struct {
+	Interval  membership.Interval
 	Self      membership.RouterInfo
 	Seeds     []string
 	VMs       services.VMList
@@ -63,7 +64,7 @@
 // New returns a directory that knows only the seeds.
 func New(o Options) *Directory {
 	return &Directory{
-		opts: o, table: membership.NewTable(), routers: membership.NewRouters(o.Self, o.Seeds),
+		opts: o, table: membership.NewTable(o.Interval), routers: membership.NewRouters(o.Interval, o.Self, o.Seeds),
 		tracker: routing.NewTracker(o.Tracker), register: once.NewRegister(o.Retention),
 		started: time.Now(), lists: map[service.ID]*lists{}, outbox: membership.NewOutbox(), listsOf: map[string]routerList{}, suspects: map[upstream.ID]bool{},
 	}
@@ -82,7 +83,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	var w sync.WaitGroup
 	w.Go(func() { d.every(ctx, listInterval, d.readList) })
-	w.Go(func() { d.every(ctx, membership.BeatInterval, d.beat) })
+	w.Go(func() { d.every(ctx, d.opts.Interval.Beat(), d.beat) })
 	w.Go(func() { d.every(ctx, time.Second, d.keep) })
 	w.Wait()
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -155,9 +156,18 @@
 
 // next picks an upstream that was not tried; when all were tried it begins again.
 func (d *Dispatcher) next(r *Request, tried map[upstream.ID]bool) (membership.Entry, bool) {
-	e, ok := d.dir.Pick(time.Now(), r.Service, tried)
+	now := time.Now()
+	e, ok := d.dir.Pick(now, r.Service, tried)
 	if !ok && len(tried) > 0 {
-		return d.dir.Pick(time.Now(), r.Service, nil)
+		e, ok = d.dir.Pick(now, r.Service, nil)
+	}
+	if ok {
+		l := e.Beat.Load
+		d.ring.Add(now, timeline.Event{
+			Kind: timeline.KindDecision, Name: "pick", Request: string(r.ID),
+			Detail: fmt.Sprintf("upstream=%s attempt=%d in_flight=%d queued=%d step_us=%d load_age=%s",
+				e.Beat.Upstream, len(tried)+1, l.InFlight, l.Queued, l.StepMicros, now.Sub(e.LoadAt).Round(time.Millisecond)),
+		})
 	}
 	return e, ok
 }
--- a/services/membership/message.go
+++ b/services/membership/message.go
@@ -20,11 +20,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// BeatInterval is the time between two heartbeats of a process to one router.
-const BeatInterval = 400 * time.Millisecond
+// Interval is the time between two heartbeats of a process to one router. It is a setting and the
+// same at all processes; all other times of membership follow from it.
+type Interval time.Duration
 
-// SuspectAfter is how long a process may be silent before it gets no new work.
-const SuspectAfter = 5 * BeatInterval
+// Beat returns the time between two heartbeats.
+func (i Interval) Beat() time.Duration { return time.Duration(i) }
+
+// Suspect returns how long a process may be silent before it gets no new work.
+func (i Interval) Suspect() time.Duration { return 5 * time.Duration(i) }
+
+// Proved returns how lately an agent must have proved that it is awake to count as alive for others.
+func (i Interval) Proved() time.Duration { return 2 * time.Duration(i) }
 
 // ForgetAfter is how long a silent process stays in the tables.
 const ForgetAfter = 10 * time.Minute
--- a/services/membership/relay.go
+++ b/services/membership/relay.go
@@ -44,8 +44,6 @@
 }
 
 const (
-	// provedWithin is how lately an agent must have proved that it is awake to count as alive for others.
-	provedWithin = 2 * BeatInterval
 	// loadBytes is about what one LoadDigest takes on the wire.
 	loadBytes = 45
 	// loadBudget is what a router spends on load digests, in bytes a second.
@@ -53,9 +51,9 @@
 )
 
 // loadInterval is the time between two tellings of all loads to all peers, within the budget.
-func loadInterval(agents, peers int) time.Duration {
+func loadInterval(i Interval, agents, peers int) time.Duration {
 	need := time.Duration(agents*peers*loadBytes) * time.Second / loadBudget
-	return max(BeatInterval, need)
+	return max(i.Beat(), need)
 }
 
 // refreshEvery is the time after which all is told again even if nothing has changed.
@@ -97,7 +95,7 @@
 	for id, r := range t.agents {
 		age := now.Sub(r.proved)
 		k, told := p.agents[id]
-		if r.proved.IsZero() || age > provedWithin {
+		if r.proved.IsZero() || age > t.interval.Proved() {
 			if told {
 				out.Silent = append(out.Silent, id)
 				delete(p.agents, id)
@@ -112,7 +110,7 @@
 		p.agents[id] = toldOf{fingerprint: f, at: now}
 		out.Full = append(out.Full, Digest{Beat: r.beat, Age: age})
 	}
-	if now.Sub(p.loadsAt) >= loadInterval(len(loads), len(o.peers)) {
+	if now.Sub(p.loadsAt) >= loadInterval(t.interval, len(loads), len(o.peers)) {
 		out.Loads, p.loadsAt = loads, now
 	}
 	return out
@@ -168,7 +166,7 @@
 	}
 	for id, incarnation := range heard {
 		if r, ok := t.agents[id]; ok && r.beat.Incarnation == incarnation {
-			r.seen(now.Add(-provedWithin))
+			r.seen(now.Add(-t.interval.Proved()))
 		}
 	}
 	return news
@@ -176,7 +174,7 @@
 
 func (t *Table) relayFull(now time.Time, d Digest) bool {
 	r, ok := t.agents[d.Beat.Upstream]
-	if ok && d.Beat.Incarnation < r.beat.Incarnation && now.Sub(r.lastBeat) < SuspectAfter {
+	if ok && d.Beat.Incarnation < r.beat.Incarnation && now.Sub(r.lastBeat) < t.interval.Suspect() {
 		return false
 	}
 	if !ok || r.beat.Incarnation != d.Beat.Incarnation {
--- a/services/membership/relay_test.go
+++ b/services/membership/relay_test.go
@@ -13,7 +13,7 @@
 // TestRelay lets a home router tell another one about an agent.
 func TestRelay(t *testing.T) {
 	const id = upstream.ID("u")
-	home, other, out := NewTable(), NewTable(), NewOutbox()
+	home, other, out := NewTable(testInterval), NewTable(testInterval), NewOutbox()
 	seq, echo := uint64(0), uint64(0)
 	beat := func(now time.Time, state upstream.State, load int) {
 		seq++
@@ -33,7 +33,7 @@
 	}
 	now := start
 	tick := func(state upstream.State, load int) Relay {
-		now = now.Add(BeatInterval)
+		now = now.Add(testInterval.Beat())
 		beat(now, state, load)
 		return relay(now)
 	}
@@ -52,23 +52,23 @@
 	tick(upstream.StateReady, 4)
 	check(now, "back", false, false, 4)
 	for range 10 {
-		now = now.Add(BeatInterval)
+		now = now.Add(testInterval.Beat())
 		relay(now)
 	}
 	check(now, "the agent fell silent", true, false, 4)
 	tick(upstream.StateReady, 5)
 	tick(upstream.StateReady, 5)
 	check(now, "awake again", false, false, 5)
-	check(now.Add(SuspectAfter+BeatInterval), "the home fell silent", true, false, 5)
+	check(now.Add(testInterval.Suspect()+testInterval.Beat()), "the home fell silent", true, false, 5)
 
 	// The message that names an agent silent is lost.
 	for range 3 {
-		now = now.Add(BeatInterval)
+		now = now.Add(testInterval.Beat())
 		out.For(now, "other", home)
 	}
 	out.Forget("other")
 	for range 10 {
-		now = now.Add(BeatInterval)
+		now = now.Add(testInterval.Beat())
 		relay(now)
 	}
 	check(now, "silent by a lost message", true, false, 5)
@@ -79,12 +79,12 @@
 		agents, peers int
 		want          time.Duration
 	}{
-		"today":  {5, 6, BeatInterval},
+		"today":  {5, 6, testInterval.Beat()},
 		"target": {39, 19, 2778750 * time.Microsecond},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := loadInterval(tc.agents, tc.peers); got != tc.want {
+			if got := loadInterval(testInterval, tc.agents, tc.peers); got != tc.want {
 				t.Errorf("interval %s, want %s", got, tc.want)
 			}
 		})
@@ -95,7 +95,7 @@
 // full one asks for it.
 func TestBrief(t *testing.T) {
 	full := Beat{Upstream: "u", Incarnation: "1", Service: "s", Seq: 1, RPC: "10.0.0.1:1", State: upstream.StateReady}
-	known, fresh := NewTable(), NewTable()
+	known, fresh := NewTable(testInterval), NewTable(testInterval)
 	echo := known.Beat(start, full)
 	next := full
 	next.Seq, next.Echo, next.Load.InFlight = 2, echo, 7
--- a/services/membership/routers.go
+++ b/services/membership/routers.go
@@ -28,6 +28,8 @@
 
 // Routers is a router's view of the other routers. It does no I/O and reads no clock.
 type Routers struct {
+	interval Interval
+
 	self  RouterInfo
 	peers map[string]*Peer
 	// addresses holds the rpc addresses to call: from the settings, the platform's list and gossip.
@@ -36,8 +38,8 @@
 }
 
 // NewRouters returns the view of a router that knows only the addresses in its settings.
-func NewRouters(self RouterInfo, seeds []string) *Routers {
-	return &Routers{self: self, peers: map[string]*Peer{}, addresses: map[string]time.Time{}, seeds: seeds}
+func NewRouters(i Interval, self RouterInfo, seeds []string) *Routers {
+	return &Routers{interval: i, self: self, peers: map[string]*Peer{}, addresses: map[string]time.Time{}, seeds: seeds}
 }
 
 // Addresses returns the rpc addresses of all routers that may be alive, without this one.
@@ -66,7 +68,7 @@
 		}
 	}
 	for _, p := range r.peers {
-		if !listed[p.Info.RPC] && p.gone.IsZero() && now.Sub(p.LastBeat) > SuspectAfter {
+		if !listed[p.Info.RPC] && p.gone.IsZero() && now.Sub(p.LastBeat) > r.interval.Suspect() {
 			p.gone = now
 		}
 	}
@@ -124,7 +126,7 @@
 func (r *Routers) Live(now time.Time) []RouterInfo {
 	out := []RouterInfo{r.self}
 	for _, p := range r.peers {
-		if now.Sub(p.LastBeat) <= SuspectAfter && !p.hearsay {
+		if now.Sub(p.LastBeat) <= r.interval.Suspect() && !p.hearsay {
 			out = append(out, p.Info)
 		}
 	}
@@ -147,7 +149,7 @@
 func (r *Routers) Peers(now time.Time) []Peer {
 	var out []Peer
 	for _, p := range r.peers {
-		if now.Sub(p.LastBeat) <= SuspectAfter && !p.hearsay {
+		if now.Sub(p.LastBeat) <= r.interval.Suspect() && !p.hearsay {
 			out = append(out, *p)
 		}
 	}
@@ -163,7 +165,7 @@
 // AnchoredElsewhere reports whether another live router has an exact configuration.
 func (r *Routers) AnchoredElsewhere(now time.Time) bool {
 	for _, p := range r.peers {
-		if p.Anchored && now.Sub(p.LastBeat) <= SuspectAfter {
+		if p.Anchored && now.Sub(p.LastBeat) <= r.interval.Suspect() {
 			return true
 		}
 	}
@@ -175,7 +177,7 @@
 func (r *Routers) Lost(now time.Time, outageAfter, lifetime time.Duration) []Lost {
 	var out []Lost
 	for inc, p := range r.peers {
-		silent := now.Sub(p.LastBeat) > SuspectAfter || p.hearsay
+		silent := now.Sub(p.LastBeat) > r.interval.Suspect() || p.hearsay
 		clean := p.Retired || (!p.gone.IsZero() && p.gone.Sub(p.Fresh) < outageAfter)
 		if !silent || clean || now.Sub(p.LastBeat) > lifetime {
 			continue
--- a/services/membership/table.go
+++ b/services/membership/table.go
@@ -54,6 +54,8 @@
 
 // Table is a router's view of the agents. It does no I/O and reads no clock.
 type Table struct {
+	interval Interval
+
 	agents map[upstream.ID]*record
 	vms    map[string]vm.State
 	// listed says that the platform's list was read at least once.
@@ -69,22 +71,22 @@
 const toldFor = 5 * time.Second
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{agents: map[upstream.ID]*record{}, vms: map[string]vm.State{}, told: map[upstream.ID]time.Time{}, heard: map[string]map[upstream.ID]upstream.Incarnation{}}
+func NewTable(i Interval) *Table {
+	return &Table{interval: i, agents: map[upstream.ID]*record{}, vms: map[string]vm.State{}, told: map[upstream.ID]time.Time{}, heard: map[string]map[upstream.ID]upstream.Incarnation{}}
 }
 
 // Beat takes in a heartbeat and returns the nonce that the next one must echo.
 // A heartbeat of an earlier incarnation is not taken while a later one is alive.
 func (t *Table) Beat(now time.Time, b Beat) uint64 {
 	r, ok := t.agents[b.Upstream]
-	if ok && b.Incarnation < r.beat.Incarnation && now.Sub(r.lastBeat) < SuspectAfter {
+	if ok && b.Incarnation < r.beat.Incarnation && now.Sub(r.lastBeat) < t.interval.Suspect() {
 		return 0
 	}
 	if !ok || r.beat.Incarnation != b.Incarnation {
 		r = &record{first: now}
 		t.agents[b.Upstream] = r
 	}
-	if r.proves(now, b.Echo) {
+	if r.proves(now, b.Echo, t.interval) {
 		r.lastBeat, r.proved = now, now
 	}
 	if b.Brief {
@@ -129,9 +131,9 @@
 }
 
 // proves reports whether an echo shows that the agent was awake a moment ago.
-func (r *record) proves(now time.Time, echo uint64) bool {
+func (r *record) proves(now time.Time, echo uint64, i Interval) bool {
 	return slices.ContainsFunc(r.nonces, func(n nonce) bool {
-		return n.value == echo && now.Sub(n.at) < SuspectAfter
+		return n.value == echo && now.Sub(n.at) < i.Suspect()
 	})
 }
 
@@ -165,7 +167,7 @@
 		return Entry{}, false
 	}
 	e := Entry{Beat: r.beat, LastBeat: r.lastBeat, LoadAt: r.loadAt}
-	e.Suspect = !r.lastBeat.After(r.gone) || now.Sub(r.lastBeat) > SuspectAfter
+	e.Suspect = !r.lastBeat.After(r.gone) || now.Sub(r.lastBeat) > t.interval.Suspect()
 	e.Leaving = !r.leaving.IsZero() || t.vms[r.beat.RPC] == vm.StateLeaving || now.Before(t.told[id])
 	return e, true
 }
--- a/services/membership/table_test.go
+++ b/services/membership/table_test.go
@@ -13,6 +13,8 @@
 
 var start = time.Unix(1000, 0)
 
+const testInterval = Interval(400 * time.Millisecond)
+
 // TestTable follows one agent through what may happen to it.
 func TestTable(t *testing.T) {
 	const id = upstream.ID("u")
@@ -30,7 +32,7 @@
 	}{
 		"one beat proves nothing": {func(tb *Table) { tb.Beat(start, beat("b", upstream.StateReady, 0)) }, 0, true, false},
 		"an echo proves":          {func(tb *Table) { live(tb) }, 0, false, false},
-		"silence":                 {func(tb *Table) { live(tb) }, SuspectAfter + 1, true, false},
+		"silence":                 {func(tb *Table) { live(tb) }, testInterval.Suspect() + 1, true, false},
 		"an old echo of a frozen agent": {func(tb *Table) {
 			n := live(tb)
 			tb.Beat(start.Add(time.Minute), beat("b", upstream.StateReady, n))
@@ -64,7 +66,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			tb := NewTable()
+			tb := NewTable(testInterval)
 			tc.do(tb)
 			e, ok := tb.Entry(start.Add(tc.at), id)
 			if !ok || e.Suspect != tc.suspect || e.Leaving != tc.leaving {
@@ -101,7 +103,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := NewRouters(RouterInfo{ID: "self", Incarnation: "s", RPC: "10.0.0.1:1"}, nil)
+			r := NewRouters(testInterval, RouterInfo{ID: "self", Incarnation: "s", RPC: "10.0.0.1:1"}, nil)
 			r.Beat(start, RouterBeat{Info: other})
 			tc.do(r)
 			if got := r.Lost(start.Add(tc.at), outage, time.Hour); (len(got) > 0) != tc.lost {
--- a/standin/upstream/group.go
+++ b/standin/upstream/group.go
@@ -31,6 +31,8 @@
 	MaxRunning int
 	// ChecksFence makes ranks refuse orders with an old fence.
 	ChecksFence bool
+	// ReportLag is how old the load that ranks report may be.
+	ReportLag time.Duration
 	// Seed starts the drift of expert popularity.
 	Seed uint64
 }
@@ -71,9 +73,29 @@
 	stall    time.Duration
 	speed    float64
 	busy     float64
+	reported report
 	cache    *prefixCache
 }
 
+// report is the load of a rank as it was at a time.
+type report struct {
+	at               time.Time
+	running, waiting int
+	step, busy       int64
+	load             float64
+}
+
+// report returns the rank's load, which lags. The caller holds the lock.
+func (g *Group) report(now time.Time, r *rank) report {
+	if now.Sub(r.reported.at) >= g.opts.ReportLag {
+		r.reported = report{
+			at: now, running: len(r.running), waiting: len(r.waiting),
+			step: int64(g.micros), busy: int64(r.busy), load: g.expertLoads()[r.number],
+		}
+	}
+	return r.reported
+}
+
 // StepRecord tells which map each rank used in a step.
 type StepRecord struct {
 	Step group.Step          `json:"step"`
@@ -319,9 +341,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.ranks[n]
+	l := g.report(time.Now(), r)
 	return services.EngineState{
-		Rank: n, Step: g.step, Map: r.current.Version, Fence: r.fence, Running: len(r.running),
-		Waiting: len(r.waiting), StepMicros: int64(g.micros), BusyMicros: int64(r.busy), Load: g.expertLoads()[n],
+		Rank: n, Step: g.step, Map: r.current.Version, Fence: r.fence, Running: l.running,
+		Waiting: l.waiting, StepMicros: l.step, BusyMicros: l.busy, Load: l.load,
 		Staged: version(r.staged), Hold: r.hold, HoldMap: r.holdMap, SwitchAt: r.switchAt, SwitchMap: version(r.switchTo),
 	}
 }
--- a/tests/integration/control_test.go
+++ b/tests/integration/control_test.go
@@ -63,13 +63,23 @@
 
 // BenchmarkControl reports what control costs each role without load, by the number of routers and agents.
 func BenchmarkControl(b *testing.B) {
-	for _, size := range []struct{ routers, agents int }{{2, 8}, {2, 16}, {2, 32}, {4, 16}, {7, 16}, {7, 32}, {7, 64}} {
-		b.Run(fmt.Sprintf("%drouters-%dagents", size.routers, size.agents), func(b *testing.B) {
+	today, target := setting.DefaultHeartbeat, 3*setting.DefaultHeartbeat
+	for _, size := range []struct {
+		routers, agents int
+		heartbeat       time.Duration
+	}{{2, 8, today}, {2, 16, today}, {2, 32, today}, {4, 16, today}, {7, 16, today}, {7, 32, today}, {7, 64, today}, {7, 16, target}, {7, 64, target}} {
+		b.Run(fmt.Sprintf("%drouters-%dagents-%s", size.routers, size.agents, size.heartbeat), func(b *testing.B) {
 			urls := map[string]string{}
 			c := newCluster(b, options{
 				routers: size.routers, plains: size.agents,
-				agent:  func(s *setting.Agent) { urls[s.Process.ID] = s.Process.HTTP + "/fawnwinch/metrics" },
-				router: func(s *setting.Router) { urls[s.Process.ID] = s.Process.HTTP + "/metrics" },
+				agent: func(s *setting.Agent) {
+					s.Process.Heartbeat = size.heartbeat
+					urls[s.Process.ID] = s.Process.HTTP + "/fawnwinch/metrics"
+				},
+				router: func(s *setting.Router) {
+					s.Process.Heartbeat = size.heartbeat
+					urls[s.Process.ID] = s.Process.HTTP + "/metrics"
+				},
 			})
 			for range b.N {
 				before, after := map[string]cost{}, map[string]cost{}
--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -200,7 +200,7 @@
 	var sets []setting.Router
 	for i := range c.opts.routers {
 		s := setting.DefaultRouter()
-		s.Process = setting.Process{ID: fmt.Sprintf("router-%d", i), DataCentre: "a", RPC: c.address(), HTTP: c.address(), LogLevel: "debug"}
+		s.Process = setting.Process{ID: fmt.Sprintf("router-%d", i), DataCentre: "a", RPC: c.address(), HTTP: c.address(), LogLevel: "debug", Heartbeat: setting.DefaultHeartbeat}
 		s.Platform.Address = c.platform
 		s.AddressTTL = 300 * time.Millisecond
 		s.Credentials = []setting.Credential{{Account: "operator", TokenSHA256: sha("operator"), Operator: true}}
@@ -223,7 +223,7 @@
 
 func (c *cluster) addAgent(id upstream.ID, sv service.ID, kind service.Kind, address string) {
 	s := setting.DefaultAgent()
-	s.Process = setting.Process{ID: string(id), DataCentre: "a", RPC: c.address(), HTTP: c.address(), LogLevel: "debug"}
+	s.Process = setting.Process{ID: string(id), DataCentre: "a", RPC: c.address(), HTTP: c.address(), LogLevel: "debug", Heartbeat: setting.DefaultHeartbeat}
 	s.Platform.Address, s.Routers = c.platform, c.seeds
 	s.Upstream.ID, s.Upstream.Service, s.Upstream.Kind, s.Upstream.Address = id, sv, kind, address
 	if c.opts.agent != nil {
