One mapping of messages to orders; dead code out; a fingerprint once, not once a peer

Cause: on reading the whole change again: which order carries a message out stood in the participant, in the coordinating agent and in the explorer; Table.listed, Core.LastContact, Tracker.InFlight and Directory.Upstreams were read by nobody; a router fingerprinted each agent's heartbeat anew for every peer and every reply. Change: Message.Order and Message.Direct serve all three; the record keeps its fingerprint.

--- a/services/agent/coordinate.go
+++ b/services/agent/coordinate.go
@@ -234,28 +234,19 @@
 	}
 }
 
-// directOrders are the messages that an engine which checks fences can take in the place of its
-// agent: the fence is the promise. Weights are loaded and holds are begun by agents alone.
-var directOrders = map[expertswitch.Kind]services.OrderKind{
-	expertswitch.KindPromise: services.OrderFence,
-	expertswitch.KindCommit:  services.OrderSwitch,
-	expertswitch.KindAbort:   services.OrderRelease,
-}
-
 var errNeedsAgent = eris.New("only the rank's agent can do this")
 
 // direct gives an order to the engine of a rank whose agent is gone. A late order of that agent is
 // refused by the engine's fence.
 func (w *wire) direct(ctx context.Context, address string, m expertswitch.Message) (expertswitch.Reply, error) {
-	kind, ok := directOrders[m.Kind]
-	if !ok {
+	if !m.Direct() {
 		return expertswitch.Reply{}, fmt.Errorf("%s: %w", m.Kind, errNeedsAgent)
 	}
 	eng := w.s.dial(address)
-	if err := eng.Order(ctx, services.Order{Kind: kind, Fence: m.Ballot, Step: m.Step, Map: m.Map}); err != nil {
+	if err := eng.Order(ctx, m.Order()); err != nil {
 		return expertswitch.Reply{}, fmt.Errorf("order engine %s directly: %w", address, err)
 	}
-	w.s.tell(w.g, "direct-order", fmt.Sprintf("kind=%s engine=%s", kind, address))
+	w.s.tell(w.g, "direct-order", fmt.Sprintf("kind=%s engine=%s", m.Order().Kind, address))
 	st, err := eng.State(ctx)
 	if err != nil {
 		return expertswitch.Reply{}, fmt.Errorf("ask engine %s: %w", address, err)
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -301,13 +301,6 @@
 	return d.routers.Live(now)
 }
 
-// Upstreams returns every known upstream.
-func (d *Directory) Upstreams(now time.Time) map[upstream.ID]membership.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.table.All(now)
-}
-
 // SetState changes this router's own state.
 func (d *Directory) SetState(s membership.RouterState) {
 	d.mu.Lock()
--- a/services/expertswitch/explore_test.go
+++ b/services/expertswitch/explore_test.go
@@ -184,18 +184,10 @@
 
 // direct gives an order to an engine that checks fences, past its agent.
 func (x *explorer) direct(e envelope) bool {
-	o := services.Order{Fence: e.msg.Ballot, Step: e.msg.Step, Map: e.msg.Map}
-	switch e.msg.Kind {
-	case KindPromise:
-		o.Kind = services.OrderFence
-	case KindCommit:
-		o.Kind = services.OrderSwitch
-	case KindAbort:
-		o.Kind = services.OrderRelease
-	case KindStage, KindPrepare:
+	if !e.msg.Direct() {
 		return false
 	}
-	ok := x.engines[e.to].order(o)
+	ok := x.engines[e.to].order(e.msg.Order())
 	r := Reply{Kind: e.msg.Kind, Ballot: e.msg.Ballot, OK: ok, Promised: e.msg.Ballot, State: x.engines[e.to].state}
 	if !ok {
 		r.Promised = x.engines[e.to].state.Fence
--- a/services/expertswitch/message.go
+++ b/services/expertswitch/message.go
@@ -71,6 +71,24 @@
 	Step group.Step
 }
 
+// orderKinds tells which order to the engine carries a message out.
+var orderKinds = map[Kind]services.OrderKind{
+	KindPromise: services.OrderFence,
+	KindStage:   services.OrderStage,
+	KindPrepare: services.OrderHold,
+	KindCommit:  services.OrderSwitch,
+	KindAbort:   services.OrderRelease,
+}
+
+// Order returns the order to the engine that carries the message out.
+func (m Message) Order() services.Order {
+	return services.Order{Kind: orderKinds[m.Kind], Fence: m.Ballot, Step: m.Step, Map: m.Map}
+}
+
+// Direct reports whether an engine which checks fences can take the order in the place of its agent:
+// the fence is the promise. Weights are loaded and holds are begun by agents alone.
+func (m Message) Direct() bool { return m.Kind != KindStage && m.Kind != KindPrepare }
+
 // Reply is what a rank answers.
 type Reply struct {
 	Kind   Kind
--- a/services/expertswitch/participant.go
+++ b/services/expertswitch/participant.go
@@ -34,18 +34,5 @@
 		return services.Order{}, ErrOldBallot{Have: m.Ballot, Promised: p.promised}
 	}
 	p.promised = m.Ballot
-	o := services.Order{Fence: m.Ballot, Step: m.Step, Map: m.Map}
-	switch m.Kind {
-	case KindPromise:
-		o.Kind = services.OrderFence
-	case KindStage:
-		o.Kind = services.OrderStage
-	case KindPrepare:
-		o.Kind = services.OrderHold
-	case KindCommit:
-		o.Kind = services.OrderSwitch
-	case KindAbort:
-		o.Kind = services.OrderRelease
-	}
-	return o, nil
+	return m.Order(), nil
 }
--- a/services/membership/relay.go
+++ b/services/membership/relay.go
@@ -102,7 +102,7 @@
 			}
 			continue
 		}
-		f := r.beat.Fingerprint()
+		f := r.print
 		if told && k.fingerprint == f && now.Sub(k.at) < refreshEvery {
 			loads = append(loads, LoadDigest{Upstream: id, Seq: r.beat.Seq, Age: age, Load: r.beat.Load})
 			continue
--- a/services/membership/table.go
+++ b/services/membership/table.go
@@ -28,7 +28,9 @@
 }
 
 type record struct {
-	beat     Beat
+	beat Beat
+	// print is the fingerprint of beat.
+	print    uint64
 	first    time.Time
 	lastBeat time.Time
 	// proved is the latest time at which the agent proved to this router that it was awake.
@@ -58,8 +60,6 @@
 
 	agents map[upstream.ID]*record
 	vms    map[string]vm.State
-	// listed says that the platform's list was read at least once.
-	listed bool
 	// told holds upstreams that other routers know to be leaving, until their time.
 	told map[upstream.ID]time.Time
 	// heard holds, for each other router's run, the agents it has told of and not called silent.
@@ -116,12 +116,12 @@
 	if !ok || r.beat.RPC == "" {
 		return 0
 	}
-	return r.beat.Fingerprint()
+	return r.print
 }
 
 // take keeps what an agent says of itself.
 func (r *record) take(now time.Time, b Beat) {
-	r.beat = b
+	r.beat, r.print = b, b.Fingerprint()
 	switch {
 	case b.State != upstream.StateLeaving:
 		r.leaving = time.Time{}
@@ -139,7 +139,6 @@
 
 // VMs takes in the platform's list.
 func (t *Table) VMs(list []vm.VM) {
-	t.listed = true
 	t.vms = make(map[string]vm.State, len(list))
 	for _, v := range list {
 		t.vms[v.RPC] = v.State
--- a/services/once/journal.go
+++ b/services/once/journal.go
@@ -35,9 +35,6 @@
 // Contact notes that the log answered an append.
 func (c *Core) Contact(now time.Time) { c.contact = now }
 
-// LastContact returns the time of the log's latest answer.
-func (c *Core) LastContact() time.Time { return c.contact }
-
 // open deals with the edges of what the log still keeps.
 func (c *Core) open(p services.Page) {
 	switch {
--- a/services/routing/tracker.go
+++ b/services/routing/tracker.go
@@ -140,9 +140,6 @@
 // StreamEnded notes the end of a streamed request of this router.
 func (t *Tracker) StreamEnded(id upstream.ID) { t.track(id).streams-- }
 
-// InFlight returns the number of this router's requests at an upstream.
-func (t *Tracker) InFlight(id upstream.ID) int { return t.track(id).inFlight }
-
 // work estimates the requests an upstream has now. There are two views: the report, and what all
 // routers have sent and seen finished since, taking the others to do as this one does; and this
 // router's own requests times the number of routers. The first is exact when reports are fresh, the
