Tests are never taken from the cache by make test

Cause: the last run of the checks reported the integration tests as cached, although the program that they build and start had changed: the cache sees the test binary alone. Change: -count=1. Conclusion: a green run is a run.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 	$(LINT) run ./...
 
 test:
-	go test -race ./...
+	# Not from the cache: it does not see the program that the integration tests build and start.
+	go test -race -count=1 ./...
 
 demo:
 	go run . demo
