A late answer changes nothing; a router without upstreams takes no callers

Cause: rpc.Pool.Call returned at the end of its context while net/rpc still decoded the late answer into the caller's value (data race seen in TestHold/coordinator_frozen). Directory.Ready asked only for the configuration, so a restarted router answered not-run while all upstreams were alive (TestPlannedStop/all_routers_in_turn). Ruled out: a lock in the callers (every caller of the pool had the hole). Change: the pool decodes into a value of its own and copies it only when the call ends in time. Ready also asks for an upstream that takes work for each service, for as long as a silent agent is given. Conclusion: both causes are mended where they arise.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -150,7 +150,7 @@
 func (p *routerProcess) becomeReady(ctx context.Context) {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for !p.dir.Ready() {
+	for !p.dir.Ready(time.Now()) {
 		select {
 		case <-ctx.Done():
 			return
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,16 +45,22 @@
 func (e ErrNotSent) Unwrap() error { return e.Err }
 
 // Call calls method at address and waits until the answer or the end of ctx.
-// A call that ends with ctx closes the connection, so that a late answer meets nobody.
+// Reply is a pointer; it is set only if the call returns nil. A call that ends with ctx closes the connection.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return ErrNotSent{Err: err}
 	}
 	p.Stats.Calls.Add(1)
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// The answer is decoded into a value of its own: one that comes after the end of ctx, while the
+	// connection is being closed, must not change what the caller holds by then.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
+		if done.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return p.finish(address, client, method, done.Error)
 	case <-ctx.Done():
 		p.drop(address, client)
--- a/modules/rpc/rpc_test.go
+++ b/modules/rpc/rpc_test.go
@@ -56,3 +56,55 @@
 	}
 	p.Close()
 }
+
+// SlowReply is an answer whose decoding the test can stop in the middle.
+type SlowReply struct{ Value int }
+
+var decoding, decode, decoded = make(chan struct{}), make(chan struct{}), make(chan struct{})
+
+// GobEncode implements gob.GobEncoder.
+func (r SlowReply) GobEncode() ([]byte, error) { return []byte{byte(r.Value)}, nil }
+
+// GobDecode implements gob.GobDecoder.
+func (r *SlowReply) GobDecode(b []byte) error {
+	close(decoding)
+	<-decode
+	r.Value = int(b[0])
+	close(decoded)
+	return nil
+}
+
+// Slow answers at once with a value that is slow to decode.
+func (e *echo) Slow(in int, out *SlowReply) error { out.Value = in; return nil }
+
+// TestLateAnswer checks that an answer which is still being decoded when the caller gives up does not
+// change the caller's value.
+func TestLateAnswer(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := rpc.NewServer(l)
+	if err := s.Register("Echo", &echo{}); err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	defer s.Close()
+	p := rpc.NewPool()
+	defer p.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-decoding
+		cancel()
+	}()
+	out := SlowReply{Value: 1}
+	if err := p.Call(ctx, l.Addr().String(), "Echo.Slow", 7, &out); !errors.Is(err, context.Canceled) {
+		t.Errorf("call: %v", err)
+	}
+	close(decode)
+	<-decoded
+	if out.Value != 1 {
+		t.Errorf("the late answer set the caller's value to %d", out.Value)
+	}
+}
--- a/routers/operator.go
+++ b/routers/operator.go
@@ -117,7 +117,7 @@
 
 // known refuses a question about the configuration while this router does not know it.
 func (w *Web) known(c *gin.Context) bool {
-	if w.Directory.Ready() {
+	if w.Directory.Ready(time.Now()) {
 		return true
 	}
 	c.Header("Retry-After", "1")
--- a/routers/router.go
+++ b/routers/router.go
@@ -111,7 +111,7 @@
 	switch {
 	case w.Directory.Self().State == membership.RouterLeaving:
 		c.String(http.StatusServiceUnavailable, "leaving\n")
-	case !w.Directory.Ready():
+	case !w.Directory.Ready(time.Now()):
 		c.String(http.StatusServiceUnavailable, "configuration not known\n")
 	default:
 		c.String(http.StatusOK, "ready\n")
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/intent"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
@@ -315,12 +316,31 @@
 	return d.routers.Self()
 }
 
-// Ready reports whether this router may serve.
-func (d *Directory) Ready() bool {
+// Ready reports whether this router may serve: it knows the configuration and, for each service that
+// has upstreams, one that takes work. A router that has looked for longer than a silent agent is given
+// serves without: there is none.
+func (d *Directory) Ready(now time.Time) bool {
 	d.mu.Lock()
-	others := len(d.routers.Live(time.Now())) - 1
+	others := len(d.routers.Live(now)) - 1
+	settled := now.Sub(d.started) > d.opts.Interval.Suspect()
 	d.mu.Unlock()
-	return d.opts.Follower.Ready(min(others, peersWanted))
+	if !d.opts.Follower.Ready(min(others, peersWanted)) {
+		return false
+	}
+	return settled || d.serves(now, d.opts.Follower.State().Intent)
+}
+
+// serves reports whether each service of an intent has an upstream that takes work.
+func (d *Directory) serves(now time.Time, in *intent.Intent) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range in.Services {
+		s := &in.Services[i]
+		if len(s.Members()) > 0 && len(d.candidates(now, s, nil)) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // peersWanted is the number of routers to ask for the configuration while the log is out of reach.
