--- /dev/null
+++ b/cmd/platform.go
@@ -0,0 +1,197 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/log"
+	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/platform"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/peer"
+	"fawnwinch.org/fawnwinch/services/rank"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+)
+
+func newPlatformCommand() *cobra.Command {
+	c := &cobra.Command{Use: "platform", Short: "Run a process on the users' platform, with the settings that the platform writes"}
+	c.AddCommand(
+		nodeCommand("router", "Run the router of an entry VM", entryOptions),
+		nodeCommand("agent", "Run the agent beside a rank of a model group", rankOptions),
+	)
+	return c
+}
+
+// node is what every process on the platform has.
+type node struct {
+	set     setting.Node
+	metrics int
+	logs    io.Writer
+}
+
+func nodeCommand(use, short string, options func(node) fx.Option) *cobra.Command {
+	n := node{}
+	var path string
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			set, err := platform.LoadNode(path)
+			if err != nil {
+				return wrap(err, use)
+			}
+			n.set, n.logs = set, c.OutOrStdout()
+			return runApp(c.Context(), fx.New(options(n)))
+		},
+	}
+	c.Flags().StringVarP(&path, "config", "c", "", "settings file (default: the file that $"+platform.SettingsVariable+" names)")
+	c.Flags().IntVar(&n.metrics, "metrics", 0, "port for metrics; 0 serves none")
+	return c
+}
+
+// options provides what both roles need.
+func (n node) options() fx.Option {
+	return fx.Options(
+		fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(drainTimeout),
+		fx.Supply(n.set),
+		fx.Provide(
+			func() (zerolog.Logger, error) { return log.New(log.Buffered(n.logs), "info", n.set.Name) },
+			func() *metrics.Metrics { return metrics.New(n.set.Name) },
+			func() *platform.Store { return platform.NewStore(n.set.Store) },
+			rpc.NewPool,
+		),
+		fx.Invoke(n.serveMetrics),
+	)
+}
+
+// serveMetrics serves the metrics on a port of the VM.
+func (n node) serveMetrics(lc fx.Lifecycle, m *metrics.Metrics, store *platform.Store, pool *rpc.Pool) error {
+	m.Counter("store_calls_total", "Calls of the platform's store.", nil, func() float64 { return float64(store.Calls.Load()) })
+	m.Counter("peer_sent_bytes_total", "Bytes sent to other processes.", nil, func() float64 { return float64(pool.Stats.Sent.Load()) })
+	if n.metrics == 0 {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	return serveHTTP(lc, net.JoinHostPort(n.set.IP, strconv.Itoa(n.metrics)), mux)
+}
+
+// serveHTTP serves a handler while the process runs.
+func serveHTTP(lc fx.Lifecycle, address string, h http.Handler) error {
+	l, err := httpx.Listen(address)
+	if err != nil {
+		return wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { _ = s.Serve(l) }() // ends with Close
+			return nil
+		},
+		OnStop: func(context.Context) error { return wrap(s.Close(), "stop http") },
+	})
+	return nil
+}
+
+// headerTimeout bounds how long a caller may take for a request's head. Callers on the platform keep
+// within three seconds.
+const headerTimeout = 10 * time.Second
+
+// self returns what a process tells others of itself.
+func (n node) self(role vm.Role) peer.Info {
+	return peer.Info{
+		Name: n.set.Name, Role: role, DataCentre: n.set.DataCentre, Address: n.set.Peers, Callers: n.set.Callers,
+		Engine: n.set.Engine, Service: n.set.EngineService, Run: rand.Uint64(), State: peer.StateReady, //nolint:gosec // no secret
+	}
+}
+
+func rankOptions(n node) fx.Option {
+	return fx.Options(n.options(), fx.Invoke(n.runRank))
+}
+
+// runRank assembles the agent beside a rank.
+func (n node) runRank(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, logger zerolog.Logger) error {
+	if n.set.Engine == "" {
+		return setting.ErrInvalid{Field: "app", Reason: "is missing: an agent needs a model engine"}
+	}
+	l, err := httpx.Listen(n.set.Peers)
+	if err != nil {
+		return wrap(err, "listen for peers")
+	}
+	var mu sync.Mutex
+	engines := map[string]*platform.Engine{}
+	dial := func(address string) services.RankEngine {
+		mu.Lock()
+		defer mu.Unlock()
+		e, ok := engines[address]
+		if !ok {
+			e = platform.NewEngine(address)
+			engines[address] = e
+		}
+		return e
+	}
+	self := n.self(vm.RoleAgent)
+	a := rank.New(time.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Dial: dial, Logger: logger})
+	server := rpc.NewServer(l)
+	if err := server.Register("Rank", rank.NewAPI(a)); err != nil {
+		return wrap(err, "agent")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			logger.Info().Str("role", "agent").Str("engine", n.set.Engine).Msg("start")
+			server.Start()
+			go register(ctx, store, self, logger)
+			go a.Run(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			logger.Info().Msg("stop")
+			cancel()
+			server.Close()
+			pool.Close()
+			store.Close()
+			return nil
+		},
+	})
+	return nil
+}
+
+const (
+	// registerTime bounds one registration, and registerPause is the pause after one that failed.
+	registerTime  = 1500 * time.Millisecond
+	registerPause = 200 * time.Millisecond
+)
+
+// register registers a process in the store.
+func register(ctx context.Context, store *platform.Store, self peer.Info, logger zerolog.Logger) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, registerTime)
+		err := store.PutNode(cctx, self)
+		cancel()
+		if err == nil {
+			return
+		}
+		logger.Warn().Err(err).Msg("registration-failed")
+		time.Sleep(registerPause)
+	}
+}
--- /dev/null
+++ b/cmd/platform_router.go
@@ -0,0 +1,127 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/platform"
+	"fawnwinch.org/fawnwinch/routers"
+	"fawnwinch.org/fawnwinch/services/entry"
+	"fawnwinch.org/fawnwinch/services/relay"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+const (
+	// addressesHeld is the longest that callers hold an answer that names a router: three times the time
+	// in routers.NewDirectory, and a moment for requests on their way.
+	addressesHeld = 3300 * time.Millisecond
+	// killMargin is the time before the kill at which a process ends by itself.
+	killMargin = 400 * time.Millisecond
+	// idleTime is how long a caller's connection may rest. It is longer than any catalog asks for.
+	idleTime = 5 * time.Minute
+	// maxHeader bounds the head of a request, in bytes.
+	maxHeader = 64 << 10
+)
+
+func entryOptions(n node) fx.Option {
+	return fx.Options(n.options(), fx.Provide(n.newRelay), fx.Invoke(n.runEntry))
+}
+
+func (n node) newRelay(m *metrics.Metrics, logger zerolog.Logger) *relay.Relay {
+	r := relay.New(relay.Options{
+		DataCentre: n.set.DataCentre, KeyFreshness: n.set.KeyFreshness,
+		RetryRatio: n.set.RetryRatio, RetrySlack: n.set.RetrySlack, RetryWindow: n.set.RetryWindow,
+		Protocol: platform.Headers{}, Metrics: m, Logger: logger,
+	})
+	m.Counter("upstream_connections_total", "Connections opened to upstreams.", nil, func() float64 { return float64(r.Connections()) })
+	return r
+}
+
+// entryProcess is a router on the platform.
+type entryProcess struct {
+	node   node
+	router *entry.Router
+	relay  *relay.Relay
+	peers  *rpc.Server
+	pool   *rpc.Pool
+	store  *platform.Store
+	front  *http.Server
+	logger zerolog.Logger
+	cancel context.CancelFunc
+}
+
+// runEntry assembles a router.
+func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, logger zerolog.Logger) error {
+	front, err := httpx.Listen(n.set.Callers)
+	if err != nil {
+		return wrap(err, "listen for callers")
+	}
+	peers, err := httpx.Listen(n.set.Peers)
+	if err != nil {
+		return wrap(err, "listen for peers")
+	}
+	r := entry.New(entry.Options{Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger})
+	server := rpc.NewServer(peers)
+	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
+		return wrap(err, "router")
+	}
+	directory := routers.NewDirectory(r, routers.Words{
+		ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady, Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
+	})
+	for _, address := range []string{n.set.Ready, n.set.Directory} {
+		if err := serveHTTP(lc, address, directory); err != nil {
+			return err
+		}
+	}
+	p := &entryProcess{
+		node: n, router: r, relay: rl, peers: server, pool: pool, store: store, logger: logger,
+		front: &http.Server{Handler: rl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			logger.Info().Str("role", "router").Str("callers", n.set.Callers).Msg("start")
+			server.Start()
+			go r.Run(ctx)
+			go func() { _ = p.front.Serve(front) }() // ends with Close
+			return nil
+		},
+		OnStop: p.stop,
+	})
+	return nil
+}
+
+// stop ends the router without cutting a request: it leaves the directory, serves until every answer
+// that named it has run out and every request has ended, and ends before it is killed.
+func (p *entryProcess) stop(ctx context.Context) error {
+	begun := time.Now()
+	p.logger.Info().Int("active", p.relay.Active()).Msg("stop")
+	p.relay.Leave(begun)
+	p.router.Leave(ctx)
+	last := begun.Add(p.node.set.Grace - killMargin)
+	for now := begun; now.Before(last) && (now.Sub(begun) < addressesHeld || p.relay.Active() > 0); now = time.Now() {
+		time.Sleep(drainLook)
+	}
+	p.logger.Info().Int("active", p.relay.Active()).Int64("took_ms", time.Since(begun).Milliseconds()).Msg("stopped")
+	err := p.front.Close()
+	p.cancel()
+	p.peers.Close()
+	p.pool.Close()
+	p.relay.Close()
+	p.store.Close()
+	return wrap(err, "stop router")
+}
+
+// drainLook is the time between two looks at whether requests are in flight.
+const drainLook = 20 * time.Millisecond
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -58,7 +58,7 @@
 	root.AddCommand(
 		newRouterCommand(), newAgentCommand(), newStandinCommand(), newDemoCommand(),
 		newPlanCommand(), newConfirmCommand(), newStatusCommand(), newTimelineCommand(),
-		newEndpointsCommand(), newConfigCommand(), newVersionCommand(),
+		newEndpointsCommand(), newConfigCommand(), newVersionCommand(), newPlatformCommand(),
 	)
 	return root
 }
--- a/models/expertmap/expertmap.go
+++ b/models/expertmap/expertmap.go
@@ -20,6 +20,9 @@
 // Expert is the index of an expert within a layer, from 0.
 type Expert int32
 
+// Free marks a slot that holds no expert.
+const Free Expert = -1
+
 // Layer is the assignment for one layer: Slots[rank] lists the experts which that rank holds.
 // An expert that stands on several ranks has several replicas.
 type Layer struct {
--- a/models/upstream/upstream.go
+++ b/models/upstream/upstream.go
@@ -4,6 +4,8 @@
 // Package upstream names the back ends that answer requests.
 package upstream
 
+import "fawnwinch.org/fawnwinch/models/vm"
+
 // ID identifies one upstream: a rank of a model group or a replica of a plain service.
 type ID string
 
@@ -23,3 +25,14 @@
 	// StateDown means that the agent cannot reach its upstream.
 	StateDown State = "down"
 )
+
+// Instance is an upstream as the platform lists it. Every start of an upstream has an ID of its own.
+type Instance struct {
+	ID         ID
+	Service    string
+	Address    string
+	DataCentre vm.DataCentre
+	// Slots is the number of requests it works on at once.
+	Slots int
+	State State
+}
--- a/modules/log/log.go
+++ b/modules/log/log.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 // New returns a logger that writes key=value lines to w.
@@ -30,7 +31,7 @@
 		FormatTimestamp: func(v any) string {
 			return "time=" + fmt.Sprint(v)
 		},
-		FormatFieldValue: func(v any) string { return quote(fmt.Sprint(v)) },
+		FormatFieldValue: fieldValue,
 	}
 	return zerolog.New(out).Level(lvl).With().Timestamp().Str("process", process).Logger(), nil
 }
@@ -38,9 +39,28 @@
 // setTimeFormat makes the library keep more than seconds.
 var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000000Z07:00" })
 
+// fieldValue formats a value; the library hands those that are neither text nor a number over as JSON.
+func fieldValue(v any) string {
+	if raw, ok := v.([]byte); ok {
+		return quote(string(raw))
+	}
+	return quote(fmt.Sprint(v))
+}
+
 func quote(s string) string {
 	if s == "" || strings.ContainsAny(s, " =\"\n") {
 		return fmt.Sprintf("%q", s)
 	}
 	return s
 }
+
+// bufferedLines is the number of lines that wait for a reader of the log that is slow.
+const bufferedLines = 2048
+
+// Buffered returns a writer that never blocks: lines beyond those that wait for w are dropped, and their
+// number is written once w takes lines again.
+func Buffered(w io.Writer) io.Writer {
+	return diode.NewWriter(w, bufferedLines, 0, func(missed int) {
+		_, _ = fmt.Fprintf(w, "level=warn event=log-lines-dropped lines=%d\n", missed)
+	})
+}
--- /dev/null
+++ b/modules/setting/node.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/vm"
+)
+
+// Node holds the settings of a process on the users' platform. The platform writes them; see
+// docs/CONFIGURATION.md for the fields of its file.
+type Node struct {
+	// Name names the VM; no two VMs share one.
+	Name       string
+	DataCentre vm.DataCentre
+	IP         string
+	// Callers, Ready and Directory are the addresses that a router serves: callers, the platform's
+	// question whether it is ready, and callers that ask which router to use. Agents have none.
+	Callers, Ready, Directory string
+	// Peers is the address for calls of other fawnwinch processes.
+	Peers string
+	// Seeds are Peers addresses of a few routers. They may be stale.
+	Seeds []string
+	// Engine is the address of the model engine beside an agent, and EngineService its service.
+	Engine, EngineService string
+	// Store is the address of the metadata store; StoreReads and StoreWrites are the calls a second that it
+	// takes from all processes together.
+	Store                   string
+	StoreReads, StoreWrites float64
+	// DrainTime is how long a leaving upstream still serves.
+	DrainTime time.Duration
+	// Grace is the time between the order to stop and the kill.
+	Grace time.Duration
+	// KeyFreshness is the time after which a key that was taken away must no longer be let in.
+	KeyFreshness time.Duration
+	// RetryRatio and RetrySlack bound the arrivals beyond the first of each request that a service may
+	// get from all routers in any RetryWindow: RetryRatio of the requests, and RetrySlack.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// StallTime is how long requests stand still at a broken group before the engine ends them.
+	StallTime time.Duration
+}
--- /dev/null
+++ b/services/balance/pace.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package balance decides at a router which upstream takes a request, when, and which requests are
+// refused because no upstream could answer in time.
+package balance
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+)
+
+// PassLoad is the load of a group's next pass.
+type PassLoad struct {
+	// Mean and Max are the streams written by a rank: on average, and at the fullest rank.
+	Mean, Max float64
+	// Context is the number of tokens of context of a stream.
+	Context float64
+	// Reading is the number of prompt tokens that the busiest rank reads in the pass.
+	Reading float64
+	// Skew is the load of the heaviest rank of a layer against the mean; 1 is even.
+	Skew float64
+}
+
+// Pass returns the time of a pass. All ranks step together: each waits in every layer for the rank
+// whose experts have most to do. Checked against reports in docs/design/pace.md.
+func Pass(e *catalog.Engine, l PassLoad) time.Duration {
+	writer := e.WriterMillis + e.ContextMillis*l.Context/1000
+	token := writer * ((1-e.ExpertShare)*l.Max + e.ExpertShare*l.Mean*l.Skew)
+	read := 0.0
+	if e.ReadPerSecond > 0 {
+		most := float64(e.Chunk * e.Stride)
+		read = min(l.Reading, most) / e.ReadPerSecond * 1000 * ((1 - e.ExpertShare) + e.ExpertShare*l.Skew/2)
+	}
+	ms := float64(e.Stride)*(e.StepMillis+token) + read
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Limit returns the number of streams that a rank may have so that a pass stays within a time.
+// It is at least 1 and at most the rank's slots.
+func Limit(e *catalog.Engine, skew float64, within time.Duration) int {
+	n := 1
+	for n < e.Slots {
+		w := float64(n + 1)
+		if Pass(e, PassLoad{Mean: w, Max: w, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew}) > within {
+			break
+		}
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/services/balance/pool.go
@@ -0,0 +1,248 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"math"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
+)
+
+// Result tells how an attempt at an upstream ended.
+type Result string
+
+// The results of an attempt.
+const (
+	// ResultOK is an answer, also a late one.
+	ResultOK Result = "ok"
+	// ResultError is an answer that says the upstream failed.
+	ResultError Result = "error"
+	// ResultBroken is a connection that broke off, or an answer that was none.
+	ResultBroken Result = "broken"
+	// ResultUnreached is a connection that never came up.
+	ResultUnreached Result = "unreached"
+	// ResultFull is an answer that the upstream did not run the request.
+	ResultFull Result = "full"
+	// ResultStranger is an answer that another upstream has the address.
+	ResultStranger Result = "stranger"
+	// ResultCancelled is an attempt that the router ended because the caller left.
+	ResultCancelled Result = "cancelled"
+)
+
+const (
+	// errorHalfLife is the time in which a past failure counts half. A replica that fails part of its
+	// requests gets about two requests in that time; so most are known before the next comes.
+	errorHalfLife = 2500 * time.Millisecond
+	// errorWeight is how many waiting requests a failure rate of 1 counts for.
+	errorWeight = 8.0
+	// unreachedFor is how long an upstream that cannot be connected to is left alone, at first and at most.
+	unreachedFor = 300 * time.Millisecond
+	unreachedMax = 4 * time.Second
+	// fullFor is how long an upstream that said it was full is left alone.
+	fullFor = 120 * time.Millisecond
+	// reportValid is how long a reported load counts. Reports come several times a second.
+	reportValid = 700 * time.Millisecond
+	// latencyKeep is the weight of the past in the mean time of an answer.
+	latencyKeep = 0.8
+	// farPenalty is what another data centre counts for, as a part of a waiting request: bytes between
+	// data centres are paid for, and take longer.
+	farPenalty = 0.4
+)
+
+// state is what a router knows of one upstream by its own requests and by reports.
+type state struct {
+	inFlight int
+	// delta counts requests begun less those ended since the report.
+	delta      int
+	reported   int
+	reportedAt time.Time
+	errors     float64
+	errorsAt   time.Time
+	outUntil   time.Time
+	outFor     time.Duration
+	// latency is the mean time of an answer in seconds, or 0.
+	latency float64
+}
+
+func (s *state) errorRate(now time.Time) float64 {
+	return s.errors * math.Exp2(-now.Sub(s.errorsAt).Seconds()/errorHalfLife.Seconds())
+}
+
+func (s *state) note(now time.Time, failed bool) {
+	rate := s.errorRate(now)
+	hit := 0.0
+	if failed {
+		hit = 1
+	}
+	s.errors, s.errorsAt = 0.7*rate+0.3*hit, now
+}
+
+// Pool holds a router's view of the upstreams of one service. It does no I/O and reads no clock.
+type Pool struct {
+	here    vm.DataCentre
+	ups     map[upstream.ID]*state
+	group   Group
+	groupAt time.Time
+	turn    int
+}
+
+// Group is what the coordinator of a model group tells all routers.
+type Group struct {
+	Service string
+	// Open says that the group works; a broken one answers nothing until it has formed anew.
+	Open bool
+	// Skew is the load of the heaviest rank against the mean under the map in force.
+	Skew float64
+	// Ranks lists the load of each rank.
+	Ranks []RankLoad
+}
+
+// RankLoad is the load of one rank.
+type RankLoad struct {
+	// Address is where the rank's engine takes requests.
+	Address string
+	// Requests counts those running and those waiting at the engine.
+	Requests int
+}
+
+// NewPool returns the view of a router in a data centre.
+func NewPool(here vm.DataCentre) *Pool {
+	return &Pool{here: here, ups: map[upstream.ID]*state{}}
+}
+
+func (p *Pool) state(id upstream.ID) *state {
+	s, ok := p.ups[id]
+	if !ok {
+		s = &state{}
+		p.ups[id] = s
+	}
+	return s
+}
+
+// Report takes in the load of a group. IDs maps the addresses of the ranks to upstreams.
+func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.ID) {
+	p.group, p.groupAt = g, now
+	for _, r := range g.Ranks {
+		if id, ok := ids[r.Address]; ok {
+			s := p.state(id)
+			s.reported, s.reportedAt, s.delta = r.Requests, now, 0
+		}
+	}
+}
+
+// Closed reports whether the group is known to be broken.
+func (p *Pool) Closed(now time.Time) bool {
+	return !p.group.Open && !p.groupAt.IsZero() && now.Sub(p.groupAt) < reportValid
+}
+
+// Skew returns the latest skew of the group, or 0 if none is known.
+func (p *Pool) Skew(now time.Time) float64 {
+	if now.Sub(p.groupAt) > reportValid {
+		return 0
+	}
+	return p.group.Skew
+}
+
+// load estimates the requests at an upstream. Routers is the number of routers that send to it.
+func (p *Pool) load(now time.Time, s *state, routers int) float64 {
+	if now.Sub(s.reportedAt) < reportValid {
+		return float64(max(s.reported+s.delta, 0))
+	}
+	return float64(s.inFlight * max(routers, 1))
+}
+
+// Ask is what a request wants of a pool.
+type Ask struct {
+	// Engine is nil for plain services.
+	Engine *catalog.Engine
+	// Limit is the number of requests that an upstream may have; beyond it the request waits.
+	Limit   int
+	Routers int
+	Exclude map[upstream.ID]bool
+}
+
+// Pick returns the upstream with the least load, or false if none has room.
+func (p *Pool) Pick(now time.Time, cands []upstream.Instance, a Ask) (upstream.Instance, bool) {
+	best, bestScore := -1, math.Inf(1)
+	p.turn++
+	for k := range cands {
+		i := (k + p.turn) % len(cands)
+		c := cands[i]
+		s := p.state(c.ID)
+		if a.Exclude[c.ID] || now.Before(s.outUntil) {
+			continue
+		}
+		load := p.load(now, s, a.Routers)
+		if a.Limit > 0 && load >= float64(a.Limit) {
+			continue
+		}
+		if score := p.score(now, s, c, load, a.Engine != nil); score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return upstream.Instance{}, false
+	}
+	return cands[best], true
+}
+
+func (p *Pool) score(now time.Time, s *state, c upstream.Instance, load float64, group bool) float64 {
+	score := load + errorWeight*s.errorRate(now)
+	if !group {
+		// Plain upstreams work at their own speed: what waits there takes as long as what went before.
+		score = (score + 1) * (s.latency + plainFloor)
+		if c.DataCentre != p.here {
+			score *= 1 + farPenalty
+		}
+		return score
+	}
+	if c.DataCentre != p.here {
+		score += farPenalty
+	}
+	return score
+}
+
+// plainFloor is added to the mean time of answers in seconds, so that small differences do not decide.
+const plainFloor = 0.05
+
+// Sent notes the begin of an attempt.
+func (p *Pool) Sent(id upstream.ID) {
+	s := p.state(id)
+	s.inFlight++
+	s.delta++
+}
+
+// Done notes the end of an attempt that took a time.
+func (p *Pool) Done(now time.Time, id upstream.ID, r Result, took time.Duration) {
+	s := p.state(id)
+	s.inFlight--
+	s.delta--
+	switch r {
+	case ResultOK:
+		s.note(now, false)
+		s.outFor = 0
+		s.latency = latencyKeep*s.latency + (1-latencyKeep)*took.Seconds()
+	case ResultError, ResultBroken:
+		s.note(now, true)
+	case ResultUnreached, ResultStranger:
+		s.note(now, true)
+		s.outFor = min(max(2*s.outFor, unreachedFor), unreachedMax)
+		s.outUntil = now.Add(s.outFor)
+	case ResultFull:
+		s.outUntil = now.Add(fullFor)
+	case ResultCancelled:
+	}
+}
+
+// Forget drops what is known of upstreams that are no longer listed.
+func (p *Pool) Forget(listed map[upstream.ID]bool) {
+	for id, s := range p.ups {
+		if !listed[id] && s.inFlight == 0 {
+			delete(p.ups, id)
+		}
+	}
+}
--- /dev/null
+++ b/services/mapswitch/machine.go
@@ -0,0 +1,311 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package mapswitch brings all ranks of a group onto a new expert map in the same pass.
+//
+// A rank takes an armed map when the pass begins, and ranks do not compare maps. So the coordinator
+// first holds the pass at one rank, which stops the whole group before it, then arms all ranks, and
+// lets go only when every rank has confirmed. If one does not confirm in time, all are disarmed under a
+// higher fence before the group goes on: an order whose answer was lost may be carried out seconds
+// later, and is then refused by its fence, or because the pass has begun.
+package mapswitch
+
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/services"
+)
+
+// Stage is how far a change of map has got.
+type Stage string
+
+// The stages, in their order. A change that fails goes from StageArm to StageDisarm.
+const (
+	// StageFence raises the fence at all ranks after a takeover, and takes back what is armed.
+	StageSettleHold Stage = "settle-hold"
+	StagePrepare    Stage = "prepare"
+	StageHold       Stage = "hold"
+	StageArm        Stage = "arm"
+	StageDisarm     Stage = "disarm"
+	StageRelease    Stage = "release"
+	// StageDone says that all ranks take the new map, StageFailed that none does.
+	StageDone   Stage = "done"
+	StageFailed Stage = "failed"
+	// StageLost says that another coordinator has taken over.
+	StageLost Stage = "lost"
+)
+
+const (
+	// prepareTime bounds the loading of experts; it takes about a tenth of a second for each.
+	prepareTime = 4 * time.Second
+	// armTime bounds the time in which all ranks must confirm: the group may stand still meanwhile.
+	armTime = 350 * time.Millisecond
+	// lead is the number of passes between the last that has begun and the one that takes the map.
+	lead = 1
+	// maxHolds bounds how often a pass to hold is chosen anew because it has begun already.
+	maxHolds = 8
+)
+
+// Send is an order to one rank.
+type Send struct {
+	Rank  group.Rank
+	Order services.RankOrder
+}
+
+// Machine is one change of map. It does no I/O and reads no clock.
+type Machine struct {
+	// Fence is the authority of the coordinator. It rises when a change is taken back.
+	Fence services.Fence
+
+	stage   Stage
+	since   time.Time
+	epoch   services.Epoch
+	self    group.Rank
+	status  []services.RankStatus
+	version expertmap.Version
+	layers  []expertmap.Layer
+	step    group.Step
+	holds   int
+	// released holds the pass to be let go at each rank that may hold one.
+	release map[group.Rank]group.Step
+	// done and sent tell for each rank whether it has confirmed the stage, and whether an order is on its way.
+	done, sent []bool
+	// failed says that the group must be let go without a new map.
+	failed bool
+}
+
+// Start returns the change of a group, as its ranks report it, to a new map. Self is the rank beside the
+// coordinator; it holds the pass.
+func Start(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus, v expertmap.Version, layers []expertmap.Layer) *Machine {
+	m := newMachine(now, f, self, status)
+	m.version, m.layers = v, layers
+	m.enter(now, StagePrepare)
+	return m
+}
+
+// Settle returns the machine that takes back what an earlier coordinator has left behind, or nil if
+// there is nothing.
+func Settle(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus) *Machine {
+	m := newMachine(now, f, self, status)
+	m.failed = true
+	armed := false
+	for r, s := range status {
+		m.version = max(m.version, s.Prepared)
+		if s.Armed != 0 {
+			armed, m.step, m.version = true, s.ArmedAt, max(m.version, s.Armed)
+		}
+		if s.Holds {
+			m.release[group.Rank(r)] = s.Held
+		}
+	}
+	switch {
+	case armed:
+		// The pass may be about to begin: stop the group before it, then look again.
+		m.enter(now, StageSettleHold)
+	case len(m.release) > 0:
+		m.enter(now, StageDisarm)
+	default:
+		return nil
+	}
+	return m
+}
+
+func newMachine(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus) *Machine {
+	return &Machine{Fence: f, since: now, epoch: status[0].Epoch, self: self, status: status, release: map[group.Rank]group.Step{}}
+}
+
+// Stage returns how far the change has got.
+func (m *Machine) Stage() Stage { return m.stage }
+
+// Ended reports whether nothing more is to be done.
+func (m *Machine) Ended() bool {
+	return m.stage == StageDone || m.stage == StageFailed || m.stage == StageLost
+}
+
+// Version returns the version of the new map.
+func (m *Machine) Version() expertmap.Version { return m.version }
+
+func (m *Machine) enter(now time.Time, s Stage) {
+	m.stage, m.since = s, now
+	m.done, m.sent = make([]bool, len(m.status)), make([]bool, len(m.status))
+	if s == StageHold {
+		m.step = max(m.lastStep()+lead, m.step+1)
+	}
+	if s == StageRelease {
+		for r := range m.done {
+			_, held := m.release[group.Rank(r)]
+			m.done[r] = !held
+		}
+		m.advance(now)
+	}
+}
+
+// lastStep returns the last pass that any rank is known to have begun.
+func (m *Machine) lastStep() group.Step {
+	var last group.Step
+	for _, s := range m.status {
+		last = max(last, s.Step)
+	}
+	return last
+}
+
+// alone reports whether the stage concerns the coordinator's own rank only.
+func (m *Machine) alone() bool { return m.stage == StageHold || m.stage == StageSettleHold }
+
+// Sends returns the orders that are to be sent now. Each is answered by Answer before it is sent again.
+func (m *Machine) Sends() []Send {
+	if m.Ended() {
+		return nil
+	}
+	var out []Send
+	for r := range m.done {
+		rank := group.Rank(r)
+		if m.done[r] || m.sent[r] || (m.alone() && rank != m.self) {
+			continue
+		}
+		m.sent[r] = true
+		out = append(out, Send{Rank: rank, Order: m.order(rank)})
+	}
+	return out
+}
+
+func (m *Machine) order(r group.Rank) services.RankOrder {
+	o := services.RankOrder{Fence: m.Fence, Epoch: m.epoch, Version: m.version, Step: m.step}
+	switch m.stage {
+	case StagePrepare:
+		o.Kind, o.Layers = services.RankPrepare, m.layers
+	case StageHold, StageSettleHold:
+		o.Kind = services.RankHold
+	case StageArm:
+		o.Kind = services.RankArm
+	case StageDisarm:
+		o.Kind = services.RankDisarm
+	case StageRelease:
+		o.Kind, o.Step = services.RankRelease, m.release[r]
+	case StageDone, StageFailed, StageLost:
+	}
+	return o
+}
+
+// Answer takes in what became of an order that Sends returned.
+func (m *Machine) Answer(now time.Time, s Send, a services.RankAnswer) {
+	if m.Ended() || s.Order.Kind != m.order(s.Rank).Kind || s.Order.Fence != m.Fence || (m.stage != StageRelease && s.Order.Step != m.step) {
+		return
+	}
+	m.sent[s.Rank] = false
+	switch a {
+	case services.RankDone:
+		m.confirm(s.Rank)
+	case services.RankFenced:
+		m.stage = StageLost
+		return
+	case services.RankConflict:
+		m.conflict(now, s.Rank)
+	case services.RankUnknown:
+	}
+	m.advance(now)
+}
+
+// confirm notes that a rank has done its part of a stage. Loading takes longer; see Observe.
+func (m *Machine) confirm(r group.Rank) {
+	if m.stage == StagePrepare {
+		// It is not sent again; the report tells when the experts are there.
+		m.sent[r] = true
+		return
+	}
+	m.done[r] = true
+}
+
+func (m *Machine) conflict(now time.Time, r group.Rank) {
+	switch m.stage {
+	case StagePrepare:
+		m.stage = StageFailed
+	case StageHold:
+		if m.holds++; m.holds > maxHolds {
+			m.stage = StageFailed
+			return
+		}
+		m.enter(now, StageHold)
+	case StageSettleHold:
+		// The pass has begun, so nothing is armed for it any more.
+		m.enter(now, StageDisarm)
+	case StageArm:
+		m.takeBack(now)
+	case StageDisarm, StageRelease:
+		m.done[r] = true
+	case StageDone, StageFailed, StageLost:
+	}
+}
+
+// takeBack disarms all ranks under a higher fence.
+func (m *Machine) takeBack(now time.Time) {
+	m.failed = true
+	m.Fence++
+	m.enter(now, StageDisarm)
+}
+
+// Observe takes in what a rank reports.
+func (m *Machine) Observe(now time.Time, r group.Rank, s services.RankStatus) {
+	if m.Ended() {
+		return
+	}
+	if s.Epoch != m.epoch {
+		// The group has formed anew: nothing is prepared, armed or held.
+		m.stage = StageFailed
+		return
+	}
+	m.status[r] = s
+	if m.stage == StagePrepare && s.Prepared == m.version {
+		m.done[r] = true
+	}
+	m.advance(now)
+}
+
+// Tick notes that time has passed.
+func (m *Machine) Tick(now time.Time) {
+	switch {
+	case m.stage == StagePrepare && now.Sub(m.since) > prepareTime:
+		m.stage = StageFailed
+	case m.stage == StageArm && now.Sub(m.since) > armTime:
+		m.takeBack(now)
+	}
+}
+
+// advance enters the next stage when all ranks have confirmed.
+func (m *Machine) advance(now time.Time) {
+	if m.Ended() || !m.complete() {
+		return
+	}
+	switch m.stage {
+	case StagePrepare:
+		m.enter(now, StageHold)
+	case StageHold:
+		m.release[m.self] = m.step
+		m.enter(now, StageArm)
+	case StageSettleHold:
+		m.release[m.self] = m.step
+		m.enter(now, StageDisarm)
+	case StageArm, StageDisarm:
+		m.enter(now, StageRelease)
+	case StageRelease:
+		m.stage = StageDone
+		if m.failed {
+			m.stage = StageFailed
+		}
+	case StageDone, StageFailed, StageLost:
+	}
+}
+
+func (m *Machine) complete() bool {
+	if m.alone() {
+		return m.done[m.self]
+	}
+	for _, d := range m.done {
+		if !d {
+			return false
+		}
+	}
+	return true
+}
--- a/services/placement/decide.go
+++ b/services/placement/decide.go
@@ -15,6 +15,8 @@
 	Price float64
 	// MaxMoves bounds the experts loaded by one decision.
 	MaxMoves int
+	// MaxFresh bounds the experts that one rank loads in one layer; 0 means any number.
+	MaxFresh int
 	// Enough is the skew up to which a layer is left alone.
 	Enough float64
 	// Slack is how far a layer's skew must rise above what the last look left it at, before it is
@@ -67,6 +69,9 @@
 	if err != nil {
 		return Result{}, err
 	}
+	for _, l := range layers {
+		l.maxFresh = pol.MaxFresh
+	}
 	res := Result{Before: meanSkew(layers)}
 	changes := improveAll(layers, pol, floors)
 	for n := 0; n < maxDoublings && total(changes) > pol.MaxMoves; n++ {
--- a/services/placement/layer.go
+++ b/services/placement/layer.go
@@ -24,7 +24,7 @@
 func (s *rankSet) remove(r int)   { s[r/wordBits] &^= 1 << (r % wordBits) }
 
 // empty marks a slot that holds nothing of use: a second replica on the same rank serves nobody.
-const empty expertmap.Expert = -1
+const empty = expertmap.Free
 
 // layer is one layer while it is being changed.
 type layer struct {
@@ -42,6 +42,11 @@
 	inverse []float64
 	load    []float64
 	mean    float64
+	// origin tells which ranks held each expert at first; fresh counts the experts that each rank has
+	// got since. A rank gets at most maxFresh of them; 0 means any number.
+	origin   []rankSet
+	fresh    []int
+	maxFresh int
 }
 
 // ErrShape reports an input whose sizes do not fit together.
@@ -69,6 +74,7 @@
 	for e := range popularity {
 		l.count(expertmap.Expert(e), 0)
 	}
+	l.origin, l.fresh = slices.Clone(l.holders), make([]int, len(slots))
 	l.reload()
 	var total, speeds float64
 	for r := range slots {
@@ -83,6 +89,9 @@
 func (l *layer) hold(r int, held []expertmap.Expert) error {
 	l.slots[r] = held
 	for i, e := range held {
+		if e == empty {
+			continue
+		}
 		if int(e) >= len(l.popularity) || e < 0 {
 			return ErrShape{What: fmt.Sprintf("expert %d of %d", e, len(l.popularity))}
 		}
@@ -103,6 +112,7 @@
 	c.holders = slices.Clone(l.holders)
 	c.replicas = slices.Clone(l.replicas)
 	c.load = slices.Clone(l.load)
+	c.fresh = slices.Clone(l.fresh)
 	c.parts, c.more = slices.Clone(l.parts), slices.Clone(l.more)
 	return &c
 }
@@ -115,6 +125,27 @@
 	l.more[e] = l.popularity[e]/(n-1) - l.parts[e]
 }
 
+// room reports whether a rank may get an expert: it had it at first, or has not got too many since.
+func (l *layer) room(e expertmap.Expert, r int) bool {
+	return l.maxFresh == 0 || l.fresh[r] < l.maxFresh || l.origin[e].has(r)
+}
+
+// add notes that a rank now holds an expert.
+func (l *layer) add(e expertmap.Expert, r int) {
+	l.holders[e].add(r)
+	if !l.origin[e].has(r) {
+		l.fresh[r]++
+	}
+}
+
+// remove notes that a rank no longer holds an expert.
+func (l *layer) remove(e expertmap.Expert, r int) {
+	l.holders[e].remove(r)
+	if !l.origin[e].has(r) {
+		l.fresh[r]--
+	}
+}
+
 // part returns the load of one replica of an expert.
 func (l *layer) part(e expertmap.Expert) float64 {
 	if e == empty {
--- a/services/placement/move.go
+++ b/services/placement/move.go
@@ -54,7 +54,7 @@
 	l := s.l
 	partNow, partThen := l.parts[in], l.popularity[in]/float64(l.replicas[in]+1)
 	for to := range l.slots {
-		if to == s.high || l.load[to] >= s.top || l.holders[in].has(to) {
+		if to == s.high || l.load[to] >= s.top || l.holders[in].has(to) || !l.room(in, to) {
 			continue
 		}
 		m := move{from: s.high, fromSlot: slot, to: to, in: in}
@@ -63,7 +63,7 @@
 			if out == empty || l.replicas[out] > 1 {
 				s.tryReplica(m, partNow, partThen)
 			}
-			if out != empty && !l.holders[out].has(s.high) {
+			if out != empty && !l.holders[out].has(s.high) && l.room(out, s.high) {
 				m.swap = true
 				s.trySwap(m, partNow)
 			}
@@ -110,14 +110,14 @@
 // apply makes a move. The slot lists of touched ranks are copied, so that the map they came from stays.
 func (l *layer) apply(m move) {
 	l.replace(m.to, m.toSlot, m.in)
-	l.holders[m.in].add(m.to)
+	l.add(m.in, m.to)
 	if m.out != empty {
-		l.holders[m.out].remove(m.to)
+		l.remove(m.out, m.to)
 	}
 	if m.swap {
 		l.replace(m.from, m.fromSlot, m.out)
-		l.holders[m.in].remove(m.from)
-		l.holders[m.out].add(m.from)
+		l.remove(m.in, m.from)
+		l.add(m.out, m.from)
 	} else {
 		l.count(m.in, 1)
 		if m.out != empty {
--- /dev/null
+++ b/services/rank/agent.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package rank is the agent beside a rank of a model group. One agent of a group coordinates: it asks
+// the others for loads and counts, tells the routers, and changes the expert map.
+package rank
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/peer"
+
+	"github.com/rs/zerolog"
+)
+
+// Authority numbers coordinators: each takes a higher one from the platform's log.
+type Authority uint64
+
+// fenceBits is the part of a fence that a coordinator counts up by itself.
+const fenceBits = 20
+
+// fence returns the first fence of an authority.
+func (a Authority) fence() services.Fence { return services.Fence(a) << fenceBits }
+
+// Store is what an agent needs of the platform's store.
+type Store interface {
+	// Claim adds a record to the log of coordinators and returns its place, which no other claim has.
+	Claim(ctx context.Context, group, name string) (services.Offset, error)
+	// Nodes lists the processes that have registered.
+	Nodes() services.Feed[peer.Info]
+	// Catalogs gives the figures of the engines.
+	Catalogs() services.Feed[catalog.Catalog]
+}
+
+// Options holds what an Agent needs.
+type Options struct {
+	Self   peer.Info
+	Engine services.RankEngine
+	Store  Store
+	Pool   *rpc.Pool
+	// Dial returns a client of another rank's engine, for when its agent does not answer.
+	Dial   func(address string) services.RankEngine
+	Logger zerolog.Logger
+}
+
+// Agent serves the coordinator of its group, or is it itself. It is safe for use by several goroutines.
+type Agent struct {
+	opts Options
+
+	mu sync.Mutex
+	// highest is the highest authority heard of, asked the time it was last heard.
+	highest Authority
+	asked   time.Time
+	rank    int
+	coord   *coordinator
+}
+
+// New returns an agent.
+func New(now time.Time, o Options) *Agent { return &Agent{opts: o, asked: now} }
+
+// Ask is a coordinator's question for a rank's load.
+type Ask struct {
+	Authority Authority
+	// Counts asks for the experts' counts too.
+	Counts bool
+}
+
+// Reply is a rank's answer.
+type Reply struct {
+	// Authority is the highest that the agent has heard of. If it is not the asker's, the rest is empty.
+	Authority Authority
+	Status    services.RankStatus
+	Counts    services.RankCounts
+}
+
+// Order is a coordinator's order.
+type Order struct {
+	Authority Authority
+	Order     services.RankOrder
+}
+
+// OrderReply tells what became of an order.
+type OrderReply struct{ Answer services.RankAnswer }
+
+const (
+	// engineTime bounds a call of the engine on the same VM. It answers within a few milliseconds, or,
+	// when an order is lost, not at all.
+	engineTime = 25 * time.Millisecond
+	// peerTime bounds a call of another agent: two ways between data centres and one call of the engine.
+	peerTime = 60 * time.Millisecond
+	// silence is how long no coordinator may be heard before an agent stands up, and rankStep what each
+	// rank waits longer, so that one of them is first.
+	silence  = 700 * time.Millisecond
+	rankStep = 120 * time.Millisecond
+	// electTick is the time between two looks at whether there is a coordinator.
+	electTick = 100 * time.Millisecond
+	// claimTime bounds a claim in the store.
+	claimTime = 1500 * time.Millisecond
+	// claimPause is the pause after a claim that failed.
+	claimPause = 500 * time.Millisecond
+)
+
+// API is what an agent offers to other processes over rpc.
+type API struct{ a *Agent }
+
+// NewAPI returns the rpc interface of an agent.
+func NewAPI(a *Agent) *API { return &API{a: a} }
+
+// Status tells a coordinator the load of the rank.
+func (p *API) Status(ask Ask, r *Reply) error {
+	r.Authority = p.a.hear(time.Now(), ask.Authority)
+	if r.Authority != ask.Authority {
+		return nil
+	}
+	return p.a.status(ask.Counts, r)
+}
+
+// Order carries out an order of a coordinator.
+func (p *API) Order(o Order, r *OrderReply) error {
+	if p.a.hear(time.Now(), o.Authority) != o.Authority {
+		r.Answer = services.RankFenced
+		return nil
+	}
+	r.Answer = p.a.order(o.Order)
+	return nil
+}
+
+// Map tells a coordinator which experts the rank holds.
+func (p *API) Map(_ Ask, r *services.RankMap) error {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
+	defer cancel()
+	m, err := p.a.opts.Engine.Map(ctx)
+	*r = m
+	return err //nolint:wrapcheck // the coordinator names the rank
+}
+
+// hear notes that a coordinator is alive and returns the highest authority.
+func (a *Agent) hear(now time.Time, au Authority) Authority {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if au >= a.highest {
+		a.highest, a.asked = au, now
+	}
+	return a.highest
+}
+
+func (a *Agent) status(counts bool, r *Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
+	defer cancel()
+	var err error
+	if r.Status, err = a.opts.Engine.Status(ctx); err != nil {
+		return err //nolint:wrapcheck // the coordinator names the rank
+	}
+	a.mu.Lock()
+	a.rank = int(r.Status.Rank)
+	a.mu.Unlock()
+	if counts {
+		r.Counts, err = a.opts.Engine.Counts(ctx)
+	}
+	return err //nolint:wrapcheck // the coordinator names the rank
+}
+
+// order gives an order to the engine on the same VM.
+func (a *Agent) order(o services.RankOrder) services.RankAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
+	defer cancel()
+	answer, err := a.opts.Engine.Order(ctx, o)
+	if err != nil {
+		a.opts.Logger.Warn().Str("order", string(o.Kind)).Uint64("fence", uint64(o.Fence)).Uint64("version", uint64(o.Version)).
+			Uint64("step", uint64(o.Step)).Uint64("epoch", uint64(o.Epoch)).Str("answer", string(answer)).Err(err).Msg("order-failed")
+	}
+	return answer
+}
+
+// Run looks for a coordinator until ctx ends, and is one when there is none.
+func (a *Agent) Run(ctx context.Context) {
+	var first Reply
+	if err := a.status(false, &first); err != nil {
+		a.opts.Logger.Warn().Err(err).Msg("engine-unreachable")
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, electTick)
+		a.mu.Lock()
+		wait := silence + time.Duration(a.rank)*rankStep
+		stand := time.Since(a.asked) > wait
+		a.mu.Unlock()
+		if stand {
+			a.stand(ctx)
+		}
+	}
+}
+
+// stand claims the authority to coordinate and coordinates until it is lost.
+func (a *Agent) stand(ctx context.Context) {
+	var r Reply
+	if err := a.status(false, &r); err != nil {
+		sleep(ctx, claimPause)
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, claimTime)
+	offset, err := a.opts.Store.Claim(cctx, string(r.Status.Group), a.opts.Self.Name)
+	cancel()
+	if err != nil {
+		a.opts.Logger.Warn().Err(err).Msg("claim-failed")
+		sleep(ctx, claimPause)
+		return
+	}
+	au := Authority(offset) + 1
+	if a.hear(time.Now(), au) != au {
+		return
+	}
+	a.opts.Logger.Info().Uint64("authority", uint64(au)).Int("rank", int(r.Status.Rank)).Msg("coordinator-begins")
+	why := newCoordinator(a, au, r.Status).run(ctx)
+	a.opts.Logger.Info().Uint64("authority", uint64(au)).Str("reason", why).Msg("coordinator-ends")
+	a.mu.Lock()
+	a.asked = time.Now()
+	a.mu.Unlock()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/services/rank/driver.go
@@ -0,0 +1,127 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"context"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/mapswitch"
+	"fawnwinch.org/fawnwinch/services/peer"
+)
+
+// driver carries out a change of map: it sends what the machine wants sent and hands the answers back.
+type driver struct{ c *coordinator }
+
+const (
+	// driveTick is the time between two looks at the ranks while experts are loaded.
+	driveTick = 40 * time.Millisecond
+	// resendPause is the pause before an order that had no answer is sent again.
+	resendPause = 5 * time.Millisecond
+)
+
+type answered struct {
+	send   mapswitch.Send
+	answer services.RankAnswer
+}
+
+// settle takes back what an earlier coordinator has left behind. It returns false if there was nothing.
+func (d *driver) settle(ctx context.Context, status []services.RankStatus) bool {
+	m := mapswitch.Settle(time.Now(), d.c.fence, d.self(status), status)
+	if m == nil {
+		return false
+	}
+	d.c.a.opts.Logger.Info().Uint64("fence", uint64(d.c.fence)).Uint64("epoch", uint64(status[0].Epoch)).Msg("map-settle")
+	d.drive(ctx, m)
+	return true
+}
+
+// change brings a new map into force.
+func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
+	began := time.Now()
+	m := mapswitch.Start(began, d.c.fence, d.self(status), status, next.Version, next.Layers)
+	stage := d.drive(ctx, m)
+	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(d.c.fence)).Uint64("epoch", uint64(status[0].Epoch)).
+		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
+		Int64("took_ms", time.Since(began).Milliseconds()).Msg("map-change")
+	if stage == mapswitch.StageDone {
+		d.c.pending = next.Version
+	}
+	d.c.planner.ended(next, stage == mapswitch.StageDone)
+}
+
+func (d *driver) self(status []services.RankStatus) group.Rank {
+	for r := range status {
+		if d.c.members[r].info.Name == d.c.a.opts.Self.Name {
+			return group.Rank(r)
+		}
+	}
+	return 0
+}
+
+// drive runs a machine to its end and returns its last stage.
+func (d *driver) drive(ctx context.Context, m *mapswitch.Machine) mapswitch.Stage {
+	answers := make(chan answered, 4*len(d.c.members))
+	tick := time.NewTicker(driveTick)
+	defer tick.Stop()
+	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
+		for _, s := range m.Sends() {
+			to := d.c.members[s.Rank].info
+			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s)} })
+		}
+		select {
+		case a := <-answers:
+			m.Answer(time.Now(), a.send, a.answer)
+		case <-tick.C:
+			d.observe(ctx, m)
+			m.Tick(time.Now())
+		case <-ctx.Done():
+		}
+	}
+	d.c.fence = max(d.c.fence, m.Fence)
+	if m.Stage() == mapswitch.StageLost {
+		d.c.lost = true
+	}
+	return m.Stage()
+}
+
+// observe asks all ranks and tells the machine. Routers go on being told.
+func (d *driver) observe(ctx context.Context, m *mapswitch.Machine) {
+	d.c.look(ctx, false)
+	now := time.Now()
+	for r, mb := range d.c.members {
+		if mb.known && now.Sub(mb.heard) < driveTick {
+			m.Observe(now, group.Rank(r), mb.status)
+		}
+	}
+	d.c.tellRouters(ctx, now)
+}
+
+// send gives an order to a rank: by its agent, or directly if the agent does not answer.
+func (d *driver) send(ctx context.Context, to peer.Info, s mapswitch.Send) services.RankAnswer {
+	if to.Name == d.c.a.opts.Self.Name {
+		answer := d.c.a.order(s.Order)
+		if answer == services.RankUnknown {
+			sleep(ctx, resendPause)
+		}
+		return answer
+	}
+	cctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	var r OrderReply
+	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Order: s.Order}, &r)
+	if err == nil {
+		return r.Answer
+	}
+	dctx, dcancel := context.WithTimeout(ctx, peerTime)
+	defer dcancel()
+	answer, err := d.c.a.opts.Dial(to.Engine).Order(dctx, s.Order)
+	if err != nil {
+		d.c.a.opts.Logger.Warn().Int("rank", int(s.Rank)).Str("order", string(s.Order.Kind)).Str("answer", string(answer)).Err(err).Msg("direct-order-failed")
+	}
+	return answer
+}
--- /dev/null
+++ b/services/rank/planner.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"math"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/placement"
+)
+
+const (
+	// popularityHalfLife is the time in which past choices count half. Demand shifts every few seconds.
+	popularityHalfLife = 250 * time.Millisecond
+	// fewestChoices is the number of choices of a layer on which a plan may rest, for each expert.
+	fewestChoices = 4
+	// enoughSkew is the skew up to which a layer is left alone.
+	enoughSkew = 1.08
+	// movePrice is the part of a layer's time that one loaded expert must save.
+	movePrice = 0.012
+	// changeGain is the fall of the mean skew that a change must bring at least.
+	changeGain = 0.04
+	// retryAfter is the pause after a change that failed.
+	retryAfter = 200 * time.Millisecond
+)
+
+// planner decides which map a group should have. It does no I/O and reads no clock.
+type planner struct {
+	engine  *catalog.Engine
+	epoch   services.Epoch
+	current *expertmap.Map
+	counts  []services.RankCounts
+	recent  placement.Popularity
+	at      time.Time
+	pauseTo time.Time
+	// skew is that of the map in use under recent demand, and moves the loads of the latest plan.
+	skew  float64
+	moves int
+}
+
+func newPlanner(e *catalog.Engine, epoch services.Epoch, current *expertmap.Map) *planner {
+	p := &planner{engine: e, epoch: epoch, current: current}
+	p.recent = make(placement.Popularity, e.Layers)
+	for l := range p.recent {
+		p.recent[l] = make([]float64, e.Experts)
+	}
+	return p
+}
+
+// plan takes in new counts and returns a better map, or nil if none pays.
+func (p *planner) plan(now time.Time, counts []services.RankCounts) *expertmap.Map {
+	p.count(now, counts)
+	if !p.enough() || now.Before(p.pauseTo) {
+		return nil
+	}
+	speed := make([]float64, len(counts))
+	for i := range speed {
+		speed[i] = 1
+	}
+	popularity := p.smooth()
+	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
+		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: p.engine.MaxFresh, Enough: enoughSkew,
+	}, nil)
+	if err != nil {
+		return nil
+	}
+	p.skew, p.moves = res.Before, res.Moves
+	if res.Map == nil || res.Before-res.After < changeGain {
+		return nil
+	}
+	p.pauseTo = now.Add(retryAfter)
+	return res.Map
+}
+
+// ended notes how a change to a map ended.
+func (p *planner) ended(m *expertmap.Map, done bool) {
+	if done {
+		p.current = m
+		p.pauseTo = time.Time{}
+	}
+}
+
+// count takes the choices since the last look in.
+func (p *planner) count(now time.Time, counts []services.RankCounts) {
+	if !p.at.IsZero() {
+		keep := math.Exp2(-now.Sub(p.at).Seconds() / popularityHalfLife.Seconds())
+		for _, layer := range p.recent {
+			for e := range layer {
+				layer[e] *= keep
+			}
+		}
+	}
+	p.at = now
+	for r := range counts {
+		if p.counts != nil {
+			p.add(p.counts[r], counts[r])
+		}
+	}
+	p.counts = append([]services.RankCounts(nil), counts...)
+}
+
+// add adds what one rank has counted since. A rank that has started anew counts from 0.
+func (p *planner) add(before, after services.RankCounts) {
+	if len(after.Counts) != p.engine.Layers*p.engine.Experts {
+		return
+	}
+	for i, n := range after.Counts {
+		if len(before.Counts) == len(after.Counts) && before.Counts[i] <= n {
+			n -= before.Counts[i]
+		}
+		p.recent[i/p.engine.Experts][i%p.engine.Experts] += float64(n)
+	}
+}
+
+// enough reports whether enough was counted to plan by.
+func (p *planner) enough() bool {
+	for _, layer := range p.recent {
+		var sum float64
+		for _, n := range layer {
+			sum += n
+		}
+		if sum < fewestChoices*float64(len(layer)) {
+			return false
+		}
+	}
+	return true
+}
+
+// smooth returns the recent demand with a little for every expert, so that none counts as free.
+func (p *planner) smooth() placement.Popularity {
+	out := make(placement.Popularity, len(p.recent))
+	for l, layer := range p.recent {
+		out[l] = make([]float64, len(layer))
+		for e, n := range layer {
+			out[l][e] = n + 0.5
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/services/relay/attempt.go
@@ -0,0 +1,279 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpconn"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
+)
+
+const (
+	// maxDials bounds the upstreams that one request tries to connect to.
+	maxDials = 3
+	// maxStale bounds the answers to other requests that are skipped on one connection.
+	maxStale = 2
+	// maxAnswer bounds the body of an answer that is kept whole before it is passed on, in bytes.
+	maxAnswer = 16 << 20
+)
+
+// answer is an upstream's answer whose head has been read.
+type answer struct {
+	upstream upstream.Instance
+	conn     *httpconn.Conn
+	resp     *http.Response
+	head     services.UpstreamAnswer
+	began    time.Time
+	stop     func() bool
+}
+
+// run sends a request to upstreams until one answers or nothing more may be tried.
+func (x *exchange) run(ctx context.Context) {
+	for dials := 0; ; {
+		began := time.Now()
+		u, ok := x.r.acquire(ctx, x)
+		x.waited += time.Since(began)
+		if !ok {
+			x.giveUp(ctx, busy())
+			return
+		}
+		x.last = u.ID
+		a, res, err := x.attempt(ctx, u)
+		if err == nil {
+			if x.deliver(ctx, a) {
+				return
+			}
+		} else {
+			x.r.release(x.service, u, res, time.Since(began))
+			x.logAttempt(u, res, err)
+		}
+		x.tried[u.ID] = true
+		if res == balance.ResultUnreached {
+			if dials++; dials >= maxDials {
+				x.giveUp(ctx, busy())
+				return
+			}
+			continue
+		}
+		if !x.again(ctx) {
+			x.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: ReasonNotRun, after: retryBusy})
+			return
+		}
+	}
+}
+
+// again reports whether the request may be sent once more, and takes that out of the budget.
+func (x *exchange) again(ctx context.Context) bool {
+	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) {
+		return false
+	}
+	if x.paidFor {
+		x.paidFor = false
+		return true
+	}
+	return x.r.mayRetry(x.service)
+}
+
+// giveUp answers a request that no upstream has answered.
+func (x *exchange) giveUp(ctx context.Context, notRun refusal) {
+	switch {
+	case x.stream.begun:
+		x.finish(http.StatusOK, ReasonBrokeStream)
+		panic(http.ErrAbortHandler)
+	case x.req.Context().Err() != nil:
+		x.finish(0, ReasonCallerGone)
+		panic(http.ErrAbortHandler)
+	case x.mayRun && ctx.Err() != nil:
+		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: ReasonDeadline})
+	case x.mayRun:
+		x.refuse(refusal{status: http.StatusBadGateway, reason: ReasonUnknown})
+	default:
+		x.refuse(notRun)
+	}
+}
+
+// attempt sends the request to one upstream and reads the head of its answer. After an error, the
+// result says what it tells of the upstream.
+func (x *exchange) attempt(ctx context.Context, u upstream.Instance) (*answer, balance.Result, error) {
+	conn, _, err := x.r.conns.Take(ctx, time.Now(), u.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, balance.ResultCancelled, fmt.Errorf("connect to upstream %s: %w", u.ID, err)
+		}
+		return nil, balance.ResultUnreached, fmt.Errorf("connect to upstream %s: %w", u.ID, err)
+	}
+	if !x.r.takes(u) {
+		conn.Close()
+		return nil, balance.ResultUnreached, fmt.Errorf("upstream %s has begun to leave", u.ID)
+	}
+	a := &answer{upstream: u, conn: conn, began: time.Now()}
+	// The end of the caller or of the time ends the upstream's work too.
+	a.stop = context.AfterFunc(ctx, conn.Close)
+	x.attempts++
+	wasRunning := x.mayRun
+	x.mayRun = true
+	sent := conn.Send(x.outgoing(u))
+	// The upstream may have answered before it has read everything, so the answer counts in any case.
+	if err := x.receive(a); err != nil {
+		a.drop()
+		return nil, x.brokenOr(ctx), errors.Join(sent, err)
+	}
+	x.mayRun = wasRunning || a.head.Execution == services.ExecutionDone || a.head.Execution == services.ExecutionFailed
+	return a, balance.ResultOK, nil
+}
+
+func (x *exchange) brokenOr(ctx context.Context) balance.Result {
+	if ctx.Err() != nil {
+		return balance.ResultCancelled
+	}
+	return balance.ResultBroken
+}
+
+// outgoing makes the request for an upstream.
+func (x *exchange) outgoing(u upstream.Instance) *httpconn.Request {
+	last := x.meta.LastEvent
+	if x.stream.lastEvent != "" {
+		last = x.stream.lastEvent
+	}
+	return &httpconn.Request{
+		Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Body: x.body,
+		Header: x.r.opts.Protocol.Outgoing(x.req.Header, services.Outgoing{
+			Upstream: u.ID, Account: x.account, Left: time.Until(x.deadline), LastEvent: last, Urgency: x.urgency,
+		}),
+	}
+}
+
+// receive reads the head of the answer to this request. Answers to others that come first are dropped.
+func (x *exchange) receive(a *answer) error {
+	for range maxStale + 1 {
+		resp, err := a.conn.Receive(x.req.Method)
+		if err != nil {
+			return fmt.Errorf("upstream %s: %w", a.upstream.ID, err)
+		}
+		a.resp = resp
+		a.head = x.r.opts.Protocol.Answer(resp.StatusCode, resp.Header)
+		if a.head.ID == x.meta.ID || (a.head.ID == "" && a.head.Execution != services.ExecutionDone) {
+			return nil
+		}
+		if err := httpconn.Drain(resp, maxAnswer); err != nil {
+			return fmt.Errorf("upstream %s: answer to request %q: %w", a.upstream.ID, a.head.ID, err)
+		}
+	}
+	return fmt.Errorf("upstream %s: answers belong to other requests", a.upstream.ID)
+}
+
+// drop closes the connection of an answer.
+func (a *answer) drop() {
+	a.stop()
+	a.conn.Close()
+}
+
+// keep lets the connection rest, if it may.
+func (a *answer) keep(p *httpconn.Pool) {
+	rest, ok := httpconn.Reusable(a.resp)
+	if !ok || !a.stop() {
+		a.drop()
+		return
+	}
+	p.Give(time.Now(), a.conn, rest)
+}
+
+// deliver passes an answer on, or returns false if another upstream should be tried.
+func (x *exchange) deliver(ctx context.Context, a *answer) bool {
+	switch a.head.Execution {
+	case services.ExecutionNone, services.ExecutionStranger:
+		res := balance.ResultFull
+		if a.head.Execution == services.ExecutionStranger {
+			res = balance.ResultStranger
+		}
+		x.settle(a, res, fmt.Errorf("upstream %s: status %d, not run", a.upstream.ID, a.resp.StatusCode))
+		return false
+	case services.ExecutionFailed:
+		return x.deliverFailure(ctx, a)
+	case services.ExecutionDone:
+	}
+	if x.route.Kind == catalog.KindStream && a.resp.StatusCode == http.StatusOK {
+		return x.relayStream(ctx, a)
+	}
+	return x.deliverWhole(ctx, a)
+}
+
+// settle ends an attempt whose answer is not passed on.
+func (x *exchange) settle(a *answer, res balance.Result, err error) {
+	if derr := httpconn.Drain(a.resp, maxAnswer); derr != nil {
+		a.drop()
+	} else {
+		a.keep(x.r.conns)
+	}
+	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.logAttempt(a.upstream, res, err)
+}
+
+// deliverFailure tries another upstream after a failure, or else passes the failure on.
+func (x *exchange) deliverFailure(ctx context.Context, a *answer) bool {
+	if x.stream.begun {
+		x.settle(a, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
+		return false
+	}
+	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.r.mayRetry(x.service) {
+		x.paidFor = true
+		x.settle(a, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
+		return false
+	}
+	return x.deliverWhole(ctx, a)
+}
+
+// deliverWhole passes an answer on once it is there to its end.
+func (x *exchange) deliverWhole(ctx context.Context, a *answer) bool {
+	body, err := httpx.ReadAll(a.resp.Body, maxAnswer)
+	if err != nil {
+		a.drop()
+		res := x.brokenOr(ctx)
+		x.r.release(x.service, a.upstream, res, time.Since(a.began))
+		x.logAttempt(a.upstream, res, err)
+		return false
+	}
+	a.keep(x.r.conns)
+	res := balance.ResultOK
+	if a.resp.StatusCode >= http.StatusInternalServerError {
+		res = balance.ResultError
+	}
+	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.copyHead(a)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(a.resp.StatusCode)
+	if _, err := x.w.Write(body); err != nil {
+		x.finish(a.resp.StatusCode, ReasonCallerGone)
+		return true
+	}
+	x.finish(a.resp.StatusCode, ReasonAnswered)
+	return true
+}
+
+// copyHead sets the header of an upstream's answer for the caller.
+func (x *exchange) copyHead(a *answer) {
+	h := x.w.Header()
+	for name, values := range x.r.opts.Protocol.Returned(a.resp.Header) {
+		h[name] = values
+	}
+}
+
+func (x *exchange) logAttempt(u upstream.Instance, res balance.Result, err error) {
+	event := x.r.opts.Logger.Info()
+	if errors.Is(err, context.Canceled) {
+		event = x.r.opts.Logger.Debug()
+	}
+	event.Str("request", string(x.meta.ID)).Str("upstream", string(u.ID)).Str("address", u.Address).Int("attempt", x.attempts).
+		Str("result", string(res)).Bool("may_run", x.mayRun).Err(err).Msg("attempt-failed")
+}
--- /dev/null
+++ b/services/relay/handler.go
@@ -0,0 +1,256 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/services"
+)
+
+// Reason tells why a router answers a request itself. Reasons stand in logs and metrics.
+type Reason string
+
+// The reasons.
+const (
+	ReasonStarting    Reason = "no-catalog"
+	ReasonStale       Reason = "catalog-too-old"
+	ReasonNoRoute     Reason = "no-route"
+	ReasonNoKey       Reason = "key-unknown"
+	ReasonBadRequest  Reason = "request-unreadable"
+	ReasonTooLarge    Reason = "body-too-large"
+	ReasonNoRoom      Reason = "no-upstream-with-room"
+	ReasonNotRun      Reason = "upstreams-did-not-run-it"
+	ReasonUnknown     Reason = "may-have-run"
+	ReasonDeadline    Reason = "deadline"
+	ReasonLeaving     Reason = "process-leaving"
+	ReasonCallerGone  Reason = "caller-left"
+	ReasonBrokeStream Reason = "stream-broke-off"
+	ReasonAnswered    Reason = "answered"
+)
+
+const (
+	// denyAge is the age up to which a catalog may say that a route or key does not exist. A change must be
+	// in force two seconds after the store has taken it.
+	denyAge = 1800 * time.Millisecond
+	// freshnessMargin is taken off the time in which keys that were taken away may still be let in.
+	freshnessMargin = 300 * time.Millisecond
+	// retryStarting is when a caller may come back to a process that does not know enough yet.
+	retryStarting = 300 * time.Millisecond
+	// retryBusy and retryBusySpread are when a caller may come back that found no room.
+	retryBusy       = 250 * time.Millisecond
+	retryBusySpread = 250 * time.Millisecond
+	// defaultPatience bounds requests whose route and caller give no time.
+	defaultPatience = 30 * time.Second
+	// leaveStreams is how long after the order to stop a process still takes streams: later ones might
+	// not end before it does.
+	leaveStreams = 3 * time.Second
+	// defaultBody bounds a body when the catalog gives no limit, in bytes.
+	defaultBody = 4 << 20
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	r        *Relay
+	w        http.ResponseWriter
+	req      *http.Request
+	meta     services.CallerMeta
+	arrived  time.Time
+	deadline time.Time
+	route    *catalog.Route
+	service  service.ID
+	account  account.ID
+	urgency  int
+	body     []byte
+	// version and age tell of the catalog by which the request was judged.
+	version catalog.Version
+	age     time.Duration
+
+	tried    map[upstream.ID]bool
+	attempts int
+	// mayRun says that an attempt may have run or may still run.
+	mayRun bool
+	// paidFor says that the next attempt has been taken out of the budget already.
+	paidFor bool
+	last    upstream.ID
+	waited  time.Duration
+	stream  streamState
+}
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	reason Reason
+	after  time.Duration
+}
+
+// ServeHTTP serves one request of a caller.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	x := &exchange{r: r, w: w, req: req, arrived: time.Now(), meta: r.opts.Protocol.Describe(req.Header), tried: map[upstream.ID]bool{}}
+	r.mu.Lock()
+	r.active++
+	leaving := r.leaving
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.active--
+		r.mu.Unlock()
+	}()
+	if !leaving.IsZero() {
+		w.Header().Set("Connection", "close")
+	}
+	if no := x.admit(leaving); no != nil {
+		x.refuse(*no)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// admit judges a request by the catalog and reads its body.
+func (x *exchange) admit(leaving time.Time) *refusal {
+	if x.meta.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
+	}
+	if no := x.judge(); no != nil {
+		return no
+	}
+	if !leaving.IsZero() && x.route.Kind == catalog.KindStream && x.arrived.Sub(leaving) > leaveStreams {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonLeaving, after: retryStarting}
+	}
+	limit := int64(defaultBody)
+	if b := x.bodyLimit(); b > 0 {
+		limit = int64(b)
+	}
+	body, err := httpx.ReadAll(x.req.Body, limit)
+	var large httpx.ErrTooLarge
+	switch {
+	case errors.As(err, &large):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonTooLarge}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
+	}
+	x.body = body
+	return nil
+}
+
+func (x *exchange) bodyLimit() int {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	return x.r.know.Index().Limits.BodyBytes
+}
+
+// judge finds the route and the account of a request.
+func (x *exchange) judge() *refusal {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	know := x.r.know
+	if !know.Complete() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStarting, after: retryStarting}
+	}
+	index := know.Index()
+	x.version, x.age = index.Version, know.CatalogAge(x.arrived)
+	x.route = index.Route(hostName(x.req.Host), pathOf(x.req.RequestURI))
+	if x.route == nil {
+		return x.deny(http.StatusNotFound, ReasonNoRoute)
+	}
+	if index.Closed() && !x.route.Anonymous {
+		a := index.Account(x.meta.Key)
+		if a == nil {
+			return x.deny(http.StatusUnauthorized, ReasonNoKey)
+		}
+		if x.age > x.r.opts.KeyFreshness-freshnessMargin {
+			return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
+		}
+		x.account = a.ID
+		x.urgency = x.route.Priority
+		if a.Ranked {
+			x.urgency = a.Priority
+		}
+	}
+	x.service = target(x.route)
+	x.r.lane(x.arrived, x.service).budget.Request(x.arrived)
+	left := defaultPatience
+	if x.route.Timeout > 0 {
+		left = x.route.Timeout
+	}
+	if x.meta.Patience > 0 {
+		left = min(left, x.meta.Patience)
+	}
+	x.deadline = x.arrived.Add(left)
+	return nil
+}
+
+// deny refuses for good if the catalog is fresh enough to know, or else for now.
+func (x *exchange) deny(status int, reason Reason) *refusal {
+	if x.age > denyAge {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+// hostName returns a host without its port.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// pathOf returns the path of a request's target as the caller wrote it.
+func pathOf(target string) string {
+	if i := strings.Index(target, "://"); i >= 0 && !strings.HasPrefix(target, "/") {
+		_, rest, _ := strings.Cut(target[i+3:], "/")
+		target = "/" + rest
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// refuse answers a request without an upstream's answer.
+func (x *exchange) refuse(no refusal) {
+	h := x.w.Header()
+	for name, values := range x.r.opts.Protocol.Refusal(x.meta.ID, no.after) {
+		h[name] = values
+	}
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(no.status)
+	x.finish(no.status, no.reason)
+}
+
+// finish logs and counts the end of a request.
+func (x *exchange) finish(status int, reason Reason) {
+	took := time.Since(x.arrived)
+	outcome := "refused"
+	event := x.r.opts.Logger.Info()
+	switch {
+	case reason == ReasonAnswered:
+		outcome = "answered"
+	case x.mayRun:
+		outcome = "failed"
+	}
+	x.r.opts.Metrics.Request(string(x.service), outcome, string(reason), took, x.attempts)
+	event.Str("request", string(x.meta.ID)).Int("status", status).Str("reason", string(reason)).
+		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
+		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).
+		Int64("waited_ms", x.waited.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int("events", x.stream.events).Msg(outcome)
+}
+
+// busy returns the refusal for a request that has not run because there is no room.
+func busy() refusal {
+	spread := time.Duration(rand.Int64N(int64(retryBusySpread))) //nolint:gosec // no secret
+	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, after: retryBusy + spread}
+}
--- /dev/null
+++ b/services/relay/stream.go
@@ -0,0 +1,121 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"fawnwinch.org/fawnwinch/services/balance"
+)
+
+// streamState is how far a stream has got.
+type streamState struct {
+	// begun says that the head of an answer was passed on.
+	begun bool
+	// lastEvent is the id of the latest event that was passed on.
+	lastEvent string
+	events    int
+}
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// errNoEvents reports a stream that ended before its first event.
+var errNoEvents = errors.New("stream ended without an event")
+
+// relayStream passes the events of an answer on as they come, each one whole. It returns false if the
+// stream broke off and another upstream should go on with it.
+func (x *exchange) relayStream(ctx context.Context, a *answer) bool {
+	err := x.relayEvents(a)
+	switch {
+	case err == nil:
+		a.keep(x.r.conns)
+		x.r.release(x.service, a.upstream, balance.ResultOK, time.Since(a.began))
+		x.finish(http.StatusOK, ReasonAnswered)
+		return true
+	case x.req.Context().Err() != nil:
+		a.drop()
+		x.r.release(x.service, a.upstream, balance.ResultCancelled, time.Since(a.began))
+		x.finish(http.StatusOK, ReasonCallerGone)
+		panic(http.ErrAbortHandler)
+	}
+	a.drop()
+	res := x.brokenOr(ctx)
+	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.logAttempt(a.upstream, res, err)
+	return false
+}
+
+func (x *exchange) relayEvents(a *answer) error {
+	in := bufio.NewReader(a.resp.Body)
+	out := http.NewResponseController(x.w)
+	for first := true; ; first = false {
+		event, err := readEvent(in)
+		if errors.Is(err, io.EOF) && len(event) == 0 {
+			if first {
+				return errNoEvents
+			}
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("upstream %s: after event %q: %w", a.upstream.ID, x.stream.lastEvent, err)
+		}
+		if !x.stream.begun {
+			x.stream.begun = true
+			x.copyHead(a)
+			x.w.WriteHeader(a.resp.StatusCode)
+		}
+		if _, err := x.w.Write(event); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
+		if err := out.Flush(); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
+		x.stream.events++
+		if id, ok := eventID(event); ok {
+			x.stream.lastEvent = id
+		}
+	}
+}
+
+// readEvent reads up to the empty line that ends an event. At the end of the stream it returns io.EOF
+// with nothing; an event that is cut off is io.ErrUnexpectedEOF.
+func readEvent(in *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := in.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return nil, fmt.Errorf("event of more than %d bytes", maxEvent)
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(event) > 0:
+			return event, io.ErrUnexpectedEOF
+		case err != nil:
+			return event, err //nolint:wrapcheck // io.EOF must stay itself
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return event, nil
+		}
+	}
+}
+
+// eventID returns the id that an event carries.
+func eventID(event []byte) (string, bool) {
+	for line := range strings.Lines(string(event)) {
+		if rest, ok := strings.CutPrefix(line, "id:"); ok {
+			return strings.TrimSpace(rest), true
+		}
+	}
+	return "", false
+}
--- a/services/services.go
+++ b/services/services.go
@@ -49,6 +49,26 @@
 	Read(ctx context.Context, s Stream, from Offset, wait time.Duration) (Page, error)
 }
 
+// Change is one change of a feed: the newest value under a key, or nil if the key is gone.
+type Change[T any] struct {
+	Key   string
+	Value *T
+}
+
+// Feed is a stream of the platform's log that keeps the newest value of each key.
+type Feed[T any] interface {
+	// Snapshot returns the newest values and the offset from which Changes goes on.
+	Snapshot(ctx context.Context) ([]Change[T], Offset, error)
+	// Changes returns what has changed from an offset on, and the next offset. It waits up to wait if
+	// there is nothing yet. It returns an ErrTrimmed if changes in between are no longer kept.
+	Changes(ctx context.Context, from Offset, wait time.Duration) ([]Change[T], Offset, error)
+}
+
+// ErrTrimmed reports that the log no longer keeps the records asked for.
+type ErrTrimmed struct{ From Offset }
+
+func (e ErrTrimmed) Error() string { return fmt.Sprintf("records from offset %d are gone", e.From) }
+
 // VMList is the platform's lagging list of VMs.
 type VMList interface {
 	VMs(ctx context.Context) ([]vm.VM, error)
