SIGHUP reads the settings again instead of ending the process

Change: reloads takes SIGHUP, checks the file and hands it on; a file that cannot be used is refused with field and value.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -44,6 +44,7 @@
 	set     setting.Node
 	metrics int
 	logs    io.Writer
+	reloads *reloads
 }
 
 func nodeCommand(use, short string, options func(node) fx.Option) *cobra.Command {
@@ -60,6 +61,7 @@
 				return wrap(err, use)
 			}
 			n.set, n.logs = set, c.OutOrStdout()
+			n.reloads = &reloads{path: path}
 			return runApp(c.Context(), fx.New(options(n)))
 		},
 	}
@@ -79,7 +81,7 @@
 			func() *platform.Store { return platform.NewStore(n.set.Store) },
 			rpc.NewPool,
 		),
-		fx.Invoke(n.serveMetrics),
+		fx.Invoke(n.serveMetrics, n.reloads.watch),
 	)
 }
 
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -12,6 +12,7 @@
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/platform"
 	"fawnwinch.org/fawnwinch/routers"
 	"fawnwinch.org/fawnwinch/services/entry"
@@ -87,6 +88,10 @@
 		node: n, router: r, relay: rl, peers: server, pool: pool, store: store, logger: logger,
 		front: &http.Server{Handler: rl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader},
 	}
+	n.reloads.add(func(set setting.Node) {
+		r.Reseed(set.Seeds)
+		rl.Rebound(set.KeyFreshness)
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	lc.Append(fx.Hook{
--- /dev/null
+++ b/cmd/reload_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/setting"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx/fxtest"
+)
+
+// nodeSettings are settings as the platform writes them; the names and addresses are made up.
+const nodeSettings = `
+nodeName = "entry-1"
+ip = "127.0.0.1"
+zone = "a"
+internalPortRange = [7001, 7002]
+seeds = ["127.0.0.1:7003"]
+somethingNew = 1
+[listen]
+front = "127.0.0.1:7004"
+[bounds]
+drainMs = 2000
+graceS = 8
+revokeMs = 5000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 90
+stall_ms = 1500
+[platform]
+address = "127.0.0.1:7005"
+writes_per_s = 400
+reads_per_s = 2000
+`
+
+// TestHangUp checks that a process which gets SIGHUP goes on and takes the settings over, and that
+// settings which cannot be used change nothing.
+func TestHangUp(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(nodeSettings)
+	r := &reloads{path: path}
+	taken := make(chan setting.Node, 1)
+	r.add(func(n setting.Node) { taken <- n })
+	lc := fxtest.NewLifecycle(t)
+	r.watch(lc, zerolog.Nop())
+	lc.RequireStart()
+	defer lc.RequireStop()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case n := <-taken:
+		if n.KeyFreshness != 5*time.Second || len(n.Seeds) != 1 {
+			t.Errorf("settings taken: %+v", n)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the settings were not read again")
+	}
+	var logs bytes.Buffer
+	write(strings.Replace(nodeSettings, "graceS = 8", "graceS = -1", 1))
+	r.reload(zerolog.New(&logs))
+	if !strings.Contains(logs.String(), "GraceS") || !strings.Contains(logs.String(), "-1") || len(taken) > 0 {
+		t.Errorf("bad settings were taken, or the log does not name them: %s", logs.String())
+	}
+}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -174,6 +174,13 @@
 	}
 }
 
+// Reseed takes over the addresses of routers to begin with.
+func (r *Router) Reseed(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Seeds = seeds
+}
+
 // Self returns what this process tells of itself.
 func (r *Router) Self() peer.Info {
 	r.mu.Lock()
@@ -223,13 +230,14 @@
 	r.mu.Lock()
 	known := r.table.Known(now, vm.RoleRouter)
 	r.opts.Relay.Routers(1 + len(r.table.Live(now, vm.RoleRouter)))
+	seeds := r.opts.Seeds
 	r.mu.Unlock()
 	to := map[string]bool{}
 	for _, n := range known {
 		to[n.Address] = true
 	}
 	if len(known) == 0 {
-		for _, s := range r.opts.Seeds {
+		for _, s := range seeds {
 			to[s] = true
 		}
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -76,6 +76,13 @@
 	r.routers = n
 }
 
+// Rebound takes over a new time for which keys that were taken away may still be let in.
+func (r *Relay) Rebound(keyFreshness time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.KeyFreshness = keyFreshness
+}
+
 // Leave says that the process was told to stop at a time.
 func (r *Relay) Leave(now time.Time) {
 	r.mu.Lock()
