--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -19,10 +19,15 @@
 	Context float64
 	// Reading is the number of prompt tokens that the busiest rank reads in the pass.
 	Reading float64
+	// Copying says that ranks load experts meanwhile.
+	Copying bool
 	// Skew is the load of the heaviest rank of a layer against the mean; 1 is even.
 	Skew float64
 }
 
+// copySlowdown is how much longer a pass takes while experts are loaded; the operators' figure.
+const copySlowdown = 1.15
+
 // Pass returns the time of a pass. All ranks step together: each waits in every layer for the rank
 // whose experts have most to do. Checked against reports in docs/design/pace.md.
 func Pass(e *catalog.Engine, l PassLoad) time.Duration {
@@ -34,6 +39,9 @@
 		read = min(l.Reading, most) / e.ReadPerSecond * 1000 * ((1 - e.ExpertShare) + e.ExpertShare*l.Skew/2)
 	}
 	ms := float64(e.Stride)*(e.StepMillis+token) + read
+	if l.Copying {
+		ms *= copySlowdown
+	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -43,7 +51,7 @@
 	n := 1
 	for n < e.Slots {
 		w := float64(n + 1)
-		if Pass(e, PassLoad{Mean: w, Max: w, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew}) > within {
+		if Pass(e, PassLoad{Mean: w, Max: w, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew, Copying: true}) > within {
 			break
 		}
 		n++
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
@@ -56,9 +57,12 @@
 // state is what a router knows of one upstream by its own requests and by reports.
 type state struct {
 	inFlight int
-	// delta counts requests begun less those ended since the report.
-	delta      int
-	reported   int
+	// unstarted counts this router's requests whose answer has not begun; told is what the coordinator
+	// was last told of them, and known the part of the report that rests on that.
+	unstarted, told, known int
+	// ended counts the answers that have ended since the report.
+	ended      int
+	report     RankLoad
 	reportedAt time.Time
 	errors     float64
 	errorsAt   time.Time
@@ -105,10 +109,16 @@
 type RankLoad struct {
 	// Address is where the rank's engine takes requests.
 	Address string
-	// Requests counts those running and those waiting at the engine.
-	Requests int
+	// Running counts the requests that are being answered. Waiting counts those that wait at the engine.
+	Running, Waiting int
+	// Unstarted counts the requests that routers have sent and whose answers have not begun. The engine
+	// does not tell of a prompt that it is reading.
+	Unstarted int
 }
 
+// Unstarted tells a coordinator, for the address of each rank, how many of a router's requests have not begun.
+type Unstarted map[string]int
+
 // NewPool returns the view of a router in a data centre.
 func NewPool(here vm.DataCentre) *Pool {
 	return &Pool{here: here, ups: map[upstream.ID]*state{}}
@@ -123,15 +133,24 @@
 	return s
 }
 
-// Report takes in the load of a group. IDs maps the addresses of the ranks to upstreams.
-func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.ID) {
+// Report takes in the load of a group, and returns what this router has to add. IDs maps the addresses
+// of the ranks to upstreams.
+func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.ID) Unstarted {
 	p.group, p.groupAt = g, now
+	mine := Unstarted{}
 	for _, r := range g.Ranks {
-		if id, ok := ids[r.Address]; ok {
-			s := p.state(id)
-			s.reported, s.reportedAt, s.delta = r.Requests, now, 0
+		id, ok := ids[r.Address]
+		if !ok {
+			continue
+		}
+		s := p.state(id)
+		s.report, s.reportedAt, s.ended = r, now, 0
+		s.known, s.told = s.told, s.unstarted
+		if s.unstarted > 0 {
+			mine[r.Address] = s.unstarted
 		}
 	}
+	return mine
 }
 
 // Closed reports whether the group is known to be broken.
@@ -150,7 +169,8 @@
 // load estimates the requests at an upstream. Routers is the number of routers that send to it.
 func (p *Pool) load(now time.Time, s *state, routers int) float64 {
 	if now.Sub(s.reportedAt) < reportValid {
-		return float64(max(s.reported+s.delta, 0))
+		others := max(s.report.Unstarted-s.known, 0)
+		return float64(max(s.report.Running-s.ended, 0) + max(s.report.Waiting, others+s.unstarted))
 	}
 	return float64(s.inFlight * max(routers, 1))
 }
@@ -160,7 +180,9 @@
 	// Engine is nil for plain services.
 	Engine *catalog.Engine
 	// Limit is the number of requests that an upstream may have; beyond it the request waits.
-	Limit   int
+	Limit int
+	// Mean is the number that the upstreams may have on average; 0 means any.
+	Mean    int
 	Routers int
 	Exclude map[upstream.ID]bool
 }
@@ -169,6 +191,9 @@
 func (p *Pool) Pick(now time.Time, cands []upstream.Instance, a Ask) (upstream.Instance, bool) {
 	best, bestScore := -1, math.Inf(1)
 	p.turn++
+	if a.Mean > 0 && p.total(now, cands, a.Routers) >= float64(a.Mean*len(cands)) {
+		return upstream.Instance{}, false
+	}
 	for k := range cands {
 		i := (k + p.turn) % len(cands)
 		c := cands[i]
@@ -190,6 +215,15 @@
 	return cands[best], true
 }
 
+// total estimates the requests at all upstreams together.
+func (p *Pool) total(now time.Time, cands []upstream.Instance, routers int) float64 {
+	var sum float64
+	for _, c := range cands {
+		sum += p.load(now, p.state(c.ID), routers)
+	}
+	return sum
+}
+
 func (p *Pool) score(now time.Time, s *state, c upstream.Instance, load float64, group bool) float64 {
 	score := load + errorWeight*s.errorRate(now)
 	if !group {
@@ -203,9 +237,13 @@
 	if c.DataCentre != p.here {
 		score += farPenalty
 	}
-	return score
+	return score + herdSpread*rand.Float64() //nolint:gosec // no secret
 }
 
+// herdSpread is how many requests a choice may be off the least loaded rank, so that routers with the
+// same report do not all choose the same one.
+const herdSpread = 1.5
+
 // plainFloor is added to the mean time of answers in seconds, so that small differences do not decide.
 const plainFloor = 0.05
 
@@ -213,14 +251,21 @@
 func (p *Pool) Sent(id upstream.ID) {
 	s := p.state(id)
 	s.inFlight++
-	s.delta++
+	s.unstarted++
 }
 
-// Done notes the end of an attempt that took a time.
-func (p *Pool) Done(now time.Time, id upstream.ID, r Result, took time.Duration) {
+// Started notes that the answer to an attempt has begun.
+func (p *Pool) Started(id upstream.ID) { p.state(id).unstarted-- }
+
+// Done notes the end of an attempt that took a time. Started says that its answer had begun.
+func (p *Pool) Done(now time.Time, id upstream.ID, r Result, took time.Duration, started bool) {
 	s := p.state(id)
 	s.inFlight--
-	s.delta--
+	if started {
+		s.ended++
+	} else {
+		s.unstarted--
+	}
 	switch r {
 	case ResultOK:
 		s.note(now, false)
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -70,8 +70,11 @@
 	return nil
 }
 
+// ReportReply is what a router adds to the load of a group.
+type ReportReply struct{ Unstarted balance.Unstarted }
+
 // Report takes in the load of a model group.
-func (a *API) Report(g balance.Group, _ *bool) error {
-	a.r.report(g)
+func (a *API) Report(g balance.Group, reply *ReportReply) error {
+	reply.Unstarted = a.r.opts.Relay.Report(time.Now(), g)
 	return nil
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -16,7 +16,6 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/services"
-	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/relay"
@@ -112,7 +111,7 @@
 		if c.Value != nil {
 			state = string(c.Value.State)
 		}
-		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", state).Bool("whole", whole).Msg("upstream-listed")
+		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", state).Bool("whole", whole).Str("address", addressOf(c.Value)).Msg("upstream-listed")
 	}
 	r.opts.Relay.Know(func(s *knowledge.State) { s.Upstreams(time.Now(), asOf, changes, whole) })
 	r.becomeReady()
@@ -342,5 +341,9 @@
 	}
 }
 
-// Report takes in the load of a model group.
-func (r *Router) report(g balance.Group) { r.opts.Relay.Report(time.Now(), g) }
+func addressOf(i *upstream.Instance) string {
+	if i == nil {
+		return ""
+	}
+	return i.Address
+}
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -60,13 +60,20 @@
 	// version is the latest that this coordinator has given out. Each authority has a range of its own,
 	// above those of all earlier ones: a rank takes no version that is not above all it had.
 	version expertmap.Version
-	reached time.Time
-	lost    bool
-	sending sync.WaitGroup
+	// notedAt and notedStep are when the load of the group was last logged, and its pass then.
+	notedAt   time.Time
+	notedStep group.Step
+	reached   time.Time
+	lost      bool
+	sending   sync.WaitGroup
+
+	mu sync.Mutex
+	// unstarted holds what each router has told.
+	unstarted map[string]told
 }
 
 func newCoordinator(a *Agent, au Authority, s services.RankStatus) *coordinator {
-	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now()}
+	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), unstarted: map[string]told{}}
 	c.members = make([]*member, s.Size)
 	for i := range c.members {
 		c.members[i] = &member{}
@@ -90,6 +97,7 @@
 		case now.Sub(c.reached) > alone:
 			return "most ranks are out of reach"
 		}
+		c.note(now)
 		c.tellRouters(ctx, now)
 		c.improve(ctx, now)
 		sleep(ctx, lookEvery-time.Since(begun))
@@ -237,13 +245,42 @@
 	return out, true
 }
 
+// noteEvery is the time between two lines on the load of the group.
+const noteEvery = 500 * time.Millisecond
+
+// note logs the load of the group from time to time.
+func (c *coordinator) note(now time.Time) {
+	if now.Sub(c.notedAt) < noteEvery {
+		return
+	}
+	var most, sum, waiting int
+	var step group.Step
+	for _, m := range c.members {
+		most, sum, waiting = max(most, m.status.Running), sum+m.status.Running, waiting+m.status.Waiting
+		step = max(step, m.status.Step)
+	}
+	pass := 0.0
+	if step > c.notedStep {
+		pass = now.Sub(c.notedAt).Seconds() * 1000 / float64(step-c.notedStep)
+	}
+	skew := 0.0
+	if c.planner != nil {
+		skew = c.planner.skew
+	}
+	c.a.opts.Logger.Info().Int("running", sum).Int("fullest", most).Int("waiting", waiting).Uint64("step", uint64(step)).
+		Float64("pass_ms", pass).Float64("skew", skew).Msg("group-load")
+	c.notedAt, c.notedStep = now, step
+}
+
 // tellRouters tells all routers the load of the group.
 func (c *coordinator) tellRouters(ctx context.Context, now time.Time) {
 	g := balance.Group{Service: c.service, Open: true}
 	for _, m := range c.members {
 		if m.known && now.Sub(m.heard) < 2*directEvery {
 			g.Open = g.Open && m.status.Open
-			g.Ranks = append(g.Ranks, balance.RankLoad{Address: m.info.Engine, Requests: m.status.Running + m.status.Waiting})
+			g.Ranks = append(g.Ranks, balance.RankLoad{
+				Address: m.info.Engine, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.unstartedAt(now, m.info.Engine),
+			})
 		}
 	}
 	if c.planner != nil {
@@ -253,14 +290,37 @@
 		c.sending.Go(func() {
 			cctx, cancel := context.WithTimeout(ctx, reportTime)
 			defer cancel()
-			var none bool
-			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", g, &none); err != nil {
+			var r struct{ Unstarted balance.Unstarted }
+			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", g, &r); err != nil {
 				c.a.opts.Logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
+				return
 			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.unstarted[n.Name] = told{at: time.Now(), requests: r.Unstarted}
 		})
 	}
 }
 
+// told is what a router has said of its requests that have not begun.
+type told struct {
+	at       time.Time
+	requests balance.Unstarted
+}
+
+// unstartedAt returns the requests at a rank that have not begun, as the routers told lately.
+func (c *coordinator) unstartedAt(now time.Time, engine string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := 0
+	for _, t := range c.unstarted {
+		if now.Sub(t.at) < time.Second {
+			sum += t.requests[engine]
+		}
+	}
+	return sum
+}
+
 // improve changes the expert map if that pays, after it has settled what an earlier coordinator left.
 func (c *coordinator) improve(ctx context.Context, now time.Time) {
 	status, ok := c.statuses(now)
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -35,7 +35,9 @@
 	resp     *http.Response
 	head     services.UpstreamAnswer
 	began    time.Time
-	stop     func() bool
+	// started says that the first event has come.
+	started bool
+	stop    func() bool
 }
 
 // run sends a request to upstreams until one answers or nothing more may be tried.
@@ -55,7 +57,7 @@
 				return
 			}
 		} else {
-			x.r.release(x.service, u, res, time.Since(began))
+			x.r.release(x.service, u, res, time.Since(began), false)
 			x.logAttempt(u, res, err)
 		}
 		x.tried[u.ID] = true
@@ -216,7 +218,7 @@
 	} else {
 		a.keep(x.r.conns)
 	}
-	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 	x.logAttempt(a.upstream, res, err)
 }
 
@@ -240,7 +242,7 @@
 	if err != nil {
 		a.drop()
 		res := x.brokenOr(ctx)
-		x.r.release(x.service, a.upstream, res, time.Since(a.began))
+		x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 		x.logAttempt(a.upstream, res, err)
 		return false
 	}
@@ -249,7 +251,7 @@
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		res = balance.ResultError
 	}
-	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 	x.copyHead(a)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(a.resp.StatusCode)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -97,8 +97,8 @@
 	return r.active
 }
 
-// Report takes in the load of a model group.
-func (r *Relay) Report(now time.Time, g balance.Group) {
+// Report takes in the load of a model group, and returns what this router has to add to it.
+func (r *Relay) Report(now time.Time, g balance.Group) balance.Unstarted {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := service.ID(g.Service)
@@ -107,8 +107,9 @@
 		ids[i.Address] = i.ID
 	}
 	l := r.lane(now, id)
-	l.pool.Report(now, g, ids)
+	mine := l.pool.Report(now, g, ids)
 	r.wake(now, l)
+	return mine
 }
 
 // Sweep drops what is no longer needed.
@@ -176,7 +177,9 @@
 	passPart = 0.92
 	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
 	// follows some passes later.
-	guardSkew = 1.9
+	guardSkew = 2.2
+	// unevenness is how many more requests than the mean a rank may have.
+	unevenness = 2
 	// plainRoom is the number of requests for each slot of a plain upstream that are sent to it at most.
 	plainRoom = 2
 )
@@ -238,7 +241,8 @@
 		a.Limit = s.Engine.Slots
 		if x.route.PauseGoal > 0 {
 			skew := max(l.pool.Skew(now), guardSkew)
-			a.Limit = balance.Limit(s.Engine, skew, time.Duration(passPart*float64(x.route.PauseGoal)))
+			a.Mean = balance.Limit(s.Engine, skew, time.Duration(passPart*float64(x.route.PauseGoal)))
+			a.Limit = min(a.Mean+unevenness, s.Engine.Slots)
 		}
 	}
 	return a
@@ -284,18 +288,25 @@
 }
 
 // release notes the end of an attempt.
-func (r *Relay) release(id service.ID, u upstream.Instance, res balance.Result, took time.Duration) {
+func (r *Relay) release(id service.ID, u upstream.Instance, res balance.Result, took time.Duration, started bool) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.lane(now, id)
-	l.pool.Done(now, u.ID, res, took)
+	l.pool.Done(now, u.ID, res, took, started)
 	r.wake(now, l)
 	if res == balance.ResultUnreached || res == balance.ResultStranger {
 		r.conns.Drop(u.Address)
 	}
 }
 
+// started notes that the answer of an upstream has begun.
+func (r *Relay) started(id service.ID, u upstream.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lane(time.Now(), id).pool.Started(u.ID)
+}
+
 // takes reports whether an upstream may still get work, right before it is sent.
 func (r *Relay) takes(u upstream.Instance) bool {
 	r.mu.Lock()
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -39,18 +39,18 @@
 	switch {
 	case err == nil:
 		a.keep(x.r.conns)
-		x.r.release(x.service, a.upstream, balance.ResultOK, time.Since(a.began))
+		x.r.release(x.service, a.upstream, balance.ResultOK, time.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonAnswered)
 		return true
 	case x.req.Context().Err() != nil:
 		a.drop()
-		x.r.release(x.service, a.upstream, balance.ResultCancelled, time.Since(a.began))
+		x.r.release(x.service, a.upstream, balance.ResultCancelled, time.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonCallerGone)
 		panic(http.ErrAbortHandler)
 	}
 	a.drop()
 	res := x.brokenOr(ctx)
-	x.r.release(x.service, a.upstream, res, time.Since(a.began))
+	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 	x.logAttempt(a.upstream, res, err)
 	return false
 }
@@ -69,6 +69,10 @@
 		if err != nil {
 			return fmt.Errorf("upstream %s: after event %q: %w", a.upstream.ID, x.stream.lastEvent, err)
 		}
+		if !a.started {
+			a.started = true
+			x.r.started(x.service, a.upstream)
+		}
 		if !x.stream.begun {
 			x.stream.begun = true
 			x.copyHead(a)
