Agents wait for loaded experts and repeat orders themselves; smaller changes of map, sooner

Cause: a change took 0.4 to 0.95 s (up to six experts a rank, looks every 40 ms, a cycle of the coordinator for each order without an answer), while passes stood at 110 ms with 100 streams. Change: an agent repeats an order without an answer and answers a prepare when the experts are there; a change loads one expert a rank and layer; demand is remembered for 140 ms; looks every 70 ms.

--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -197,7 +197,7 @@
 	m.sent[s.Rank] = false
 	switch a {
 	case services.RankDone:
-		m.confirm(s.Rank)
+		m.done[s.Rank] = true
 	case services.RankFenced:
 		m.stage = StageLost
 		return
@@ -208,16 +208,6 @@
 	m.advance(now)
 }
 
-// confirm notes that a rank has done its part of a stage. Loading takes longer; see Observe.
-func (m *Machine) confirm(r group.Rank) {
-	if m.stage == StagePrepare {
-		// It is not sent again; the report tells when the experts are there.
-		m.sent[r] = true
-		return
-	}
-	m.done[r] = true
-}
-
 func (m *Machine) conflict(now time.Time, r group.Rank) {
 	switch m.stage {
 	case StagePrepare:
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -91,8 +91,13 @@
 	// engineTime bounds a call of the engine on the same VM. It answers within a few milliseconds, or,
 	// when an order is lost, not at all.
 	engineTime = 25 * time.Millisecond
-	// peerTime bounds a call of another agent: two ways between data centres and one call of the engine.
-	peerTime = 60 * time.Millisecond
+	// orderTries bounds how often an order without an answer is given.
+	orderTries = 3
+	// loadTime bounds the loading of experts, and loadTick is the time between two looks at it.
+	loadTime = 3 * time.Second
+	loadTick = 10 * time.Millisecond
+	// peerTime bounds a call of another agent: two ways between data centres and the calls of its engine.
+	peerTime = 90 * time.Millisecond
 	// silence is how long no coordinator may be heard before an agent stands up, and rankStep what each
 	// rank waits longer, so that one of them is first.
 	silence  = 700 * time.Millisecond
@@ -165,8 +170,22 @@
 	return err //nolint:wrapcheck // the coordinator names the rank
 }
 
-// order gives an order to the engine on the same VM.
+// order gives an order to the engine on the same VM, and again if there is no answer: each order holds
+// once, however often it is given under one fence. Loading is done when its experts are there.
 func (a *Agent) order(o services.RankOrder) services.RankAnswer {
+	answer := services.RankUnknown
+	for range orderTries {
+		if answer = a.orderOnce(o); answer != services.RankUnknown {
+			break
+		}
+	}
+	if o.Kind == services.RankPrepare && answer == services.RankDone {
+		return a.awaitLoaded(o)
+	}
+	return answer
+}
+
+func (a *Agent) orderOnce(o services.RankOrder) services.RankAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
 	defer cancel()
 	answer, err := a.opts.Engine.Order(ctx, o)
@@ -177,6 +196,23 @@
 	return answer
 }
 
+// awaitLoaded waits until the engine has loaded the experts of a map.
+func (a *Agent) awaitLoaded(o services.RankOrder) services.RankAnswer {
+	for end := time.Now().Add(loadTime); time.Now().Before(end); time.Sleep(loadTick) {
+		var r Reply
+		if err := a.status(false, &r); err != nil {
+			continue // the engine is asked again until the end
+		}
+		if r.Status.Epoch != o.Epoch || r.Status.Prepared > o.Version {
+			return services.RankConflict
+		}
+		if r.Status.Prepared == o.Version {
+			return services.RankDone
+		}
+	}
+	return services.RankUnknown
+}
+
 // Run looks for a coordinator until ctx ends, and is one when there is none.
 func (a *Agent) Run(ctx context.Context) {
 	var first Reply
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -20,7 +20,7 @@
 const (
 	// lookEvery is the time between two looks at the ranks. Demand shifts every few seconds; the time of
 	// a look is part of the time in which steps are too long.
-	lookEvery = 100 * time.Millisecond
+	lookEvery = 70 * time.Millisecond
 	// nodesEvery is the time between two reads of the list of processes.
 	nodesEvery = 4 * time.Second
 	// alone is how long a coordinator goes on that reaches less than half of the ranks.
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -18,8 +18,8 @@
 type driver struct{ c *coordinator }
 
 const (
-	// driveTick is the time between two looks at the ranks while experts are loaded.
-	driveTick = 40 * time.Millisecond
+	// driveTick is the time between two looks at the ranks during a change.
+	driveTick = 80 * time.Millisecond
 	// resendPause is the pause before an order that had no answer is sent again.
 	resendPause = 5 * time.Millisecond
 )
@@ -110,7 +110,11 @@
 		}
 		return answer
 	}
-	cctx, cancel := context.WithTimeout(ctx, peerTime)
+	patience := peerTime
+	if s.Order.Kind == services.RankPrepare {
+		patience += loadTime
+	}
+	cctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var r OrderReply
 	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Order: s.Order}, &r)
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -15,15 +15,18 @@
 
 const (
 	// popularityHalfLife is the time in which past choices count half. Demand shifts every few seconds.
-	popularityHalfLife = 250 * time.Millisecond
+	popularityHalfLife = 140 * time.Millisecond
 	// fewestChoices is the number of choices of a layer on which a plan may rest, for each expert.
 	fewestChoices = 4
 	// enoughSkew is the skew up to which a layer is left alone.
-	enoughSkew = 1.08
+	enoughSkew = 1.1
 	// movePrice is the part of a layer's time that one loaded expert must save.
-	movePrice = 0.012
+	movePrice = 0.016
 	// changeGain is the fall of the mean skew that a change must bring at least.
-	changeGain = 0.04
+	changeGain = 0.07
+	// freshAtOnce is the number of experts of a layer that a rank loads in one change. Each takes a tenth
+	// of a second, in which passes are slower; the next change follows at once.
+	freshAtOnce = 1
 	// retryAfter is the pause after a change that failed.
 	retryAfter = 200 * time.Millisecond
 )
@@ -63,7 +66,7 @@
 	}
 	popularity := p.smooth()
 	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
-		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: p.engine.MaxFresh, Enough: enoughSkew,
+		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), Enough: enoughSkew,
 	}, nil)
 	if err != nil {
 		return nil
