Maps are left alone while passes are short

Change: the acceptable skew follows from the forecast pass (up to 1.5 while a pass stays within half of the pause goal, 1.1 beyond).

--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -49,9 +49,11 @@
 	fence     services.Fence
 	first     services.RankStatus
 	engine    *catalog.Engine
-	nodesAt   time.Time
-	routers   []peer.Info
-	agents    []peer.Info
+	// goal is the shortest pause goal of the routes to the service.
+	goal    time.Duration
+	nodesAt time.Time
+	routers []peer.Info
+	agents  []peer.Info
 	// members holds the ranks, in their order.
 	members []*member
 	planner *planner
@@ -134,9 +136,24 @@
 		return
 	}
 	for _, k := range catalogs {
-		for i := range k.Value.Services {
-			if s := &k.Value.Services[i]; string(s.ID) == c.service {
-				c.engine = s.Engine
+		if k.Value != nil {
+			c.takeFigures(k.Value)
+		}
+	}
+}
+
+// takeFigures keeps what the catalog says of the service.
+func (c *coordinator) takeFigures(k *catalog.Catalog) {
+	for i := range k.Services {
+		if s := &k.Services[i]; string(s.ID) == c.service {
+			c.engine = s.Engine
+		}
+	}
+	for i := range k.Routes {
+		r := &k.Routes[i]
+		for _, t := range r.Targets {
+			if string(t.Service) == c.service && r.PauseGoal > 0 && (c.goal == 0 || r.PauseGoal < c.goal) {
+				c.goal = r.PauseGoal
 			}
 		}
 	}
@@ -340,13 +357,15 @@
 		if !ok {
 			return
 		}
-		c.planner = newPlanner(c.engine, status[0].Epoch, current)
+		c.planner = newPlanner(c.engine, c.goal, status[0].Epoch, current)
 	}
 	counts := make([]services.RankCounts, len(c.members))
+	writers := 0.0
 	for i, m := range c.members {
 		counts[i] = m.counts
+		writers += float64(m.status.Running) / float64(len(c.members))
 	}
-	next := c.planner.plan(now, counts)
+	next := c.planner.plan(now, counts, writers)
 	if next != nil {
 		c.version++
 		next.Version = c.version
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -10,6 +10,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/placement"
 )
 
@@ -18,8 +19,12 @@
 	popularityHalfLife = 140 * time.Millisecond
 	// fewestChoices is the number of choices of a layer on which a plan may rest, for each expert.
 	fewestChoices = 4
-	// enoughSkew is the skew up to which a layer is left alone.
+	// enoughSkew is the skew up to which a layer is left alone when passes are long, and restSkew when
+	// they are short.
 	enoughSkew = 1.1
+	restSkew   = 1.5
+	// restPart is the part of the pause goal up to which a pass is short: a shift of demand about doubles it.
+	restPart = 0.5
 	// movePrice is the part of a layer's time that one loaded expert must save.
 	movePrice = 0.016
 	// changeGain is the fall of the mean skew that a change must bring at least.
@@ -33,7 +38,9 @@
 
 // planner decides which map a group should have. It does no I/O and reads no clock.
 type planner struct {
-	engine  *catalog.Engine
+	engine *catalog.Engine
+	// goal is the longest pause between two events of a stream; 0 if none is given.
+	goal    time.Duration
 	epoch   services.Epoch
 	current *expertmap.Map
 	counts  []services.RankCounts
@@ -45,8 +52,8 @@
 	moves int
 }
 
-func newPlanner(e *catalog.Engine, epoch services.Epoch, current *expertmap.Map) *planner {
-	p := &planner{engine: e, epoch: epoch, current: current}
+func newPlanner(e *catalog.Engine, goal time.Duration, epoch services.Epoch, current *expertmap.Map) *planner {
+	p := &planner{engine: e, goal: goal, epoch: epoch, current: current}
 	p.recent = make(placement.Popularity, e.Layers)
 	for l := range p.recent {
 		p.recent[l] = make([]float64, e.Experts)
@@ -54,8 +61,25 @@
 	return p
 }
 
-// plan takes in new counts and returns a better map, or nil if none pays.
-func (p *planner) plan(now time.Time, counts []services.RankCounts) *expertmap.Map {
+// enoughFor returns the skew up to which a layer is left alone when a rank writes so many streams.
+func (p *planner) enoughFor(writers float64) float64 {
+	if p.goal == 0 {
+		return enoughSkew
+	}
+	within := time.Duration(restPart * float64(p.goal))
+	load := balance.PassLoad{Mean: writers, Max: writers, Context: p.engine.UsualPrompt, Reading: p.engine.UsualPrompt, Skew: restSkew}
+	for load.Skew > enoughSkew && balance.Pass(p.engine, load) > within {
+		load.Skew -= skewStep
+	}
+	return load.Skew
+}
+
+// skewStep is the step in which an acceptable skew is searched for.
+const skewStep = 0.05
+
+// plan takes in new counts and the streams that a rank writes on average, and returns a better map, or
+// nil if none pays.
+func (p *planner) plan(now time.Time, counts []services.RankCounts, writers float64) *expertmap.Map {
 	p.count(now, counts)
 	if !p.enough() || now.Before(p.pauseTo) {
 		return nil
@@ -66,7 +90,7 @@
 	}
 	popularity := p.smooth()
 	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
-		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), Enough: enoughSkew,
+		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), Enough: p.enoughFor(writers),
 	}, nil)
 	if err != nil {
 		return nil
