A takeover fences all ranks before it looks; each change of map has a fence of its own

Cause, found by the new explorer (orders lost, late, several coordinators that freeze): a takeover disarmed the highest version it had seen and not the one armed; it looked before it had raised the fence, while the earlier coordinator still armed; a late release of an earlier change ended the hold of the next, because both had the same fence and pass. Ruled out: the hold itself (the naive way without it breaks in TestExploreNaive). Change: Settle raises the fence first and decides by what is reported after that; a rank counts as disarmed only by a status asked for after it took the fence; every machine has a fence above the last; 32 bits for what a coordinator counts up.

--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -21,7 +21,7 @@
 		var changes []services.Change[T]
 		var err error
 		if whole {
-			changes, next, err = snapshot(ctx, f)
+			changes, next, err = f.Snapshot(ctx)
 		} else {
 			var to services.Offset
 			if changes, to, err = f.Changes(ctx, next, wait); err == nil {
@@ -42,7 +42,3 @@
 		whole = false
 	}
 }
-
-func snapshot[T any](ctx context.Context, f services.Feed[T]) ([]services.Change[T], services.Offset, error) {
-	return f.Snapshot(ctx) //nolint:wrapcheck // the feed names the stream
-}
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -23,13 +23,15 @@
 
 // The stages, in their order. A change that fails goes from StageArm to StageDisarm.
 const (
-	// StageFence raises the fence at all ranks after a takeover, and takes back what is armed.
+	// StageSettleHold stops the group before a pass for which an earlier coordinator has armed ranks.
 	StageSettleHold Stage = "settle-hold"
-	StagePrepare    Stage = "prepare"
-	StageHold       Stage = "hold"
-	StageArm        Stage = "arm"
-	StageDisarm     Stage = "disarm"
-	StageRelease    Stage = "release"
+	// StageFence raises the fence at all ranks after a takeover.
+	StageFence   Stage = "fence"
+	StagePrepare Stage = "prepare"
+	StageHold    Stage = "hold"
+	StageArm     Stage = "arm"
+	StageDisarm  Stage = "disarm"
+	StageRelease Stage = "release"
 	// StageDone says that all ranks take the new map, StageFailed that none does.
 	StageDone   Stage = "done"
 	StageFailed Stage = "failed"
@@ -44,6 +46,8 @@
 	armTime = 350 * time.Millisecond
 	// lead is the number of passes between the last that has begun and the one that takes the map.
 	lead = 1
+	// unusedVersion is the last of the versions that a coordinator counts up.
+	unusedVersion = 1<<32 - 1
 	// maxHolds bounds how often a pass to hold is chosen anew because it has begun already.
 	maxHolds = 8
 )
@@ -68,16 +72,19 @@
 	layers  []expertmap.Layer
 	step    group.Step
 	holds   int
-	// released holds the pass to be let go at each rank that may hold one.
+	// release holds the pass to be let go at each rank that may hold one.
 	release map[group.Rank]group.Step
 	// done and sent tell for each rank whether it has confirmed the stage, and whether an order is on its way.
 	done, sent []bool
+	// fenced holds the time from which a rank is known to refuse lower fences, in StageDisarm.
+	fenced []time.Time
 	// failed says that the group must be let go without a new map.
 	failed bool
 }
 
 // Start returns the change of a group, as its ranks report it, to a new map. Self is the rank beside the
-// coordinator; it holds the pass.
+// coordinator; it holds the pass. Each machine needs a fence above that of the one before: otherwise a
+// late order of that one could, for example, let go what this one holds.
 func Start(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus, v expertmap.Version, layers []expertmap.Layer) *Machine {
 	m := newMachine(now, f, self, status)
 	m.version, m.layers = v, layers
@@ -86,30 +93,49 @@
 }
 
 // Settle returns the machine that takes back what an earlier coordinator has left behind, or nil if
-// there is nothing.
+// there is nothing. It raises the fence at all ranks first: what they report after that stays so.
 func Settle(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus) *Machine {
+	left := false
+	for _, s := range status {
+		left = left || s.Armed != 0 || s.Holds
+	}
+	if !left {
+		return nil
+	}
 	m := newMachine(now, f, self, status)
 	m.failed = true
-	armed := false
-	for r, s := range status {
-		m.version = max(m.version, s.Prepared)
+	// No rank ever has this version: a disarm of it raises the fence and changes nothing else.
+	m.version = expertmap.Version(f) | unusedVersion
+	m.enter(now, StageFence)
+	return m
+}
+
+// decide chooses how to go on once no earlier coordinator can change anything.
+func (m *Machine) decide(now time.Time) {
+	first, same, armed := m.status[0], true, false
+	m.step = 0
+	held := false
+	for r, s := range m.status {
+		same = same && s.Armed == first.Armed && s.ArmedAt == first.ArmedAt
 		if s.Armed != 0 {
-			armed, m.step, m.version = true, s.ArmedAt, max(m.version, s.Armed)
+			armed, m.step = true, max(m.step, s.ArmedAt)
 		}
 		if s.Holds {
 			m.release[group.Rank(r)] = s.Held
 		}
 	}
+	for _, step := range m.release {
+		held = held || step <= m.step
+	}
 	switch {
-	case armed:
-		// The pass may be about to begin: stop the group before it, then look again.
-		m.enter(now, StageSettleHold)
-	case len(m.release) > 0:
+	case !armed || same:
+		// Nothing is armed, or all ranks take the same map in the same pass.
+		m.enter(now, StageRelease)
+	case held:
 		m.enter(now, StageDisarm)
 	default:
-		return nil
+		m.enter(now, StageSettleHold)
 	}
-	return m
 }
 
 func newMachine(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus) *Machine {
@@ -130,6 +156,7 @@
 func (m *Machine) enter(now time.Time, s Stage) {
 	m.stage, m.since = s, now
 	m.done, m.sent = make([]bool, len(m.status)), make([]bool, len(m.status))
+	m.fenced = make([]time.Time, len(m.status))
 	if s == StageHold {
 		m.step = max(m.lastStep()+lead, m.step+1)
 	}
@@ -180,8 +207,13 @@
 		o.Kind = services.RankHold
 	case StageArm:
 		o.Kind = services.RankArm
+	case StageFence:
+		o.Kind = services.RankDisarm
 	case StageDisarm:
 		o.Kind = services.RankDisarm
+		if armed := m.status[r].Armed; armed != 0 {
+			o.Version = armed
+		}
 	case StageRelease:
 		o.Kind, o.Step = services.RankRelease, m.release[r]
 	case StageDone, StageFailed, StageLost:
@@ -197,7 +229,7 @@
 	m.sent[s.Rank] = false
 	switch a {
 	case services.RankDone:
-		m.done[s.Rank] = true
+		m.confirm(now, s.Rank)
 	case services.RankFenced:
 		m.stage = StageLost
 		return
@@ -208,6 +240,16 @@
 	m.advance(now)
 }
 
+// confirm notes that an order holds at a rank. A rank counts as fenced or disarmed only once its status was
+// asked for after it had taken the fence: an earlier coordinator may have armed it until then.
+func (m *Machine) confirm(now time.Time, r group.Rank) {
+	if m.stage != StageDisarm && m.stage != StageFence {
+		m.done[r] = true
+		return
+	}
+	m.fenced[r], m.sent[r] = now, true
+}
+
 func (m *Machine) conflict(now time.Time, r group.Rank) {
 	switch m.stage {
 	case StagePrepare:
@@ -220,11 +262,11 @@
 		m.enter(now, StageHold)
 	case StageSettleHold:
 		// The pass has begun, so nothing is armed for it any more.
-		m.enter(now, StageDisarm)
+		m.enter(now, StageFence)
 	case StageArm:
 		m.takeBack(now)
-	case StageDisarm, StageRelease:
-		m.done[r] = true
+	case StageFence, StageDisarm, StageRelease:
+		m.confirm(now, r)
 	case StageDone, StageFailed, StageLost:
 	}
 }
@@ -236,8 +278,8 @@
 	m.enter(now, StageDisarm)
 }
 
-// Observe takes in what a rank reports.
-func (m *Machine) Observe(now time.Time, r group.Rank, s services.RankStatus) {
+// Observe takes in what a rank reports, and when it was asked.
+func (m *Machine) Observe(now, asked time.Time, r group.Rank, s services.RankStatus) {
 	if m.Ended() {
 		return
 	}
@@ -247,8 +289,14 @@
 		return
 	}
 	m.status[r] = s
-	if m.stage == StagePrepare && s.Prepared == m.version {
+	switch {
+	case m.stage == StagePrepare && s.Prepared == m.version:
+		m.done[r] = true
+	case m.stage == StageFence && !m.fenced[r].IsZero() && asked.After(m.fenced[r]):
 		m.done[r] = true
+	case m.stage == StageDisarm && !m.fenced[r].IsZero() && asked.After(m.fenced[r]):
+		m.done[r] = s.Armed == 0
+		m.sent[r] = m.done[r]
 	}
 	m.advance(now)
 }
@@ -269,6 +317,8 @@
 		return
 	}
 	switch m.stage {
+	case StageFence:
+		m.decide(now)
 	case StagePrepare:
 		m.enter(now, StageHold)
 	case StageHold:
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -21,8 +21,8 @@
 // Authority numbers coordinators: each takes a higher one from the platform's log.
 type Authority uint64
 
-// fenceBits is the part of a fence that a coordinator counts up by itself.
-const fenceBits = 20
+// fenceBits is the part of a fence, and of a version, that a coordinator counts up by itself.
+const fenceBits = 32
 
 // fence returns the first fence of an authority.
 func (a Authority) fence() services.Fence { return services.Fence(a) << fenceBits }
@@ -57,7 +57,6 @@
 	highest Authority
 	asked   time.Time
 	rank    int
-	coord   *coordinator
 }
 
 // New returns an agent.
@@ -141,7 +140,7 @@
 	defer cancel()
 	m, err := p.a.opts.Engine.Map(ctx)
 	*r = m
-	return err //nolint:wrapcheck // the coordinator names the rank
+	return err
 }
 
 // hear notes that a coordinator is alive and returns the highest authority.
@@ -159,7 +158,7 @@
 	defer cancel()
 	var err error
 	if r.Status, err = a.opts.Engine.Status(ctx); err != nil {
-		return err //nolint:wrapcheck // the coordinator names the rank
+		return err
 	}
 	a.mu.Lock()
 	a.rank = int(r.Status.Rank)
@@ -167,7 +166,7 @@
 	if counts {
 		r.Counts, err = a.opts.Engine.Counts(ctx)
 	}
-	return err //nolint:wrapcheck // the coordinator names the rank
+	return err
 }
 
 // order gives an order to the engine on the same VM, and again if there is no answer: each order holds
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -420,7 +420,7 @@
 	defer cancel()
 	m := c.members[r]
 	if m.info.Name == c.a.opts.Self.Name {
-		return c.a.opts.Engine.Map(cctx) //nolint:wrapcheck // the caller names the rank
+		return c.a.opts.Engine.Map(cctx)
 	}
 	var held services.RankMap
 	if err := c.a.opts.Pool.Call(cctx, m.info.Address, "Rank.Map", Ask{Authority: c.authority}, &held); err == nil {
@@ -428,5 +428,5 @@
 	}
 	dctx, dcancel := context.WithTimeout(ctx, peerTime)
 	defer dcancel()
-	return c.a.opts.Dial(m.info.Engine).Map(dctx) //nolint:wrapcheck // the caller names the rank
+	return c.a.opts.Dial(m.info.Engine).Map(dctx)
 }
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -31,11 +31,11 @@
 
 // settle takes back what an earlier coordinator has left behind. It returns false if there was nothing.
 func (d *driver) settle(ctx context.Context, status []services.RankStatus) bool {
-	m := mapswitch.Settle(time.Now(), d.c.fence, d.self(status), status)
+	m := mapswitch.Settle(time.Now(), d.c.fence+1, d.self(status), status)
 	if m == nil {
 		return false
 	}
-	d.c.a.opts.Logger.Info().Uint64("fence", uint64(d.c.fence)).Uint64("epoch", uint64(status[0].Epoch)).Msg("map-settle")
+	d.c.a.opts.Logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).Msg("map-settle")
 	d.drive(ctx, m)
 	return true
 }
@@ -43,9 +43,9 @@
 // change brings a new map into force.
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
 	began := time.Now()
-	m := mapswitch.Start(began, d.c.fence, d.self(status), status, next.Version, next.Layers)
+	m := mapswitch.Start(began, d.c.fence+1, d.self(status), status, next.Version, next.Layers)
 	stage := d.drive(ctx, m)
-	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(d.c.fence)).Uint64("epoch", uint64(status[0].Epoch)).
+	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
 		Int64("took_ms", time.Since(began).Milliseconds()).Msg("map-change")
 	if stage == mapswitch.StageDone {
@@ -91,11 +91,12 @@
 
 // observe asks all ranks and tells the machine. Routers go on being told.
 func (d *driver) observe(ctx context.Context, m *mapswitch.Machine) {
+	asked := time.Now()
 	d.c.look(ctx, false)
 	now := time.Now()
 	for r, mb := range d.c.members {
-		if mb.known && now.Sub(mb.heard) < driveTick {
-			m.Observe(now, group.Rank(r), mb.status)
+		if mb.known && mb.heard.After(asked) {
+			m.Observe(now, asked, group.Rank(r), mb.status)
 		}
 	}
 	d.c.tellRouters(ctx, now)
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -159,7 +159,7 @@
 // receive reads the head of the answer to this request. Answers to others that come first are dropped.
 func (x *exchange) receive(a *answer) error {
 	for range maxStale + 1 {
-		resp, err := a.conn.Receive(x.req.Method)
+		resp, err := a.conn.Receive(x.req.Method) //nolint:bodyclose // the connection owns the body
 		if err != nil {
 			return fmt.Errorf("upstream %s: %w", a.upstream.ID, err)
 		}
