--- a/modules/httpconn/conn.go
+++ b/modules/httpconn/conn.go
@@ -114,6 +114,7 @@
 func (c *Conn) sentWhole() bool {
 	select {
 	case err := <-c.written:
+		c.written <- err // it may be asked again
 		return err == nil
 	default:
 		return false
--- /dev/null
+++ b/modules/httpconn/httpconn_test.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package httpconn_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/httpconn"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+)
+
+// listen serves each connection with f.
+func listen(t *testing.T, f func(c net.Conn)) string {
+	t.Helper()
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+
+func exchange(t *testing.T, p *httpconn.Pool, address string) bool {
+	t.Helper()
+	c, reused, err := p.Take(t.Context(), time.Now(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send(&httpconn.Request{Method: "POST", Target: "/x%2Fy?z", Host: "h", Header: http.Header{"A": {"b"}}, Body: []byte("hello")}); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Receive("POST") //nolint:bodyclose // the connection owns the body
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
+		t.Fatalf("body %q, %v", body, err)
+	}
+	if rest, ok := httpconn.Reusable(resp); ok {
+		p.Give(time.Now(), c, rest)
+	}
+	return reused
+}
+
+// TestReuse checks which connections carry a second request.
+func TestReuse(t *testing.T) {
+	ready := make(chan struct{}, 4)
+	serve := func(after func(c net.Conn)) func(net.Conn) {
+		return func(c net.Conn) {
+			in := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if body, _ := io.ReadAll(req.Body); string(body) != "hello" || req.RequestURI != "/x%2Fy?z" || req.Header.Get("A") != "b" {
+					t.Errorf("got %s, body %q", req.RequestURI, body)
+				}
+				_, _ = io.WriteString(c, answer)
+				after(c)
+				ready <- struct{}{}
+			}
+		}
+	}
+	cases := map[string]struct {
+		after  func(c net.Conn)
+		reused bool
+	}{
+		"an open one":                   {func(net.Conn) {}, true},
+		"one that the peer has closed":  {func(c net.Conn) { _ = c.Close() }, false},
+		"one on which more has arrived": {func(c net.Conn) { _, _ = io.WriteString(c, answer) }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := httpconn.NewPool()
+			defer p.Close()
+			address := listen(t, serve(c.after))
+			exchange(t, p, address)
+			<-ready
+			if c.reused {
+				if !exchange(t, p, address) {
+					t.Error("a new connection was opened")
+				}
+				return
+			}
+			// What the peer did after its answer arrives some time later.
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+				conn, reused, err := p.Take(t.Context(), time.Now(), address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !reused {
+					conn.Close()
+					return
+				}
+				p.Give(time.Now(), conn, time.Minute)
+			}
+			t.Error("the connection was used again")
+		})
+	}
+}
+
+// TestEarlyAnswer checks that an answer which comes before a long request was read is seen, and that the
+// connection carries no other request.
+func TestEarlyAnswer(t *testing.T) {
+	address := listen(t, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
+	p := httpconn.NewPool()
+	defer p.Close()
+	c, _, err := p.Take(t.Context(), time.Now(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send(&httpconn.Request{Method: "POST", Target: "/", Host: "h", Body: []byte(strings.Repeat("x", 64<<20))}); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Receive("POST") //nolint:bodyclose // the connection owns the body
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answer: %v", err)
+	}
+	if err := httpconn.Drain(resp, 10); err != nil {
+		t.Fatal(err)
+	}
+	p.Give(time.Now(), c, time.Minute)
+	if other, reused, err := p.Take(t.Context(), time.Now(), address); err != nil || reused {
+		t.Errorf("reused %t, %v", reused, err)
+	} else {
+		other.Close()
+	}
+}
+
+// TestNotSent checks that a connection which never came up is told from one that broke.
+func TestNotSent(t *testing.T) {
+	_, _, err := httpconn.NewPool().Take(t.Context(), time.Now(), "127.0.0.1:1")
+	var unsent httpconn.ErrNotSent
+	if !errors.As(err, &unsent) {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/services/balance/balance_test.go
@@ -0,0 +1,188 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+)
+
+var begin = time.Unix(1000, 0)
+
+var engine = &catalog.Engine{
+	Slots: 12, Stride: 4, StepMillis: 4.55, WriterMillis: 0.905, ContextMillis: 0.0183, ReadPerSecond: 61400, Chunk: 512,
+	UsualPrompt: 835, Layers: 4, Experts: 72, Places: 8, ExpertShare: 0.85,
+}
+
+// TestBudget plays routers that retry whenever they may, in random order, and restart: in no window may
+// they have more than the users' bound together.
+func TestBudget(t *testing.T) {
+	const window, ratio, slack = 10 * time.Second, 0.2, 90.0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // no secret
+		budgets := make([]*Budget, 7)
+		for i := range budgets {
+			budgets[i] = NewBudget(begin, ratio, slack, window, len(budgets))
+		}
+		var requests, retries []time.Time
+		for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
+			i := r.IntN(len(budgets))
+			if r.IntN(2) == 0 {
+				budgets[i].Request(now)
+				requests = append(requests, now)
+			}
+			for budgets[i].Take(now) {
+				retries = append(retries, now)
+			}
+			if now.Sub(begin) == 30*time.Second { // all are killed at once
+				for k := range budgets {
+					budgets[k] = NewBudget(now, ratio, slack, window, len(budgets))
+				}
+			}
+		}
+		within := func(list []time.Time, from time.Time) int {
+			n := 0
+			for _, at := range list {
+				if !at.Before(from) && at.Before(from.Add(window)) {
+					n++
+				}
+			}
+			return n
+		}
+		for from := begin; from.Before(begin.Add(50 * time.Second)); from = from.Add(500 * time.Millisecond) {
+			if got, most := within(retries, from), ratio*float64(within(requests, from))+slack; float64(got) > most {
+				t.Fatalf("seed %d: %d retries from %s on, bound %.0f", seed, got, from.Sub(begin), most)
+			}
+		}
+		if len(retries) == 0 {
+			t.Error("nobody may ever retry")
+		}
+	}
+}
+
+// TestLimit checks that the limit falls with the skew and with the goal, and that the forecast keeps the goal.
+func TestLimit(t *testing.T) {
+	last := engine.Slots + 1
+	for skew := 1.0; skew < 4; skew += 0.2 {
+		n := Limit(engine, skew, 110*time.Millisecond)
+		if n > last || n < 1 {
+			t.Errorf("skew %.1f: limit %d after %d", skew, n, last)
+		}
+		load := PassLoad{Mean: float64(n), Max: float64(n), Context: engine.UsualPrompt, Reading: engine.UsualPrompt, Skew: skew, Copying: true}
+		if got := Pass(engine, load); n > 1 && got > 110*time.Millisecond {
+			t.Errorf("skew %.1f: pass %s at the limit", skew, got)
+		}
+		last = n
+	}
+}
+
+func candidates(n int) ([]upstream.Instance, map[string]upstream.ID) {
+	var list []upstream.Instance
+	ids := map[string]upstream.ID{}
+	for i := range n {
+		u := upstream.Instance{ID: upstream.ID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), Slots: 6}
+		list = append(list, u)
+		ids[u.Address] = u.ID
+	}
+	return list, ids
+}
+
+// TestHerd lets several routers with the same reports place requests that engines do not report yet, and
+// compares the fullest rank with what routers do that go by the engines' reports alone.
+func TestHerd(t *testing.T) {
+	const routers, ranks, rounds, perRound = 6, 12, 40, 10
+	fullest := func(tell bool) int {
+		cands, ids := candidates(ranks)
+		pools := make([]*Pool, routers)
+		for i := range pools {
+			pools[i] = NewPool("")
+		}
+		sent := map[upstream.ID]int{}
+		told := make([]Unstarted, routers)
+		most := 0
+		for round := range rounds {
+			now := begin.Add(time.Duration(round) * 100 * time.Millisecond)
+			g := Group{Open: true}
+			for _, c := range cands {
+				l := RankLoad{Address: c.Address}
+				for i := range told {
+					if tell {
+						l.Unstarted += told[i][c.Address]
+					}
+				}
+				g.Ranks = append(g.Ranks, l)
+			}
+			for i := range pools {
+				told[i] = pools[i].Report(now, g, ids)
+			}
+			for k := range perRound {
+				p := pools[k%routers]
+				u, ok := p.Pick(now, cands, Ask{Engine: engine, Routers: routers})
+				if !ok {
+					t.Fatal("no room")
+				}
+				p.Sent(u.ID)
+				sent[u.ID]++
+				most = max(most, sent[u.ID])
+			}
+		}
+		return most
+	}
+	even := rounds * perRound / ranks
+	if got := fullest(true); got > even+6 {
+		t.Errorf("the fullest rank has %d requests, %d would be even", got, even)
+	}
+}
+
+// TestPick checks what makes an upstream be passed over.
+func TestPick(t *testing.T) {
+	cands, _ := candidates(2)
+	cases := map[string]struct {
+		do   func(p *Pool)
+		ask  Ask
+		at   time.Duration
+		want upstream.ID
+	}{
+		"the one with fewer requests": {func(p *Pool) { p.Sent("u0") }, Ask{}, 0, "u1"},
+		"not one that is excluded":    {func(*Pool) {}, Ask{Exclude: map[upstream.ID]bool{"u1": true}}, 0, "u0"},
+		"not one that fails":          {func(p *Pool) { p.Sent("u0"); p.Done(begin, "u0", ResultError, 0, false) }, Ask{}, 0, "u1"},
+		"not one that is slow": {func(p *Pool) {
+			for range 20 {
+				p.Sent("u0")
+				p.Done(begin, "u0", ResultOK, time.Second, true)
+				p.Sent("u1")
+				p.Done(begin, "u1", ResultOK, 50*time.Millisecond, true)
+			}
+		}, Ask{}, 0, "u1"},
+		"not one that cannot be reached": {func(p *Pool) { p.Sent("u1"); p.Done(begin, "u1", ResultUnreached, 0, false); p.Sent("u0") }, Ask{}, 0, "u0"},
+		"none when all are at the limit": {func(p *Pool) { p.Sent("u0"); p.Sent("u1") }, Ask{Limit: 1}, 0, ""},
+		"none when the mean is reached":  {func(p *Pool) { p.Sent("u0"); p.Sent("u0") }, Ask{Mean: 1}, 0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool("")
+			c.do(p)
+			if got, _ := p.Pick(begin.Add(c.at), cands, c.ask); got.ID != c.want {
+				t.Errorf("picked %q, want %q", got.ID, c.want)
+			}
+		})
+	}
+}
+
+// TestClosed checks that a group counts as broken only by a recent report.
+func TestClosed(t *testing.T) {
+	p := NewPool("")
+	if p.Closed(begin) {
+		t.Error("a group without a report is closed")
+	}
+	p.Report(begin, Group{}, nil)
+	if !p.Closed(begin) || p.Closed(begin.Add(reportValid+1)) {
+		t.Error("a broken group is open, or an old report counts")
+	}
+}
--- /dev/null
+++ b/services/relay/relay_test.go
@@ -0,0 +1,379 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/knowledge"
+
+	"github.com/rs/zerolog"
+)
+
+// protocol is a caller protocol of the tests' own.
+type protocol struct{}
+
+func (protocol) Describe(h http.Header) services.CallerMeta {
+	ms, _ := strconv.Atoi(h.Get("Patience"))
+	return services.CallerMeta{ID: request.ID(h.Get("Id")), Key: catalog.Key(h.Get("Key")), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last")}
+}
+
+func (protocol) Outgoing(h http.Header, o services.Outgoing) http.Header {
+	out := http.Header{"Id": h["Id"], "To": {string(o.Upstream)}, "Account": {string(o.Account)}}
+	if o.LastEvent != "" {
+		out.Set("Last", o.LastEvent)
+	}
+	return out
+}
+
+func (protocol) Answer(status int, h http.Header) services.UpstreamAnswer {
+	a := services.UpstreamAnswer{ID: request.ID(h.Get("Id")), Execution: services.ExecutionDone}
+	switch {
+	case h.Get("Not-Run") != "":
+		a.Execution = services.ExecutionNone
+	case status >= 500:
+		a.Execution = services.ExecutionFailed
+	}
+	return a
+}
+
+func (protocol) Returned(h http.Header) http.Header { return h.Clone() }
+
+func (protocol) Refusal(_ request.ID, after time.Duration) http.Header {
+	if after == 0 {
+		return http.Header{}
+	}
+	return http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
+}
+
+// fake is an upstream that answers each request with what its script says. A request is what the head
+// said, by name, with the request line under "".
+type fake struct {
+	address string
+	got     atomic.Int32
+	closed  chan struct{}
+}
+
+func newFake(t *testing.T, script func(n int, head map[string]string, c net.Conn)) *fake {
+	t.Helper()
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{address: l.Addr().String(), closed: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c, script)
+		}
+	}()
+	return f
+}
+
+func (f *fake) serve(c net.Conn, script func(int, map[string]string, net.Conn)) {
+	defer func() { _ = c.Close() }()
+	for in := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			f.closed <- struct{}{}
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		head := map[string]string{"": req.Method + " " + req.RequestURI}
+		for name := range req.Header {
+			head[name] = req.Header.Get(name)
+		}
+		script(int(f.got.Add(1)), head, c)
+	}
+}
+
+func say(c net.Conn, format string, args ...any) { _, _ = fmt.Fprintf(c, format, args...) }
+
+func whole(c net.Conn, id, body string) {
+	say(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// reset ends a connection without a word.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+var testCatalog = catalog.Catalog{
+	Version: 3,
+	Routes: []catalog.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.KindSafe, Timeout: time.Second, Goal: 300 * time.Millisecond, MaxAttempts: 2, Targets: []catalog.Target{{Service: "s", Weight: 1}}},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: catalog.KindUnsafe, Timeout: time.Second, Goal: 300 * time.Millisecond, MaxAttempts: 2, Targets: []catalog.Target{{Service: "s", Weight: 1}}},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.KindStream, Resumable: true, Timeout: 2 * time.Second, Goal: 300 * time.Millisecond, MaxAttempts: 2, Targets: []catalog.Target{{Service: "s", Weight: 1}}},
+	},
+	Services: []catalog.Service{{ID: "s"}},
+	Accounts: []catalog.Account{{ID: "seiryu", Keys: []catalog.Key{"k"}}},
+}
+
+// start returns a router before some upstreams, and its relay.
+func start(t *testing.T, fakes ...*fake) (*httptest.Server, *Relay) {
+	t.Helper()
+	r := New(Options{
+		KeyFreshness: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		Protocol: protocol{}, Metrics: metrics.New("test"), Logger: zerolog.Nop(),
+	})
+	now := time.Now()
+	r.Know(func(s *knowledge.State) {
+		s.Catalog(now, &testCatalog)
+		var list []services.Change[upstream.Instance]
+		for i, f := range fakes {
+			u := upstream.Instance{ID: upstream.ID(fmt.Sprintf("u%d", i)), Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
+			list = append(list, services.Change[upstream.Instance]{Key: string(u.ID), Value: &u})
+		}
+		s.Upstreams(now, now, list, true)
+	})
+	s := httptest.NewServer(r)
+	t.Cleanup(func() { s.Close(); r.Close() })
+	return s, r
+}
+
+// get asks a router and returns the status, the header and the body; the error is that of the body.
+func get(t *testing.T, ctx context.Context, s *httptest.Server, path string, header map[string]string) (int, http.Header, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "k")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body), err
+}
+
+// TestAnswers sends one request through a router to upstreams that misbehave.
+func TestAnswers(t *testing.T) {
+	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", id, id) }
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	const streamHead = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct {
+		path   string
+		header map[string]string
+		script func(n int, head map[string]string, c net.Conn)
+		status int
+		body   string
+		// sent is the number of times that upstreams got the request.
+		sent int32
+		// retryAfter says that the answer tells when to come back; cut, that the answer must not look complete.
+		retryAfter, cut bool
+	}{
+		"a whole answer": {path: "/safe/x", script: func(_ int, h map[string]string, c net.Conn) { whole(c, h["Id"], "ok") }, status: 200, body: "ok", sent: 1},
+		"a full upstream did not run it": {path: "/unsafe/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				say(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			whole(c, h["Id"], "ok")
+		}, status: 200, body: "ok", sent: 2},
+		"all full": {path: "/unsafe/x", script: func(_ int, _ map[string]string, c net.Conn) {
+			say(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}, status: 503, sent: 2, retryAfter: true},
+		"an unsafe request that broke off is not sent again": {path: "/unsafe/x", script: func(_ int, _ map[string]string, c net.Conn) { reset(c) }, status: 502, sent: 1},
+		"a safe one is": {path: "/safe/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				reset(c)
+				return
+			}
+			whole(c, h["Id"], "ok")
+		}, status: 200, body: "ok", sent: 2},
+		"a failure of a safe request is tried elsewhere": {path: "/safe/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				say(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 0\r\n\r\n", h["Id"])
+				return
+			}
+			whole(c, h["Id"], "ok")
+		}, status: 200, body: "ok", sent: 2},
+		"a failure of an unsafe one is passed on": {path: "/unsafe/x", script: func(_ int, h map[string]string, c net.Conn) {
+			say(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 4\r\n\r\nwhy?", h["Id"])
+		}, status: 500, body: "why?", sent: 1},
+		"an answer to another request that comes first": {path: "/unsafe/x", script: func(_ int, h map[string]string, c net.Conn) {
+			whole(c, "other", "not yours")
+			whole(c, h["Id"], "ok")
+		}, status: 200, body: "ok", sent: 1},
+		"a body that is cut off": {path: "/unsafe/x", script: func(_ int, h map[string]string, c net.Conn) {
+			say(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nhalf", h["Id"])
+			_ = c.Close()
+		}, status: 502, sent: 1},
+		"a body without a length that is reset": {path: "/unsafe/x", script: func(_ int, h map[string]string, c net.Conn) {
+			say(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nhalf", h["Id"])
+			reset(c)
+		}, status: 502, sent: 1},
+		"bytes that are no answer": {path: "/unsafe/x", script: func(_ int, _ map[string]string, c net.Conn) {
+			say(c, "garbage\r\n\r\n")
+			_ = c.Close()
+		}, status: 502, sent: 1},
+		"a stream that breaks off in an event is resumed after the last whole one": {path: "/stream/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				say(c, "%s", streamHead+chunk(event(1)+event(2)+"id: 3\nda"))
+				reset(c)
+				return
+			}
+			if h["Last"] != "2" {
+				say(c, "HTTP/1.1 400 Wrong\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			say(c, "%s", streamHead+chunk(event(3)+event(4))+"0\r\n\r\n")
+		}, status: 200, body: event(1) + event(2) + event(3) + event(4), sent: 2},
+		"a stream that breaks off twice does not look complete": {path: "/stream/x", script: func(_ int, _ map[string]string, c net.Conn) {
+			say(c, "%s", streamHead+chunk(event(1)))
+			reset(c)
+		}, status: 200, sent: 2, cut: true},
+		"silence until the deadline": {path: "/unsafe/x", header: map[string]string{"Patience": "150"}, script: func(int, map[string]string, net.Conn) {}, status: 504, sent: 1},
+		"no such route":              {path: "/none/x", script: func(int, map[string]string, net.Conn) {}, status: 404},
+		"no such key":                {path: "/safe/x", header: map[string]string{"Key": "stolen"}, script: func(int, map[string]string, net.Conn) {}, status: 401},
+		"no request id":              {path: "/safe/x", header: map[string]string{"Id": ""}, script: func(int, map[string]string, net.Conn) {}, status: 400},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			script := func(_ int, h map[string]string, conn net.Conn) { c.script(int(n.Add(1)), h, conn) }
+			a, b := newFake(t, script), newFake(t, script)
+			s, _ := start(t, a, b)
+			status, header, body, err := get(t, t.Context(), s, c.path, c.header)
+			if status != c.status || (!c.cut && body != c.body) {
+				t.Errorf("status %d, body %q, want %d, %q", status, body, c.status, c.body)
+			}
+			if (err != nil) != c.cut {
+				t.Errorf("body ended with %v", err)
+			}
+			if got := a.got.Load() + b.got.Load(); got != c.sent {
+				t.Errorf("sent %d times, want %d", got, c.sent)
+			}
+			if (header.Get("Retry-After") != "") != c.retryAfter {
+				t.Errorf("Retry-After %q", header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// TestFreshness checks what a router may say by a catalog of some age.
+func TestFreshness(t *testing.T) {
+	cases := map[string]struct {
+		age    time.Duration
+		path   string
+		key    string
+		status int
+	}{
+		"a key lately seen":                   {2 * time.Second, "/safe/x", "k", 200},
+		"a key that may have been taken away": {4900 * time.Millisecond, "/safe/x", "k", 503},
+		"a new key may be missing":            {2 * time.Second, "/safe/x", "new", 503},
+		"a new route may be missing":          {2 * time.Second, "/new/x", "k", 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFake(t, func(_ int, h map[string]string, conn net.Conn) { whole(conn, h["Id"], "ok") })
+			s, r := start(t, f)
+			r.Know(func(k *knowledge.State) {
+				*k = *knowledge.New()
+				k.Catalog(time.Now().Add(-c.age), &testCatalog)
+				u := upstream.Instance{ID: "u0", Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
+				k.Upstreams(time.Now(), time.Now(), []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}, true)
+			})
+			status, header, _, _ := get(t, t.Context(), s, c.path, map[string]string{"Key": c.key})
+			if status != c.status || (status == 503) != (header.Get("Retry-After") != "") {
+				t.Errorf("status %d, Retry-After %q, want %d", status, header.Get("Retry-After"), c.status)
+			}
+		})
+	}
+}
+
+// TestCallerLeaves checks that an upstream's connection is closed when the caller's is.
+func TestCallerLeaves(t *testing.T) {
+	begun := make(chan struct{})
+	f := newFake(t, func(int, map[string]string, net.Conn) { close(begun) })
+	s, _ := start(t, f)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	if _, _, _, err := get(t, ctx, s, "/unsafe/x", nil); err == nil {
+		t.Error("the request was answered")
+	}
+	select {
+	case <-f.closed:
+	case <-time.After(10 * time.Second):
+		t.Error("the upstream still works on the request")
+	}
+}
+
+// TestLeavingUpstream checks that the state of an upstream counts when a request is sent to it, not
+// when it was chosen.
+func TestLeavingUpstream(t *testing.T) {
+	f := newFake(t, func(_ int, h map[string]string, c net.Conn) { whole(c, h["Id"], "ok") })
+	s, r := start(t, f)
+	r.Know(func(k *knowledge.State) {
+		u := upstream.Instance{ID: "u0", Service: "s", Address: f.address, Slots: 4, State: upstream.StateLeaving}
+		k.Upstreams(time.Now(), time.Now(), []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}, false)
+	})
+	if r.takes(upstream.Instance{ID: "u0"}) {
+		t.Error("a leaving upstream takes work")
+	}
+	if status, _, _, _ := get(t, t.Context(), s, "/safe/x", nil); status != http.StatusServiceUnavailable || f.got.Load() != 0 {
+		t.Errorf("status %d, %d sent", status, f.got.Load())
+	}
+}
+
+// TestLeave checks that a router which was told to stop goes on serving, says that the connection ends,
+// and after some time takes no more streams.
+func TestLeave(t *testing.T) {
+	f := newFake(t, func(_ int, h map[string]string, c net.Conn) { whole(c, h["Id"], "ok") })
+	s, r := start(t, f)
+	r.Leave(time.Now().Add(-leaveStreams - time.Second))
+	if status, _, body, _ := get(t, t.Context(), s, "/safe/x", nil); status != 200 || body != "ok" {
+		t.Errorf("status %d, body %q", status, body)
+	}
+	if status, header, _, _ := get(t, t.Context(), s, "/stream/x", nil); status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("a stream got status %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+}
+
+// TestTargets checks that the path of a request is what the caller wrote, and how hosts are compared.
+func TestTargets(t *testing.T) {
+	for target, want := range map[string]string{"/a/b?c=/d": "/a/b", "http://h/a?b": "/a", "/a%2Fb": "/a%2Fb"} {
+		if got := pathOf(target); got != want {
+			t.Errorf("path of %q: %q, want %q", target, got, want)
+		}
+	}
+	for host, want := range map[string]string{"h:80": "h", "h": "h"} {
+		if got := hostName(host); got != want {
+			t.Errorf("host of %q: %q, want %q", host, got, want)
+		}
+	}
+}
