--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -23,6 +23,8 @@
 	Copying bool
 	// Skew is the load of the heaviest rank of a layer against the mean; 1 is even.
 	Skew float64
+	// Pace is how many times longer than usual the slowest rank takes; 0 and 1 are usual.
+	Pace float64
 }
 
 // copySlowdown is how much longer a pass takes while experts are loaded; the operators' figure.
@@ -32,29 +34,36 @@
 // whose experts have most to do. Checked against reports in docs/design/pace.md.
 func Pass(e *catalog.Engine, l PassLoad) time.Duration {
 	writer := e.WriterMillis + e.ContextMillis*l.Context/1000
-	token := writer * ((1-e.ExpertShare)*l.Max + e.ExpertShare*l.Mean*l.Skew)
+	pace := max(l.Pace, 1)
+	token := writer * ((1-e.ExpertShare)*l.Max*pace + e.ExpertShare*l.Mean*l.Skew)
 	read := 0.0
 	if e.ReadPerSecond > 0 {
 		most := float64(e.Chunk * e.Stride)
 		read = min(l.Reading, most) / e.ReadPerSecond * 1000 * ((1 - e.ExpertShare) + e.ExpertShare*l.Skew/2)
 	}
-	ms := float64(e.Stride)*(e.StepMillis+token) + read
+	ms := float64(e.Stride)*(e.StepMillis*pace+token) + read
 	if l.Copying {
 		ms *= copySlowdown
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// Limit returns the number of streams that a rank may have so that a pass stays within a time.
-// It is at least 1 and at most the rank's slots.
-func Limit(e *catalog.Engine, skew float64, within time.Duration) int {
-	n := 1
+// Limit returns the number of streams that a rank may have so that a pass stays within a time. Where even
+// a few streams take longer, every stream is late anyway, and the rank may fill all its slots.
+func Limit(e *catalog.Engine, skew, pace float64, within time.Duration) int {
+	n := 0
 	for n < e.Slots {
 		w := float64(n + 1)
-		if Pass(e, PassLoad{Mean: w, Max: w, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew, Copying: true}) > within {
+		if Pass(e, PassLoad{Mean: w, Max: w, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew, Pace: pace, Copying: true}) > within {
 			break
 		}
 		n++
 	}
+	if n < fewStreams {
+		return e.Slots
+	}
 	return n
 }
+
+// fewStreams is the least number of streams of a rank for which the goal is kept.
+const fewStreams = 3
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -99,7 +99,8 @@
 	Service string
 	// Open says that the group works; a broken one answers nothing until it has formed anew.
 	Open bool
-	// Skew is the load of the heaviest rank against the mean under the map in force.
+	// Skew is the load of the heaviest rank against the mean under the map in force. It counts the time
+	// that ranks take, so it holds for slow ones too.
 	Skew float64
 	// Ranks lists the load of each rank.
 	Ranks []RankLoad
@@ -114,6 +115,8 @@
 	// Unstarted counts the requests that routers have sent and whose answers have not begun. The engine
 	// does not tell of a prompt that it is reading.
 	Unstarted int
+	// Pace is how many times longer than usual the rank takes.
+	Pace float64
 }
 
 // Unstarted tells a coordinator, for the address of each rank, how many of a router's requests have not begun.
@@ -166,6 +169,18 @@
 	return p.group.Skew
 }
 
+// Pace returns that of the slowest rank of the group, or 1.
+func (p *Pool) Pace(now time.Time) float64 {
+	pace := 1.0
+	if now.Sub(p.groupAt) > reportValid {
+		return pace
+	}
+	for _, r := range p.group.Ranks {
+		pace = max(pace, r.Pace)
+	}
+	return pace
+}
+
 // load estimates the requests at an upstream. Routers is the number of routers that send to it.
 func (p *Pool) load(now time.Time, s *state, routers int) float64 {
 	if now.Sub(s.reportedAt) < reportValid {
@@ -234,6 +249,8 @@
 		}
 		return score
 	}
+	// A stream at a slow rank makes the pass longer for all; a fuller rank of usual pace does not.
+	score *= max(s.report.Pace, 1)
 	if c.DataCentre != p.here {
 		score += farPenalty
 	}
--- a/services/rank.go
+++ b/services/rank.go
@@ -34,6 +34,8 @@
 	Holds bool
 	// Running and Waiting count requests.
 	Running, Waiting int
+	// Pace is how many times longer than usual the rank takes for its work; 1 is usual.
+	Pace float64
 }
 
 // RankOrderKind tells what a rank shall do.
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -296,7 +296,7 @@
 		if m.known && now.Sub(m.heard) < 2*directEvery {
 			g.Open = g.Open && m.status.Open
 			g.Ranks = append(g.Ranks, balance.RankLoad{
-				Address: m.info.Engine, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.unstartedAt(now, m.info.Engine),
+				Address: m.info.Engine, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.unstartedAt(now, m.info.Engine), Pace: m.status.Pace,
 			})
 		}
 	}
@@ -360,12 +360,14 @@
 		c.planner = newPlanner(c.engine, c.goal, status[0].Epoch, current)
 	}
 	counts := make([]services.RankCounts, len(c.members))
+	speed := make([]float64, len(c.members))
 	writers := 0.0
 	for i, m := range c.members {
 		counts[i] = m.counts
+		speed[i] = 1 / max(m.status.Pace, 1)
 		writers += float64(m.status.Running) / float64(len(c.members))
 	}
-	next := c.planner.plan(now, counts, writers)
+	next := c.planner.plan(now, counts, speed, writers)
 	if next != nil {
 		c.version++
 		next.Version = c.version
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -77,17 +77,13 @@
 // skewStep is the step in which an acceptable skew is searched for.
 const skewStep = 0.05
 
-// plan takes in new counts and the streams that a rank writes on average, and returns a better map, or
-// nil if none pays.
-func (p *planner) plan(now time.Time, counts []services.RankCounts, writers float64) *expertmap.Map {
+// plan takes in new counts, the relative speed of each rank and the streams that a rank writes on average,
+// and returns a better map, or nil if none pays.
+func (p *planner) plan(now time.Time, counts []services.RankCounts, speed []float64, writers float64) *expertmap.Map {
 	p.count(now, counts)
 	if !p.enough() || now.Before(p.pauseTo) {
 		return nil
 	}
-	speed := make([]float64, len(counts))
-	for i := range speed {
-		speed[i] = 1
-	}
 	popularity := p.smooth()
 	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
 		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), Enough: p.enoughFor(writers),
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -47,7 +47,7 @@
 		u, ok := x.r.acquire(ctx, x)
 		x.waited += time.Since(began)
 		if !ok {
-			x.giveUp(ctx, busy())
+			x.giveUp(ctx, x.busy())
 			return
 		}
 		x.last = u.ID
@@ -63,7 +63,7 @@
 		x.tried[u.ID] = true
 		if res == balance.ResultUnreached {
 			if dials++; dials >= maxDials {
-				x.giveUp(ctx, busy())
+				x.giveUp(ctx, x.busy())
 				return
 			}
 			continue
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -51,6 +51,7 @@
 	retryStarting = 300 * time.Millisecond
 	// retryBusy and retryBusySpread are when a caller may come back that found no room.
 	retryBusy       = 250 * time.Millisecond
+	retryBusyMax    = 1500 * time.Millisecond
 	retryBusySpread = 250 * time.Millisecond
 	// defaultPatience bounds requests whose route and caller give no time.
 	defaultPatience = 30 * time.Second
@@ -86,7 +87,9 @@
 	paidFor bool
 	last    upstream.ID
 	waited  time.Duration
-	stream  streamState
+	// comeBack is when room is forecast for a request that found none.
+	comeBack time.Duration
+	stream   streamState
 }
 
 // refusal is an answer of the router's own.
@@ -250,7 +253,8 @@
 }
 
 // busy returns the refusal for a request that has not run because there is no room.
-func busy() refusal {
+func (x *exchange) busy() refusal {
 	spread := time.Duration(rand.Int64N(int64(retryBusySpread))) //nolint:gosec // no secret
-	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, after: retryBusy + spread}
+	after := min(max(x.comeBack, retryBusy), retryBusyMax) + spread
+	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, after: after}
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -6,7 +6,6 @@
 package relay
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -52,9 +51,15 @@
 
 // lane is the way to the upstreams of one service.
 type lane struct {
+	service service.ID
 	pool    *balance.Pool
 	budget  *balance.Budget
+	// waiters lists the requests that wait for room; the one whose caller leaves first is the first.
 	waiters []*waiter
+	// granted holds the times of the latest choices, oldest first.
+	granted []time.Time
+	// patience holds the longest patience seen of the callers of each route.
+	patience map[string]time.Duration
 }
 
 // New returns a relay that knows nothing yet.
@@ -138,6 +143,7 @@
 	l, ok := r.pools[id]
 	if !ok {
 		l = &lane{
+			service: id, patience: map[string]time.Duration{},
 			pool:   balance.NewPool(r.opts.DataCentre),
 			budget: balance.NewBudget(now, r.opts.RetryRatio, r.opts.RetrySlack, r.opts.RetryWindow, r.routers),
 		}
@@ -161,132 +167,6 @@
 	return rt.Targets[0].Service
 }
 
-// waiter is a request that waits for an upstream with room.
-type waiter struct {
-	ask   balance.Ask
-	ready chan upstream.Instance
-}
-
-const (
-	// holdPart is the part of a route's goal that a request may wait for room. The rest is needed for
-	// the pass under way and for reading the prompt.
-	holdPart = 0.55
-	// maxWaiters bounds the requests that wait for one service at a router.
-	maxWaiters = 64
-	// passPart is the part of the pause goal that a pass may take by forecast.
-	passPart = 0.92
-	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
-	// follows some passes later.
-	guardSkew = 2.2
-	// unevenness is how many more requests than the mean a rank may have.
-	unevenness = 2
-	// plainRoom is the number of requests for each slot of a plain upstream that are sent to it at most.
-	plainRoom = 2
-)
-
-// acquire returns an upstream for a request, after a wait if need be, and notes the attempt. It returns
-// false if there is none: at once where waiting is no use.
-func (r *Relay) acquire(ctx context.Context, x *exchange) (upstream.Instance, bool) {
-	r.mu.Lock()
-	now := time.Now()
-	l := r.lane(now, x.service)
-	a := r.ask(now, l, x)
-	if len(l.waiters) == 0 {
-		if u, ok := r.pick(now, l, x.service, a); ok {
-			r.mu.Unlock()
-			return u, true
-		}
-	}
-	hold := min(time.Duration(holdPart*float64(x.route.Goal))-now.Sub(x.arrived), time.Until(x.deadline))
-	if l.pool.Closed(now) || len(l.waiters) >= maxWaiters || hold <= 0 || len(r.know.Usable(now, x.service)) == 0 {
-		r.mu.Unlock()
-		return upstream.Instance{}, false
-	}
-	w := &waiter{ask: a, ready: make(chan upstream.Instance, 1)}
-	l.waiters = append(l.waiters, w)
-	r.mu.Unlock()
-	return r.await(ctx, l, w, hold)
-}
-
-func (r *Relay) await(ctx context.Context, l *lane, w *waiter, hold time.Duration) (upstream.Instance, bool) {
-	t := time.NewTimer(hold)
-	defer t.Stop()
-	select {
-	case u := <-w.ready:
-		return u, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	select {
-	case u := <-w.ready:
-		return u, true
-	default:
-	}
-	for i := range l.waiters {
-		if l.waiters[i] == w {
-			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			break
-		}
-	}
-	return upstream.Instance{}, false
-}
-
-// ask tells what a request wants. The caller holds the lock.
-func (r *Relay) ask(now time.Time, l *lane, x *exchange) balance.Ask {
-	a := balance.Ask{Routers: r.routers, Exclude: x.tried}
-	if s := r.know.Index().Service(x.service); s != nil && s.Engine != nil {
-		a.Engine = s.Engine
-		a.Limit = s.Engine.Slots
-		if x.route.PauseGoal > 0 {
-			skew := max(l.pool.Skew(now), guardSkew)
-			a.Mean = balance.Limit(s.Engine, skew, time.Duration(passPart*float64(x.route.PauseGoal)))
-			a.Limit = min(a.Mean+unevenness, s.Engine.Slots)
-		}
-	}
-	return a
-}
-
-// pick chooses an upstream and notes the attempt. The caller holds the lock.
-func (r *Relay) pick(now time.Time, l *lane, id service.ID, a balance.Ask) (upstream.Instance, bool) {
-	cands := r.know.Usable(now, id)
-	if len(cands) == 0 || l.pool.Closed(now) {
-		return upstream.Instance{}, false
-	}
-	if a.Engine == nil {
-		a.Limit = plainRoom * cands[0].Slots
-	}
-	u, ok := l.pool.Pick(now, cands, a)
-	if ok {
-		l.pool.Sent(u.ID)
-	}
-	return u, ok
-}
-
-// wake lets waiting requests in while there is room. The caller holds the lock.
-func (r *Relay) wake(now time.Time, l *lane) {
-	for len(l.waiters) > 0 {
-		w := l.waiters[0]
-		id := r.serviceOf(l)
-		u, ok := r.pick(now, l, id, w.ask)
-		if !ok {
-			return
-		}
-		l.waiters = l.waiters[1:]
-		w.ready <- u
-	}
-}
-
-func (r *Relay) serviceOf(l *lane) service.ID {
-	for id, o := range r.pools {
-		if o == l {
-			return id
-		}
-	}
-	return ""
-}
-
 // release notes the end of an attempt.
 func (r *Relay) release(id service.ID, u upstream.Instance, res balance.Result, took time.Duration, started bool) {
 	now := time.Now()
