--- a/services/placement/decide.go
+++ b/services/placement/decide.go
@@ -17,6 +17,9 @@
 	MaxMoves int
 	// MaxFresh bounds the experts that one rank loads in one layer; 0 means any number.
 	MaxFresh int
+	// MaxRank bounds the experts that one rank loads in all layers together; 0 means any number. The rank
+	// with the most to load decides how long a change takes.
+	MaxRank int
 	// Enough is the skew up to which a layer is left alone.
 	Enough float64
 	// Slack is how far a layer's skew must rise above what the last look left it at, before it is
@@ -58,6 +61,19 @@
 // worth is what the change saves for each expert loaded.
 func (c change) worth() float64 { return c.saved / float64(c.moves) }
 
+// fits reports whether no rank loads too much if the change is made beside those chosen before.
+func (c change) fits(loads []int, most int) bool {
+	if most == 0 {
+		return true
+	}
+	for r, n := range c.layer.fresh {
+		if loads[r]+n > most {
+			return false
+		}
+	}
+	return true
+}
+
 // maxDoublings bounds how often the price is doubled to fit the moves into the budget.
 const maxDoublings = 10
 
@@ -87,10 +103,14 @@
 		}
 		return 0
 	})
+	loads := make([]int, len(speed))
 	for _, c := range changes {
-		if res.Moves+c.moves <= pol.MaxMoves {
+		if res.Moves+c.moves <= pol.MaxMoves && c.fits(loads, pol.MaxRank) {
 			layers[c.index] = c.layer
 			res.Moves += c.moves
+			for r, n := range c.layer.fresh {
+				loads[r] += n
+			}
 		}
 	}
 	res.After = meanSkew(layers)
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -32,6 +32,8 @@
 	// freshAtOnce is the number of experts of a layer that a rank loads in one change. Each takes a tenth
 	// of a second, in which passes are slower; the next change follows at once.
 	freshAtOnce = 1
+	// rankAtOnce is the number of experts that a rank loads in one change in all layers.
+	rankAtOnce = 2
 	// retryAfter is the pause after a change that failed.
 	retryAfter = 200 * time.Millisecond
 )
@@ -86,7 +88,7 @@
 	}
 	popularity := p.smooth()
 	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
-		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), Enough: p.enoughFor(writers),
+		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), MaxRank: rankAtOnce, Enough: p.enoughFor(writers),
 	}, nil)
 	if err != nil {
 		return nil
--- /dev/null
+++ b/services/rank/rank_test.go
@@ -0,0 +1,230 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/services"
+
+	"github.com/rs/zerolog"
+)
+
+var begin = time.Unix(1000, 0)
+
+// engine is a rank's engine that leaves the first orders of each kind without an answer.
+type engine struct {
+	mu     sync.Mutex
+	status services.RankStatus
+	silent int
+	orders []services.RankOrderKind
+	// loads is the number of questions after which the experts are there.
+	loads int
+}
+
+func (e *engine) Status(context.Context) (services.RankStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loads--; e.loads == 0 {
+		e.status.Prepared = 5
+	}
+	return e.status, nil
+}
+
+func (e *engine) Counts(context.Context) (services.RankCounts, error) {
+	return services.RankCounts{}, nil
+}
+
+func (e *engine) Map(context.Context) (services.RankMap, error) { return services.RankMap{}, nil }
+
+func (e *engine) Order(_ context.Context, o services.RankOrder) (services.RankAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o.Kind)
+	if e.silent--; e.silent >= 0 {
+		return services.RankUnknown, errors.New("no answer")
+	}
+	return services.RankDone, nil
+}
+
+// TestOrder checks that an agent gives an order again that had no answer, and answers for loading only
+// when the experts are there.
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		engine *engine
+		order  services.RankOrder
+		want   services.RankAnswer
+		given  int
+	}{
+		"answered":                  {&engine{}, services.RankOrder{Kind: services.RankArm}, services.RankDone, 1},
+		"answered the second time":  {&engine{silent: 1}, services.RankOrder{Kind: services.RankArm}, services.RankDone, 2},
+		"never answered":            {&engine{silent: 99}, services.RankOrder{Kind: services.RankHold}, services.RankUnknown, orderTries},
+		"loaded after a while":      {&engine{loads: 3}, services.RankOrder{Kind: services.RankPrepare, Version: 5}, services.RankDone, 1},
+		"a new epoch while loading": {&engine{status: services.RankStatus{Epoch: 2}}, services.RankOrder{Kind: services.RankPrepare, Version: 5, Epoch: 1}, services.RankConflict, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := New(begin, Options{Engine: c.engine, Logger: zerolog.Nop()})
+			if got := a.order(c.order); got != c.want || len(c.engine.orders) != c.given {
+				t.Errorf("%s after %d orders, want %s after %d", got, len(c.engine.orders), c.want, c.given)
+			}
+		})
+	}
+}
+
+// TestAuthority checks that an agent serves the highest authority only.
+func TestAuthority(t *testing.T) {
+	e := &engine{}
+	api := NewAPI(New(begin, Options{Engine: e, Logger: zerolog.Nop()}))
+	var r OrderReply
+	for _, step := range []struct {
+		authority Authority
+		want      services.RankAnswer
+	}{{3, services.RankDone}, {2, services.RankFenced}, {4, services.RankDone}, {3, services.RankFenced}} {
+		if err := api.Order(Order{Authority: step.authority, Order: services.RankOrder{Kind: services.RankDisarm}}, &r); err != nil || r.Answer != step.want {
+			t.Errorf("authority %d: %s, %v", step.authority, r.Answer, err)
+		}
+	}
+	if len(e.orders) != 2 {
+		t.Errorf("%d orders reached the engine", len(e.orders))
+	}
+	var reply Reply
+	if err := api.Status(Ask{Authority: 3}, &reply); err != nil || reply.Authority != 4 {
+		t.Errorf("an old coordinator is told authority %d, %v", reply.Authority, err)
+	}
+}
+
+const goal = 120 * time.Millisecond
+
+var figures = &catalog.Engine{
+	Slots: 12, Stride: 4, StepMillis: 4.55, WriterMillis: 0.905, ReadPerSecond: 61400, Chunk: 512, UsualPrompt: 835,
+	Layers: 2, Experts: 12, Places: 4, MaxFresh: 3, ExpertShare: 0.85,
+}
+
+// firstMap deals the experts out in turn and leaves one place of each rank free.
+func firstMap(ranks int) *expertmap.Map {
+	m := &expertmap.Map{Layers: make([]expertmap.Layer, figures.Layers)}
+	for l := range m.Layers {
+		m.Layers[l].Slots = make([][]expertmap.Expert, ranks)
+		for r := range ranks {
+			for e := r; e < figures.Experts; e += ranks {
+				m.Layers[l].Slots[r] = append(m.Layers[l].Slots[r], expertmap.Expert(e))
+			}
+			m.Layers[l].Slots[r] = append(m.Layers[l].Slots[r], expertmap.Free)
+		}
+	}
+	return m
+}
+
+// counted returns the counts of each rank after demand in which one expert has a part of all choices.
+func counted(ranks, looks int, hot func(look int) int, part float64) []services.RankCounts {
+	out := make([]services.RankCounts, ranks)
+	for r := range out {
+		out[r].Counts = make([]uint64, figures.Layers*figures.Experts)
+		for look := range looks {
+			for i := range out[r].Counts {
+				n := (1 - part) * 1200 / float64(figures.Experts)
+				if i%figures.Experts == hot(look) {
+					n += part * 1200
+				}
+				out[r].Counts[i] += uint64(n)
+			}
+		}
+	}
+	return out
+}
+
+// TestPlanner checks when a map is changed, and what for.
+func TestPlanner(t *testing.T) {
+	const ranks = 4
+	even := []float64{1, 1, 1, 1}
+	first := func(int) int { return 0 }
+	cases := map[string]struct {
+		part    float64
+		writers float64
+		speed   []float64
+		change  bool
+	}{
+		"even demand":                      {0, 10, even, false},
+		"a hot expert under load":          {0.5, 10, even, true},
+		"a warm expert while passes last":  {0.13, 10, even, true},
+		"a warm expert while they do not":  {0.07, 1, even, false},
+		"a hot expert without load":        {0.6, 1, even, true},
+		"even demand at one rank too slow": {0, 10, []float64{1, 1, 1, 0.4}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPlanner(figures, goal, 1, firstMap(ranks))
+			p.plan(begin, counted(ranks, 1, first, c.part), c.speed, c.writers)
+			next := p.plan(begin.Add(time.Second), counted(ranks, 2, first, c.part), c.speed, c.writers)
+			if (next != nil) != c.change {
+				t.Fatalf("change %t at skew %.2f, want %t", next != nil, p.skew, c.change)
+			}
+			if next == nil {
+				return
+			}
+			for r := range ranks {
+				fresh := 0
+				for l := range next.Layers {
+					for _, e := range next.Layers[l].Slots[r] {
+						if e != expertmap.Free && !slices.Contains(p.current.Layers[l].Slots[r], e) {
+							fresh++
+						}
+					}
+				}
+				if fresh > rankAtOnce {
+					t.Errorf("rank %d loads %d experts", r, fresh)
+				}
+			}
+		})
+	}
+}
+
+// TestPlannerForgets checks that a shift of demand shows at once: what was liked before weighs little.
+func TestPlannerForgets(t *testing.T) {
+	p := newPlanner(figures, goal, 1, firstMap(4))
+	even := []float64{1, 1, 1, 1}
+	hot := func(look int) int { return look / 20 }
+	for look := 1; look <= 22; look++ {
+		p.plan(begin.Add(time.Duration(look)*70*time.Millisecond), counted(4, look, hot, 0.5), even, 1)
+	}
+	if p.recent[0][1] < p.recent[0][0] {
+		t.Errorf("two looks after the shift the old expert counts %.0f, the new one %.0f", p.recent[0][0], p.recent[0][1])
+	}
+}
+
+// TestWaits checks that a coordinator does not take its own change, whose pass is still to begin, for
+// something that an earlier one has left.
+func TestWaits(t *testing.T) {
+	status := func(armed, used expertmap.Version) services.RankStatus {
+		return services.RankStatus{Armed: armed, Map: used, Rank: group.Rank(0)}
+	}
+	cases := map[string]struct {
+		status  []services.RankStatus
+		waits   bool
+		pending expertmap.Version
+	}{
+		"all are armed":              {[]services.RankStatus{status(7, 6), status(7, 6)}, true, 7},
+		"the pass begins just now":   {[]services.RankStatus{status(0, 7), status(7, 6)}, true, 7},
+		"the pass has begun":         {[]services.RankStatus{status(0, 7), status(0, 7)}, false, 0},
+		"another version is armed":   {[]services.RankStatus{status(7, 6), status(8, 6)}, false, 0},
+		"one is neither, as it lost": {[]services.RankStatus{status(7, 6), status(0, 6)}, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			co := &coordinator{pending: 7}
+			if got := co.waits(c.status); got != c.waits || co.pending != c.pending {
+				t.Errorf("waits %t, pending %d", got, co.pending)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/metastore/metastore.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package metastore is a small stand-in of the platform's metadata store for tests: streams that keep the
+// newest record of each key, with reads that wait, trimmed records, outages and lost answers.
+package metastore
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Trouble tells what the store does to calls.
+type Trouble string
+
+// The kinds of trouble.
+const (
+	// TroubleNone answers as usual.
+	TroubleNone Trouble = ""
+	// TroubleBusy answers 503 and does nothing.
+	TroubleBusy Trouble = "busy"
+	// TroubleSilent says nothing until the caller leaves.
+	TroubleSilent Trouble = "silent"
+	// TroubleLost carries writes out and closes the connection without an answer.
+	TroubleLost Trouble = "lost"
+)
+
+type stream struct {
+	records [][]byte
+	// first is the offset of the first record kept.
+	first int
+}
+
+// Store is the stand-in. It is safe for use by several goroutines.
+type Store struct {
+	mu      sync.Mutex
+	streams map[string]*stream
+	changed chan struct{}
+	trouble Trouble
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{streams: map[string]*stream{}, changed: make(chan struct{})} }
+
+// Put adds a record to a keyed stream; an empty value removes the key.
+func (s *Store) Put(topic, key, value string) {
+	record := append([]byte{byte(len(key))}, key...) //nolint:gosec // keys of tests are short
+	s.append(topic, append(record, value...))
+}
+
+// Trouble sets what happens to calls from now on.
+func (s *Store) Trouble(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble = t
+}
+
+// Trim forgets the records of a stream but for the newest of each key.
+func (s *Store) Trim(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(topic)
+	st.first = len(st.records)
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) stream(topic string) *stream {
+	st, ok := s.streams[topic]
+	if !ok {
+		st = &stream{}
+		s.streams[topic] = st
+	}
+	return st
+}
+
+func (s *Store) append(topic string, record []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(topic)
+	st.records = append(st.records, record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return len(st.records) - 1
+}
+
+// ServeHTTP serves the calls that fawnwinch makes.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	trouble := s.trouble
+	s.mu.Unlock()
+	switch trouble {
+	case TroubleBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case TroubleSilent:
+		<-r.Context().Done()
+		return
+	case TroubleLost, TroubleNone:
+	}
+	topic := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/fawnwinch/log-append":
+		body, err := io.ReadAll(r.Body)
+		if err != nil || len(body) < 4 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		offset := s.append(topic, body[4:])
+		if trouble == TroubleLost {
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(map[string]int{"offset": offset, "end": offset + 1})
+	case "/fawnwinch/log-newest":
+		s.newest(w, topic)
+	case "/fawnwinch/log-read":
+		s.read(r.Context(), w, topic, r.URL.Query())
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// newest answers with the newest record of each key.
+func (s *Store) newest(w http.ResponseWriter, topic string) {
+	type item struct {
+		TLSKey string `json:"tlsKey"`
+		Value  []byte `json:"value"`
+	}
+	s.mu.Lock()
+	st := s.stream(topic)
+	newest := map[string][]byte{}
+	for _, r := range st.records {
+		end := 1 + int(r[0])
+		newest[string(r[1:end])] = r[end:]
+	}
+	end := len(st.records)
+	s.mu.Unlock()
+	items := []item{}
+	for k, v := range newest {
+		if len(v) > 0 {
+			items = append(items, item{k, v})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int {
+		if a.TLSKey < b.TLSKey {
+			return -1
+		}
+		return 1
+	})
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": false, "end": end})
+}
+
+// read answers with the records from an offset on, after a wait if there are none.
+func (s *Store) read(ctx context.Context, w http.ResponseWriter, topic string, q map[string][]string) {
+	number := func(name string) int {
+		if len(q[name]) == 0 {
+			return 0
+		}
+		n, _ := strconv.Atoi(q[name][0]) // a test that sends no number gets 0
+		return n
+	}
+	from := number("from")
+	timeout := time.After(time.Duration(number("waitMs")) * time.Millisecond)
+	for waiting := true; ; {
+		s.mu.Lock()
+		st := s.stream(topic)
+		first, end := st.first, len(st.records)
+		records := st.records[min(from, end):end]
+		changed := s.changed
+		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(records) > 0 || !waiting {
+			_, _ = w.Write(encode(first, end, records))
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func encode(first, end int, records [][]byte) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))  //nolint:gosec // offsets are not negative
+	out = binary.BigEndian.AppendUint64(out, uint64(first)) //nolint:gosec // offsets are not negative
+	for _, r := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(len(r))) //nolint:gosec // records are small
+		out = append(out, r...)
+	}
+	return out
+}
--- /dev/null
+++ b/tests/integration/platform_test.go
@@ -0,0 +1,383 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/standin/metastore"
+)
+
+// The streams of the stand-in store that the tests write.
+const (
+	operatorStream = "keyed.op"
+	replicaStream  = "keyed.servers"
+)
+
+// replica is a plain replica that answers as the platform's do.
+type replica struct {
+	id, address string
+	server      *httptest.Server
+	runs        atomic.Int32
+	// gate holds answers back while it is not nil.
+	gate chan struct{}
+}
+
+func newReplica(t *testing.T, id string, gate chan struct{}) *replica {
+	t.Helper()
+	rp := &replica{id: id, gate: gate}
+	rp.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Fawnwinch-Expected-Instance") != id || r.Header.Get("Api-Key") != "" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		rp.runs.Add(1)
+		if rp.gate != nil {
+			<-rp.gate
+		}
+		w.Header().Set("X-Fawnwinch-Request-Id", r.Header.Get("X-Fawnwinch-Request-Id"))
+		w.Header().Set("X-Fawnwinch-Response-Seal", "seal")
+		_, _ = fmt.Fprintf(w, "%s for %s", id, r.Header.Get("X-Fawnwinch-Tenant-Id"))
+	}))
+	t.Cleanup(rp.server.Close)
+	rp.address = strings.TrimPrefix(rp.server.URL, "http://")
+	return rp
+}
+
+func (rp *replica) entry(state string) string {
+	return fmt.Sprintf(`{"service":"ledger","address":%q,"zone":"a","slots":6,"state":%q}`, rp.address, state)
+}
+
+// operatorConfig returns a configuration with one route of each plain kind and some keys.
+func operatorConfig(version int, keys ...string) string {
+	list, _ := json.Marshal(keys)
+	return fmt.Sprintf(`{"version":%d,"routes":[
+	{"name":"peek","host":"h","pathPrefix":"/peek/","kind":"unsafe","timeoutMs":4000,"targetLatencyMs":300,"service":"ledger","maxAttempts":1},
+	{"name":"view","host":"h","pathPrefix":"/view/","kind":"safe","timeoutMs":4000,"targetLatencyMs":300,"service":"ledger","maxAttempts":2}],
+	"services":[{"name":"ledger"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"seiryu","apiKeys":%s}]}`, version, list)
+}
+
+// site is a stand-in store with routers before it.
+type site struct {
+	t     *testing.T
+	store *metastore.Store
+	addr  string
+	dir   string
+	ip    string
+	ports int
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	store := metastore.New()
+	s := httptest.NewServer(store)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return &site{t: t, store: store, addr: strings.TrimPrefix(s.URL, "http://"), dir: t.TempDir(), ip: "127.0.0.1"}
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	n, _ := strconv.Atoi(port)
+	return n
+}
+
+// node is a running router.
+type node struct {
+	*process
+	front, ready, control, directory string
+	settings                         string
+}
+
+// router starts a router. Seeds are addresses of others.
+func (s *site) router(name string, seeds ...string) *node {
+	s.t.Helper()
+	address := func() string { return net.JoinHostPort(s.ip, strconv.Itoa(freePort(s.t))) }
+	n := &node{front: address(), ready: address(), control: address(), directory: address()}
+	list, _ := json.Marshal(append([]string{}, seeds...))
+	n.settings = filepath.Join(s.dir, name+".toml")
+	text := fmt.Sprintf(`nodeName = %q
+ip = %q
+zone = "a"
+internalPortRange = [1, 2]
+seeds = %s
+unheardOf = 1
+[listen]
+front = %q
+ready = %q
+control = %q
+directory = %q
+[bounds]
+drainMs = 2000
+graceS = 8
+revokeMs = 5000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 90
+stall_ms = 1500
+[platform]
+address = %q
+writes_per_s = 400
+reads_per_s = 2000
+`, name, s.ip, list, n.front, n.ready, n.control, n.directory, s.addr)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	n.process = &process{t: s.t, name: name, args: []string{"platform", "router", "-c", n.settings}, logs: filepath.Join(s.dir, name+".log")}
+	n.start()
+	s.t.Cleanup(func() {
+		n.kill()
+		if raw, err := os.ReadFile(n.logs); err == nil && strings.Contains(string(raw), "DATA RACE") {
+			s.t.Errorf("%s has a data race:\n%s", name, raw)
+		}
+		if s.t.Failed() && os.Getenv("FAWNWINCH_TEST_LOGS") != "" {
+			raw, _ := os.ReadFile(n.logs)
+			s.t.Logf("%s:\n%s", name, raw)
+		}
+	})
+	return n
+}
+
+// ask sends a request to a router and returns the status, the body and the header.
+func ask(t *testing.T, ctx context.Context, address, path, key string) (int, string, http.Header) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Fawnwinch-Request-Id", "r1")
+	req.Header.Set("X-Fawnwinch-Deadline-Ms", "4000")
+	req.Header.Set("Api-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+// get returns the status and body of a question to a router; 0 if there is no answer.
+func get(t testing.TB, url string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
+func (n *node) isReady() bool {
+	status, _ := get(n.t, "http://"+n.ready+"/fawnwinch/ready")
+	return status == http.StatusOK
+}
+
+func (n *node) named(t *testing.T) string {
+	_, body := get(t, "http://"+n.directory+"/fawnwinch/resolve?name=h&region=r&zone=a")
+	return body
+}
+
+// TestPlatformPath takes real routers through a day: a start without anything, a configuration, keys that
+// are taken away, an upstream that leaves, an outage of the store in which a router starts, trimmed
+// records, a change of settings, and a planned stop with a request in flight.
+func TestPlatformPath(t *testing.T) {
+	s := newSite(t)
+	a := s.router("a")
+	eventually(t, "an answer", func() bool { status, _, _ := ask(t, t.Context(), a.front, "/peek/x", "k"); return status != 0 })
+	if status, _, header := ask(t, t.Context(), a.front, "/peek/x", "k"); status != 503 || header.Get("Retry-After") == "" || a.isReady() {
+		t.Errorf("before the configuration: status %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	one, two := newReplica(t, "i-1", nil), newReplica(t, "i-2", nil)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k", "k2"))
+	s.store.Put(replicaStream, "i-1", one.entry("ready"))
+	eventually(t, "a served request", func() bool {
+		status, body, _ := ask(t, t.Context(), a.front, "/peek/x", "k")
+		return status == 200 && body == "i-1 for seiryu"
+	})
+	t.Run("a key is taken away", func(t *testing.T) {
+		s.store.Put(operatorStream, "config", operatorConfig(5, "k"))
+		eventually(t, "the refusal", func() bool { status, _, _ := ask(t, t.Context(), a.front, "/peek/x", "k2"); return status == 401 })
+		s.store.Put(operatorStream, "config", operatorConfig(4, "k", "k2"))
+		s.store.Put(operatorStream, "other", "{")
+		if status, _, _ := ask(t, t.Context(), a.front, "/peek/x", "k2"); status != 401 {
+			t.Errorf("an older configuration came back: status %d", status)
+		}
+	})
+	t.Run("an upstream leaves", func(t *testing.T) {
+		s.store.Put(replicaStream, "i-2", two.entry("ready"))
+		eventually(t, "the new one", func() bool {
+			_, body, _ := ask(t, t.Context(), a.front, "/view/x", "k")
+			return body == "i-2 for seiryu"
+		})
+		s.store.Put(replicaStream, "i-1", one.entry("draining"))
+		eventually(t, "no work for the old one", func() bool {
+			before := one.runs.Load()
+			for range 12 {
+				if status, _, _ := ask(t, t.Context(), a.front, "/view/x", "k"); status != 200 {
+					return false
+				}
+			}
+			return one.runs.Load() == before
+		})
+	})
+	t.Run("trimmed records", func(t *testing.T) {
+		s.store.Trim(replicaStream)
+		s.store.Trim(operatorStream)
+		s.store.Put(operatorStream, "config", operatorConfig(6, "k", "k3"))
+		eventually(t, "the new key", func() bool { status, _, _ := ask(t, t.Context(), a.front, "/peek/x", "k3"); return status == 200 })
+	})
+	t.Run("settings change", func(t *testing.T) {
+		a.signal(syscall.SIGHUP)
+		eventually(t, "the log line", func() bool {
+			raw, _ := os.ReadFile(a.logs)
+			return strings.Contains(string(raw), "event=reload")
+		})
+		if status, _, _ := ask(t, t.Context(), a.front, "/peek/x", "k"); status != 200 {
+			t.Errorf("status %d after SIGHUP", status)
+		}
+	})
+	t.Run("a router starts while the store is out", func(t *testing.T) {
+		s.store.Trouble(metastore.TroubleBusy)
+		defer s.store.Trouble(metastore.TroubleNone)
+		b := s.router("b", a.control)
+		eventually(t, "a request served by it", func() bool { status, _, _ := ask(t, t.Context(), b.front, "/peek/x", "k"); return status == 200 })
+		eventually(t, "keys that nobody can vouch for are refused", func() bool {
+			status, _, header := ask(t, t.Context(), b.front, "/peek/x", "k")
+			return status == 503 && header.Get("Retry-After") != ""
+		})
+	})
+}
+
+// TestPlatformStop stops a router with a request in flight: it leaves the directory at once, and the
+// request gets its answer.
+func TestPlatformStop(t *testing.T) {
+	s := newSite(t)
+	gate := make(chan struct{})
+	slow := newReplica(t, "i-1", gate)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	s.store.Put(replicaStream, "i-1", slow.entry("ready"))
+	a := s.router("a")
+	b := s.router("b")
+	eventually(t, "both ready", func() bool { return a.isReady() && b.isReady() })
+	eventually(t, "both named", func() bool { return strings.Contains(b.named(t), a.front) && strings.Contains(b.named(t), b.front) })
+	type result struct {
+		status int
+		body   string
+	}
+	answered := make(chan result, 1)
+	go func() {
+		status, body, _ := ask(t, context.Background(), a.front, "/peek/x", "k")
+		answered <- result{status, body}
+	}()
+	eventually(t, "the request at the replica", func() bool { return slow.runs.Load() == 1 })
+	a.signal(syscall.SIGTERM)
+	eventually(t, "not ready", func() bool { return !a.isReady() })
+	eventually(t, "not named", func() bool { return !strings.Contains(b.named(t), a.front) })
+	close(gate)
+	if r := <-answered; r.status != 200 || r.body != "i-1 for seiryu" {
+		t.Errorf("the request in flight got status %d, %q", r.status, r.body)
+	}
+	if status, _, header := ask(t, t.Context(), a.front, "/peek/x", "k"); status != 200 || header.Get("Connection") == "keep-alive" {
+		t.Errorf("a caller that still holds the address got status %d", status)
+	}
+	select {
+	case <-a.done:
+	case <-time.After(8 * time.Second):
+		t.Error("the router did not end before it would be killed")
+	}
+}
+
+// TestPlatformSettings checks that settings which cannot be used are refused with field and value.
+func TestPlatformSettings(t *testing.T) {
+	s := newSite(t)
+	n := s.router("a")
+	raw, err := os.ReadFile(n.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(s.dir, "bad.toml")
+	if err := os.WriteFile(bad, []byte(strings.Replace(string(raw), "graceS = 8", "graceS = -8", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, name: "bad", args: []string{"platform", "router", "-c", bad}, logs: filepath.Join(s.dir, "bad.log")}
+	p.start()
+	<-p.done
+	logs, _ := os.ReadFile(p.logs)
+	if code := p.cmd.ProcessState.ExitCode(); code == 0 || !strings.Contains(string(logs), "GraceS") || !strings.Contains(string(logs), "-8") {
+		t.Errorf("exit code %d, output %s", code, logs)
+	}
+}
+
+// TestPlatformLogs checks that a process goes on when nobody reads its logs.
+func TestPlatformLogs(t *testing.T) {
+	s := newSite(t)
+	rp := newReplica(t, "i-1", nil)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	s.store.Put(replicaStream, "i-1", rp.entry("ready"))
+	n := s.router("a")
+	n.kill()
+	if err := os.Remove(n.logs); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(n.logs, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fifo, err := os.OpenFile(n.logs, os.O_RDWR, 0) // open, but not read
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = fifo.Close() }()
+	n.start()
+	eventually(t, "ready", n.isReady)
+	const requests = 600 // their lines are more than the pipe holds
+	for i := range requests {
+		if status, _, _ := ask(t, t.Context(), n.front, "/view/x", "k"); status != 200 {
+			t.Fatalf("request %d: status %d", i, status)
+		}
+	}
+	line, err := bufio.NewReader(fifo).ReadString('\n')
+	if err != nil || !strings.Contains(line, "event=") {
+		t.Errorf("first line %q, %v", line, err)
+	}
+}
