--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -37,7 +37,7 @@
 	passPart = 0.92
 	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
 	// follows some passes later.
-	guardSkew = 1.3
+	guardSkew = 1.6
 	// unevenness is how many more requests than the mean a rank may have.
 	unevenness = 2
 	// plainRoom is the number of requests for each slot of a plain upstream that are sent to it at most.
