--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -223,6 +223,8 @@
 		if m != nil {
 			m.asked = now
 		}
+		c.a.opts.Logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(s.Rank)).Uint64("step", uint64(s.Step)).
+			Bool("holds", s.Holds).Err(err).Msg("engine-asked-directly")
 		if err == nil {
 			c.take(n, Reply{Status: s})
 		}
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -69,7 +69,10 @@
 			continue
 		}
 		if !x.again(ctx) {
-			x.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: ReasonNotRun, after: retryBusy})
+			x.comeBack = x.r.afterNotRun(x.service)
+			no := x.busy()
+			no.reason = ReasonNotRun
+			x.giveUp(ctx, no)
 			return
 		}
 	}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 
 	"github.com/rs/zerolog"
@@ -377,3 +378,50 @@
 		}
 	}
 }
+
+// TestHold checks how long a request waits for room, and when it is refused at once.
+func TestHold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engine := &catalog.Engine{Slots: 12, FormTime: 600 * time.Millisecond}
+	route := &catalog.Route{Name: "r", Goal: 500 * time.Millisecond}
+	const inTime = 275 * time.Millisecond
+	cases := map[string]struct {
+		patience time.Duration
+		waiters  int
+		granted  int
+		broken   bool
+		nobody   bool
+		mean     int
+		want     time.Duration
+	}{
+		"new, a short queue":                   {8 * time.Second, 0, 10, false, false, 8, inTime},
+		"new, a long queue":                    {8 * time.Second, 9, 10, false, false, 8, 0},
+		"comes again, a long queue":            {7 * time.Second, 9, 10, false, false, 8, lateHold},
+		"comes again, little time is left":     {time.Second, 9, 10, false, false, 8, 400 * time.Millisecond},
+		"new, the group is broken":             {8 * time.Second, 0, 10, true, false, 8, 0},
+		"comes again, the group is broken":     {7 * time.Second, 0, 10, true, false, 8, lateHold},
+		"new, the goal cannot be kept":         {8 * time.Second, 9, 10, false, false, 12, lateHold},
+		"new, no upstream is listed":           {8 * time.Second, 0, 10, false, true, 8, 0},
+		"comes again, no upstream is listed":   {7 * time.Second, 0, 10, false, true, 8, lateHold},
+		"new, nothing was let in for a second": {8 * time.Second, 0, 0, false, false, 8, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := &lane{pool: balance.NewPool(""), patience: map[string]time.Duration{"r": 8 * time.Second}, waiters: make([]*waiter, c.waiters)}
+			for range c.granted {
+				l.granted = append(l.granted, now)
+			}
+			if c.broken {
+				l.pool.Report(now, balance.Group{}, nil)
+			}
+			x := &exchange{route: route, arrived: now, deadline: now.Add(c.patience), meta: services.CallerMeta{Patience: c.patience}}
+			a := balance.Ask{Engine: engine, Mean: c.mean}
+			if got := l.hold(now, x, a, c.nobody); got != c.want {
+				t.Errorf("held %s, want %s", got, c.want)
+			}
+			if room := l.room(now, a); c.broken && room < engine.FormTime+listTime {
+				t.Errorf("told to come back after %s, before the group has formed", room)
+			}
+		})
+	}
+}
--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
@@ -58,23 +59,56 @@
 }
 
 // hold returns how long a request may wait for room; 0 if it should be refused at once and come back
-// when there is some. The caller holds the lock.
-func (l *lane) hold(now time.Time, x *exchange, a balance.Ask) time.Duration {
-	full := max(l.patience[x.route.Name], x.meta.Patience)
-	l.patience[x.route.Name] = full
+// when there is some. Nobody says that no upstream is listed. The caller holds the lock.
+func (l *lane) hold(now time.Time, x *exchange, a balance.Ask, nobody bool) time.Duration {
 	late := min(lateHold, time.Duration(lateHoldPart*float64(x.deadline.Sub(now))))
 	inTime := time.Duration(holdPart*float64(x.route.Goal)) - now.Sub(x.arrived)
-	triedBefore := x.meta.Patience < time.Duration(triedPart*float64(full))
 	hopeless := a.Engine != nil && a.Mean >= a.Engine.Slots
-	if triedBefore || hopeless {
+	switch {
+	case l.triedBefore(x):
 		return late
-	}
-	if l.queueWait(now) > inTime {
+	case nobody || l.pool.Closed(now):
+		return 0
+	case hopeless:
+		return late
+	case l.queueWait(now) > inTime:
 		return 0
 	}
 	return inTime
 }
 
+// triedBefore reports whether the caller has less patience left than others of its route had: it was
+// refused before and comes again.
+func (l *lane) triedBefore(x *exchange) bool {
+	full := max(l.patience[x.route.Name], x.meta.Patience)
+	l.patience[x.route.Name] = full
+	return x.meta.Patience < time.Duration(triedPart*float64(full))
+}
+
+// room forecasts when a request that is refused now would find room. A broken group needs the time in
+// which it forms anew, and its ranks a moment to be listed.
+func (l *lane) room(now time.Time, a balance.Ask) time.Duration {
+	wait := l.queueWait(now)
+	if a.Engine != nil && (l.pool.Closed(now) || len(l.granted) == 0) {
+		wait = max(wait, a.Engine.FormTime+listTime)
+	}
+	return wait
+}
+
+// afterNotRun forecasts when a request finds room that upstreams did not run.
+func (r *Relay) afterNotRun(id service.ID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.know.Index().Service(id); s != nil && s.Engine != nil {
+		// Ranks refuse what they get while their group forms.
+		return s.Engine.FormTime + listTime
+	}
+	return retryBusy
+}
+
+// listTime is the time that a rank of a new group needs until routers know it.
+const listTime = 400 * time.Millisecond
+
 // acquire returns an upstream for a request, after a wait if need be, and notes the attempt. It returns
 // false if there is none: at once where waiting is no use.
 func (r *Relay) acquire(ctx context.Context, x *exchange) (upstream.Instance, bool) {
@@ -82,15 +116,15 @@
 	now := time.Now()
 	l := r.lane(now, x.service)
 	a := r.ask(now, l, x)
-	hold := l.hold(now, x, a)
+	hold := l.hold(now, x, a, len(r.know.Usable(now, x.service)) == 0)
 	if len(l.waiters) == 0 {
 		if u, ok := r.pick(now, l, a); ok {
 			r.mu.Unlock()
 			return u, true
 		}
 	}
-	if l.pool.Closed(now) || len(l.waiters) >= maxWaiters || hold <= 0 || len(r.know.Usable(now, x.service)) == 0 {
-		x.comeBack = l.queueWait(now)
+	x.comeBack = l.room(now, a)
+	if len(l.waiters) >= maxWaiters || hold <= 0 {
 		r.mu.Unlock()
 		return upstream.Instance{}, false
 	}
