--- a/cmd/demo_load.go
+++ b/cmd/demo_load.go
@@ -18,6 +18,7 @@
 	"fawnwinch.org/fawnwinch/models/intent"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/routers"
 	"fawnwinch.org/fawnwinch/services/configlog"
 	"fawnwinch.org/fawnwinch/services/directory"
@@ -40,7 +41,7 @@
 	defer cancel()
 	rev, err := d.confirmOnce(ctx, &o)
 	for err != nil && ctx.Err() == nil {
-		sleep(ctx, demoInterval)
+		sleep.For(ctx, demoInterval)
 		rev, err = d.confirmOnce(ctx, &o)
 	}
 	if err != nil {
@@ -51,18 +52,11 @@
 		if err := o.get(ctx, "/api/v1/status", &s); err == nil && d.ready(s, rev) {
 			return nil
 		}
-		sleep(ctx, demoInterval)
+		sleep.For(ctx, demoInterval)
 	}
 	return eris.New("processes did not become ready")
 }
 
-func sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
-
 func (d *demo) ready(s directory.Status, rev intent.Revision) bool {
 	ready, slices := 0, 0
 	for _, p := range s.Processes {
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -162,7 +162,6 @@
 		OnStart: func(context.Context) error {
 			logger.Info().Str("role", "agent").Str("engine", n.set.Engine).Msg("start")
 			server.Start()
-			go register(ctx, store, self, logger)
 			go a.Run(ctx)
 			return nil
 		},
@@ -177,23 +176,3 @@
 	})
 	return nil
 }
-
-const (
-	// registerTime bounds one registration, and registerPause is the pause after one that failed.
-	registerTime  = 1500 * time.Millisecond
-	registerPause = 200 * time.Millisecond
-)
-
-// register registers a process in the store.
-func register(ctx context.Context, store *platform.Store, self peer.Info, logger zerolog.Logger) {
-	for ctx.Err() == nil {
-		cctx, cancel := context.WithTimeout(ctx, registerTime)
-		err := store.PutNode(cctx, self)
-		cancel()
-		if err == nil {
-			return
-		}
-		logger.Warn().Err(err).Msg("registration-failed")
-		time.Sleep(registerPause)
-	}
-}
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 )
 
@@ -35,7 +36,7 @@
 		}
 		note(err)
 		if err != nil {
-			sleep(ctx, retryPause+time.Duration(rand.Int64N(int64(retryPause)))) //nolint:gosec // no secret
+			sleep.For(ctx, retryPause+time.Duration(rand.Int64N(int64(retryPause)))) //nolint:gosec // no secret
 			continue
 		}
 		take(sent, changes, whole)
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -12,6 +12,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 
@@ -31,6 +32,8 @@
 type Store interface {
 	// Claim adds a record to the log of coordinators and returns its place, which no other claim has.
 	Claim(ctx context.Context, group, name string) (services.Offset, error)
+	// PutNode registers this process.
+	PutNode(ctx context.Context, i peer.Info) error
 	// Nodes lists the processes that have registered.
 	Nodes() services.Feed[peer.Info]
 	// Catalogs gives the figures of the engines.
@@ -103,7 +106,7 @@
 	rankStep = 120 * time.Millisecond
 	// electTick is the time between two looks at whether there is a coordinator.
 	electTick = 100 * time.Millisecond
-	// claimTime bounds a claim in the store.
+	// claimTime bounds a call of the store.
 	claimTime = 1500 * time.Millisecond
 	// claimPause is the pause after a claim that failed.
 	claimPause = 500 * time.Millisecond
@@ -218,8 +221,10 @@
 	if err := a.status(false, &first); err != nil {
 		a.opts.Logger.Warn().Err(err).Msg("engine-unreachable")
 	}
+	registered := false
 	for ctx.Err() == nil {
-		sleep(ctx, electTick)
+		registered = registered || a.register(ctx)
+		sleep.For(ctx, electTick)
 		a.mu.Lock()
 		wait := silence + time.Duration(a.rank)*rankStep
 		stand := time.Since(a.asked) > wait
@@ -230,11 +235,22 @@
 	}
 }
 
+// register registers this process, so that a coordinator finds it.
+func (a *Agent) register(ctx context.Context) bool {
+	cctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	if err := a.opts.Store.PutNode(cctx, a.opts.Self); err != nil {
+		a.opts.Logger.Warn().Err(err).Msg("registration-failed")
+		return false
+	}
+	return true
+}
+
 // stand claims the authority to coordinate and coordinates until it is lost.
 func (a *Agent) stand(ctx context.Context) {
 	var r Reply
 	if err := a.status(false, &r); err != nil {
-		sleep(ctx, claimPause)
+		sleep.For(ctx, claimPause)
 		return
 	}
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
@@ -242,7 +258,7 @@
 	cancel()
 	if err != nil {
 		a.opts.Logger.Warn().Err(err).Msg("claim-failed")
-		sleep(ctx, claimPause)
+		sleep.For(ctx, claimPause)
 		return
 	}
 	au := Authority(offset) + 1
@@ -256,12 +272,3 @@
 	a.asked = time.Now()
 	a.mu.Unlock()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -9,6 +9,7 @@
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -107,7 +108,7 @@
 	if to.Name == d.c.a.opts.Self.Name {
 		answer := d.c.a.order(s.Order)
 		if answer == services.RankUnknown {
-			sleep(ctx, resendPause)
+			sleep.For(ctx, resendPause)
 		}
 		return answer
 	}
--- /dev/null
+++ b/services/rank/map.go
@@ -0,0 +1,50 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"context"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/services"
+)
+
+// readMap puts the map in use together from what each rank holds.
+func (c *coordinator) readMap(ctx context.Context, status []services.RankStatus) (*expertmap.Map, bool) {
+	m := &expertmap.Map{Group: status[0].Group, Version: status[0].Map, Layers: make([]expertmap.Layer, c.engine.Layers)}
+	for l := range m.Layers {
+		m.Layers[l].Slots = make([][]expertmap.Expert, len(status))
+	}
+	for r := range status {
+		held, err := c.mapOf(ctx, group.Rank(r))
+		if err != nil || held.Version != m.Version || len(held.Experts) != c.engine.Layers {
+			c.a.opts.Logger.Warn().Int("rank", r).Uint64("version", uint64(held.Version)).Uint64("want", uint64(m.Version)).Int("layers", len(held.Experts)).Err(err).Msg("map-unread")
+			return nil, false
+		}
+		for l, experts := range held.Experts {
+			for len(experts) < c.engine.Places {
+				experts = append(experts, expertmap.Free)
+			}
+			m.Layers[l].Slots[r] = experts
+		}
+	}
+	return m, true
+}
+
+func (c *coordinator) mapOf(ctx context.Context, r group.Rank) (services.RankMap, error) {
+	cctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	m := c.members[r]
+	if m.info.Name == c.a.opts.Self.Name {
+		return c.a.opts.Engine.Map(cctx)
+	}
+	var held services.RankMap
+	if err := c.a.opts.Pool.Call(cctx, m.info.Address, "Rank.Map", Ask{Authority: c.authority}, &held); err == nil {
+		return held, nil
+	}
+	dctx, dcancel := context.WithTimeout(ctx, peerTime)
+	defer dcancel()
+	return c.a.opts.Dial(m.info.Engine).Map(dctx)
+}
