A service may have several groups; a refusal without an id ends its connection

Cause, found by reading: agents of two groups of one service heard the same coordinator, so the second group would never have had one, and a router kept one report for a service. A refusal that names no request could be taken for the answer to the next one if it came twice. Change: asks name their group, reports are kept by group, ranks of a broken group are not chosen; such a connection is closed.

--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -188,4 +188,12 @@
 	if !p.Closed(begin) || p.Closed(begin.Add(reportValid+1)) {
 		t.Error("a broken group is open, or an old report counts")
 	}
+	cands, ids := candidates(2)
+	p.Report(begin, Group{ID: "a", Ranks: []RankLoad{{Address: "a0"}}}, ids)
+	p.Report(begin, Group{ID: "b", Open: true, Ranks: []RankLoad{{Address: "a1"}}}, ids)
+	for range 4 {
+		if u, ok := p.Pick(begin, cands, Ask{Engine: engine}); !ok || u.ID != "u1" || p.Closed(begin) {
+			t.Errorf("picked %q of a broken group, or nothing", u.ID)
+		}
+	}
 }
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
 )
@@ -61,8 +62,10 @@
 	// was last told of them, and known the part of the report that rests on that.
 	unstarted, told, known int
 	// ended counts the answers that have ended since the report.
-	ended      int
-	report     RankLoad
+	ended  int
+	report RankLoad
+	// group is the group of a rank, once it was reported.
+	group      group.ID
 	reportedAt time.Time
 	errors     float64
 	errorsAt   time.Time
@@ -87,16 +90,23 @@
 
 // Pool holds a router's view of the upstreams of one service. It does no I/O and reads no clock.
 type Pool struct {
-	here    vm.DataCentre
-	ups     map[upstream.ID]*state
-	group   Group
-	groupAt time.Time
-	turn    int
+	here vm.DataCentre
+	ups  map[upstream.ID]*state
+	// groups holds the latest report of each group of the service.
+	groups map[group.ID]groupReport
+	turn   int
+}
+
+// groupReport is what was last heard of a group.
+type groupReport struct {
+	Group
+	at time.Time
 }
 
 // Group is what the coordinator of a model group tells all routers.
 type Group struct {
 	Service string
+	ID      group.ID
 	// Open says that the group works; a broken one answers nothing until it has formed anew.
 	Open bool
 	// Skew is the load of the heaviest rank against the mean under the map in force. It counts the time
@@ -124,7 +134,7 @@
 
 // NewPool returns the view of a router in a data centre.
 func NewPool(here vm.DataCentre) *Pool {
-	return &Pool{here: here, ups: map[upstream.ID]*state{}}
+	return &Pool{here: here, ups: map[upstream.ID]*state{}, groups: map[group.ID]groupReport{}}
 }
 
 func (p *Pool) state(id upstream.ID) *state {
@@ -139,7 +149,7 @@
 // Report takes in the load of a group, and returns what this router has to add. IDs maps the addresses
 // of the ranks to upstreams.
 func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.ID) Unstarted {
-	p.group, p.groupAt = g, now
+	p.groups[g.ID] = groupReport{Group: g, at: now}
 	mine := Unstarted{}
 	for _, r := range g.Ranks {
 		id, ok := ids[r.Address]
@@ -147,7 +157,7 @@
 			continue
 		}
 		s := p.state(id)
-		s.report, s.reportedAt, s.ended = r, now, 0
+		s.report, s.reportedAt, s.ended, s.group = r, now, 0, g.ID
 		s.known, s.told = s.told, s.unstarted
 		if s.unstarted > 0 {
 			mine[r.Address] = s.unstarted
@@ -156,27 +166,50 @@
 	return mine
 }
 
-// Closed reports whether the group is known to be broken.
+// recent returns the groups that were reported lately.
+func (p *Pool) recent(now time.Time) []Group {
+	var out []Group
+	for _, g := range p.groups {
+		if now.Sub(g.at) < reportValid {
+			out = append(out, g.Group)
+		}
+	}
+	return out
+}
+
+// Closed reports whether all groups that were reported lately are broken.
 func (p *Pool) Closed(now time.Time) bool {
-	return !p.group.Open && !p.groupAt.IsZero() && now.Sub(p.groupAt) < reportValid
+	groups := p.recent(now)
+	for _, g := range groups {
+		if g.Open {
+			return false
+		}
+	}
+	return len(groups) > 0
+}
+
+// broken reports whether a rank's group is known to be broken.
+func (p *Pool) broken(now time.Time, s *state) bool {
+	g, ok := p.groups[s.group]
+	return ok && !g.Open && now.Sub(g.at) < reportValid
 }
 
-// Skew returns the latest skew of the group, or 0 if none is known.
+// Skew returns the largest skew of the groups, or 0 if none is known.
 func (p *Pool) Skew(now time.Time) float64 {
-	if now.Sub(p.groupAt) > reportValid {
-		return 0
+	skew := 0.0
+	for _, g := range p.recent(now) {
+		skew = max(skew, g.Skew)
 	}
-	return p.group.Skew
+	return skew
 }
 
-// Pace returns that of the slowest rank of the group, or 1.
+// Pace returns that of the slowest rank of the groups, or 1.
 func (p *Pool) Pace(now time.Time) float64 {
 	pace := 1.0
-	if now.Sub(p.groupAt) > reportValid {
-		return pace
-	}
-	for _, r := range p.group.Ranks {
-		pace = max(pace, r.Pace)
+	for _, g := range p.recent(now) {
+		for _, r := range g.Ranks {
+			pace = max(pace, r.Pace)
+		}
 	}
 	return pace
 }
@@ -213,7 +246,7 @@
 		i := (k + p.turn) % len(cands)
 		c := cands[i]
 		s := p.state(c.ID)
-		if a.Exclude[c.ID] || now.Before(s.outUntil) {
+		if a.Exclude[c.ID] || now.Before(s.outUntil) || p.broken(now, s) {
 			continue
 		}
 		load := p.load(now, s, a.Routers)
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
@@ -60,6 +61,7 @@
 	highest Authority
 	asked   time.Time
 	rank    int
+	group   group.ID
 }
 
 // New returns an agent.
@@ -67,6 +69,8 @@
 
 // Ask is a coordinator's question for a rank's load.
 type Ask struct {
+	// Group is the group that is coordinated. A service may have several.
+	Group     group.ID
 	Authority Authority
 	// Counts asks for the experts' counts too.
 	Counts bool
@@ -74,6 +78,8 @@
 
 // Reply is a rank's answer.
 type Reply struct {
+	// Foreign says that the rank belongs to another group; the rest is empty.
+	Foreign bool
 	// Authority is the highest that the agent has heard of. If it is not the asker's, the rest is empty.
 	Authority Authority
 	Status    services.RankStatus
@@ -120,6 +126,9 @@
 
 // Status tells a coordinator the load of the rank.
 func (p *API) Status(ask Ask, r *Reply) error {
+	if r.Foreign = p.a.foreign(ask.Group); r.Foreign {
+		return nil
+	}
 	r.Authority = p.a.hear(time.Now(), ask.Authority)
 	if r.Authority != ask.Authority {
 		return nil
@@ -146,6 +155,13 @@
 	return err
 }
 
+// foreign reports whether the rank is known to belong to another group.
+func (a *Agent) foreign(g group.ID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.group != "" && g != "" && a.group != g
+}
+
 // hear notes that a coordinator is alive and returns the highest authority.
 func (a *Agent) hear(now time.Time, au Authority) Authority {
 	a.mu.Lock()
@@ -164,7 +180,7 @@
 		return err
 	}
 	a.mu.Lock()
-	a.rank = int(r.Status.Rank)
+	a.rank, a.group = int(r.Status.Rank), r.Status.Group
 	a.mu.Unlock()
 	if counts {
 		r.Counts, err = a.opts.Engine.Counts(ctx)
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -80,7 +80,7 @@
 	}
 	w.Wait()
 	for i, r := range replies {
-		if r == nil {
+		if r == nil || r.Foreign {
 			continue
 		}
 		if r.Authority != c.authority {
@@ -106,7 +106,7 @@
 	cctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	var r Reply
-	if err := c.a.opts.Pool.Call(cctx, n.Address, "Rank.Status", Ask{Authority: c.authority, Counts: counts}, &r); err != nil {
+	if err := c.a.opts.Pool.Call(cctx, n.Address, "Rank.Status", Ask{Group: c.first.Group, Authority: c.authority, Counts: counts}, &r); err != nil {
 		c.a.opts.Logger.Debug().Str("agent", n.Name).Err(err).Msg("agent-silent")
 		return nil
 	}
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -97,6 +97,14 @@
 	if len(e.orders) != 2 {
 		t.Errorf("%d orders reached the engine", len(e.orders))
 	}
+	other := New(begin, Options{Engine: &engine{status: services.RankStatus{Group: "b"}}, Logger: zerolog.Nop()})
+	var own, foreign Reply
+	if err := NewAPI(other).Status(Ask{Group: "b", Authority: 1}, &own); err != nil || own.Foreign {
+		t.Errorf("the own coordinator was refused: %v", err)
+	}
+	if err := NewAPI(other).Status(Ask{Group: "a", Authority: 9}, &foreign); err != nil || !foreign.Foreign || other.highest != 1 {
+		t.Errorf("the coordinator of another group was heard: authority %d", other.highest)
+	}
 	var reply Reply
 	if err := api.Status(Ask{Authority: 3}, &reply); err != nil || reply.Authority != 4 {
 		t.Errorf("an old coordinator is told authority %d, %v", reply.Authority, err)
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -40,7 +40,7 @@
 
 // tellRouters tells all routers the load of the group.
 func (c *coordinator) tellRouters(ctx context.Context, now time.Time) {
-	g := balance.Group{Service: c.service, Open: true}
+	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true}
 	for _, m := range c.members {
 		if m.known && now.Sub(m.heard) < 2*directEvery {
 			g.Open = g.Open && m.status.Open
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -214,9 +214,10 @@
 	return x.deliverWhole(ctx, a)
 }
 
-// settle ends an attempt whose answer is not passed on.
+// settle ends an attempt whose answer is not passed on. A connection on which a refusal came that names no
+// request is not used again: if the refusal came twice, the second would be taken for the next request's.
 func (x *exchange) settle(a *answer, res balance.Result, err error) {
-	if derr := httpconn.Drain(a.resp, maxAnswer); derr != nil {
+	if derr := httpconn.Drain(a.resp, maxAnswer); derr != nil || a.head.ID == "" {
 		a.drop()
 	} else {
 		a.keep(x.r.conns)
