A failed registration is logged; fields that nobody reads are gone

Cause, found on the last reading: a router dropped the error of a registration that failed; the run number of a process and the upstream at fault were carried and never read; two weights had no name. Ruled out: a change of behaviour (the weights are the same, the retry of a registration too). Change: the line registration-failed, as agents have it; three fields out; errorKeep; a comment that names all three bounds of Retry-After.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -122,7 +121,7 @@
 func (n node) self(role vm.Role) peer.Info {
 	return peer.Info{
 		Name: n.set.Name, Role: role, DataCentre: n.set.DataCentre, Address: n.set.Peers, Callers: n.set.Callers,
-		Engine: n.set.Engine, Service: n.set.EngineService, Run: rand.Uint64(), State: peer.StateReady, //nolint:gosec // no secret
+		Engine: n.set.Engine, Service: n.set.EngineService, State: peer.StateReady,
 	}
 }
 
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -39,6 +39,8 @@
 	// errorHalfLife is the time in which a past failure counts half. A replica that fails part of its
 	// requests gets about two requests in that time; so most are known before the next comes.
 	errorHalfLife = 2500 * time.Millisecond
+	// errorKeep is the weight of the past in the rate of failures: two failures in a row make it a half.
+	errorKeep = 0.7
 	// errorWeight is how many waiting requests a failure rate of 1 counts for.
 	errorWeight = 8.0
 	// unreachedFor is how long an upstream that cannot be connected to is left alone, at first and at most.
@@ -85,7 +87,7 @@
 	if failed {
 		hit = 1
 	}
-	s.errors, s.errorsAt = 0.7*rate+0.3*hit, now
+	s.errors, s.errorsAt = errorKeep*rate+(1-errorKeep)*hit, now
 }
 
 // Pool holds a router's view of the upstreams of one service. It does no I/O and reads no clock.
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -154,12 +155,15 @@
 func (r *Router) register(ctx context.Context) {
 	for registered := false; ctx.Err() == nil; sleep.For(ctx, retryPause) {
 		cctx, cancel := context.WithTimeout(ctx, registerTime)
+		var failed error
 		if !registered {
-			registered = r.opts.Store.PutNode(cctx, r.Self()) == nil
+			failed = r.opts.Store.PutNode(cctx, r.Self())
+			registered = failed == nil
 		}
 		nodes, _, err := r.opts.Store.Nodes().Snapshot(cctx)
 		cancel()
-		if err != nil || !registered {
+		if err = errors.Join(failed, err); err != nil {
+			r.opts.Logger.Warn().Err(err).Msg("registration-failed")
 			continue
 		}
 		now := time.Now()
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -39,9 +39,7 @@
 	Engine string `json:"engine,omitempty"`
 	// Service is the service of that engine.
 	Service string `json:"service,omitempty"`
-	// Run is drawn anew at each start.
-	Run   uint64 `json:"run"`
-	State State  `json:"state"`
+	State   State  `json:"state"`
 }
 
 const (
--- a/services/protocol.go
+++ b/services/protocol.go
@@ -59,8 +59,6 @@
 	// ID is the request that is answered; empty if the upstream does not say.
 	ID        request.ID
 	Execution Execution
-	// Culprit is the upstream because of which the request did not run, if it is another one.
-	Culprit upstream.ID
 }
 
 // CallerProtocol translates the heads of requests and answers.
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -49,7 +49,8 @@
 	freshnessMargin = 300 * time.Millisecond
 	// retryStarting is when a caller may come back to a process that does not know enough yet.
 	retryStarting = 300 * time.Millisecond
-	// retryBusy and retryBusySpread are when a caller may come back that found no room.
+	// retryBusy and retryBusyMax bound when a caller may come back that found no room; up to retryBusySpread
+	// is added by chance, so that callers do not come back together.
 	retryBusy       = 250 * time.Millisecond
 	retryBusyMax    = 1500 * time.Millisecond
 	retryBusySpread = 250 * time.Millisecond
