--- /dev/null
+++ b/services/once/owning.go
@@ -0,0 +1,102 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package once
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/timeline"
+)
+
+// ownInterval is the time between two looks at who should own what.
+const ownInterval = 300 * time.Millisecond
+
+func (s *Service) ownLoop(ctx context.Context) {
+	ticker := time.NewTicker(ownInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.own(ctx, time.Now())
+		}
+	}
+}
+
+func (s *Service) own(ctx context.Context, now time.Time) {
+	members, complete := s.directory.Members(now)
+	s.mu.Lock()
+	s.core.Expire(now)
+	s.core.Tick(now)
+	s.dispatch()
+	ready := s.core.CaughtUp()
+	moves := Decide(now, s.self, s.core.View(), members, s.retention)
+	s.mu.Unlock()
+	if !complete || !ready {
+		return
+	}
+	take := moves.Take
+	for owner, list := range moves.Ask {
+		take = append(take, s.ask(ctx, owner, list)...)
+	}
+	if len(take) > 0 {
+		s.take(ctx, take)
+	}
+	for _, v := range moves.Settle {
+		s.settle(ctx, v)
+	}
+}
+
+// ask gets the tables of slices from their owner and returns the slices it gave up.
+func (s *Service) ask(ctx context.Context, owner Owner, list []request.Slice) []request.Slice {
+	var got []request.Slice
+	for _, sl := range list {
+		t, err := s.peers.Handover(ctx, owner, sl)
+		if err != nil {
+			s.logger.Debug().Err(err).Int("slice", int(sl)).Msg("handover refused")
+			continue
+		}
+		s.mu.Lock()
+		s.core.Receive(t)
+		s.mu.Unlock()
+		got = append(got, sl)
+	}
+	return got
+}
+
+func (s *Service) take(ctx context.Context, list []request.Slice) {
+	s.mu.Lock()
+	rec := s.core.TakeRecord(list)
+	s.mu.Unlock()
+	err := s.append(ctx, rec)
+	s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "take", Detail: fmt.Sprintf("slices=%v error=%v", list, err)})
+}
+
+func (s *Service) settle(ctx context.Context, v SliceView) {
+	keys, complete := s.peers.Settle(ctx, v.Slice, v.Epoch)
+	if !complete {
+		s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "unsettled", Detail: fmt.Sprintf("slice=%d", v.Slice)})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core.Settle(time.Now(), v.Slice, v.Epoch, keys) {
+		s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "settled", Detail: fmt.Sprintf("slice=%d epoch=%d keys=%d", v.Slice, v.Epoch, len(keys))})
+	}
+}
+
+// Handover gives up a slice to the agent that asks for it.
+func (s *Service) Handover(now time.Time, sl request.Slice) (Table, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, err := s.core.Handover(now, sl)
+	if err != nil {
+		return Table{}, fmt.Errorf("hand over slice %d: %w", sl, err)
+	}
+	return t, nil
+}
