--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -86,7 +86,13 @@
 
 // serveMetrics serves the metrics on a port of the VM.
 func (n node) serveMetrics(lc fx.Lifecycle, m *metrics.Metrics, store *platform.Store, pool *rpc.Pool) error {
-	m.Counter("store_calls_total", "Calls of the platform's store.", nil, func() float64 { return float64(store.Calls.Load()) })
+	m.Each("store_calls_total", "Calls of the platform's store, by what they are for.", "call", true, func() []metrics.Sample {
+		var out []metrics.Sample
+		for call, n := range store.Calls() {
+			out = append(out, metrics.Sample{Label: call, Value: float64(n)})
+		}
+		return out
+	})
 	m.Counter("peer_sent_bytes_total", "Bytes sent to other processes.", nil, func() float64 { return float64(pool.Stats.Sent.Load()) })
 	if n.metrics == 0 {
 		return nil
@@ -102,10 +108,10 @@
 	if err != nil {
 		return wrap(err, "listen")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := httpx.NewServer(l, h)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() { _ = s.Serve(l) }() // ends with Close
+			s.Start()
 			return nil
 		},
 		OnStop: func(context.Context) error { return wrap(s.Close(), "stop http") },
@@ -113,10 +119,6 @@
 	return nil
 }
 
-// headerTimeout bounds how long a caller may take for a request's head. Callers on the platform keep
-// within three seconds.
-const headerTimeout = 10 * time.Second
-
 // self returns what a process tells others of itself.
 func (n node) self(role vm.Role) peer.Info {
 	return peer.Info{
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
@@ -28,10 +27,6 @@
 	addressesHeld = 3300 * time.Millisecond
 	// killMargin is the time before the kill at which a process ends by itself.
 	killMargin = 400 * time.Millisecond
-	// idleTime is how long a caller's connection may rest. It is longer than any catalog asks for.
-	idleTime = 5 * time.Minute
-	// maxHeader bounds the head of a request, in bytes.
-	maxHeader = 64 << 10
 )
 
 func entryOptions(n node) fx.Option {
@@ -40,9 +35,7 @@
 
 func (n node) newRelay(m *metrics.Metrics, logger zerolog.Logger) *relay.Relay {
 	r := relay.New(relay.Options{
-		DataCentre: n.set.DataCentre, DrainTime: n.set.DrainTime, KeyFreshness: n.set.KeyFreshness,
-		RetryRatio: n.set.RetryRatio, RetrySlack: n.set.RetrySlack, RetryWindow: n.set.RetryWindow,
-		Protocol: platform.Headers{}, Metrics: m, Logger: logger,
+		DataCentre: n.set.DataCentre, Bounds: n.set.Bounds, Protocol: platform.Headers{}, Metrics: m, Logger: logger,
 	})
 	m.Counter("upstream_connections_total", "Connections opened to upstreams.", nil, func() float64 { return float64(r.Connections()) })
 	return r
@@ -56,7 +49,7 @@
 	peers  *rpc.Server
 	pool   *rpc.Pool
 	store  *platform.Store
-	front  *http.Server
+	front  *httpx.Server
 	logger zerolog.Logger
 	cancel context.CancelFunc
 }
@@ -71,7 +64,10 @@
 	if err != nil {
 		return wrap(err, "listen for peers")
 	}
-	r := entry.New(entry.Options{Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger})
+	r := entry.New(entry.Options{
+		Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger,
+		Bounds: n.set.Bounds,
+	})
 	server := rpc.NewServer(peers)
 	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
 		return wrap(err, "router")
@@ -86,11 +82,11 @@
 	}
 	p := &entryProcess{
 		node: n, router: r, relay: rl, peers: server, pool: pool, store: store, logger: logger,
-		front: &http.Server{Handler: rl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader},
+		front: httpx.NewServer(front, rl),
 	}
 	n.reloads.add(func(set setting.Node) {
-		r.Reseed(set.Seeds)
-		rl.Rebound(set.KeyFreshness)
+		r.Reload(set.Seeds, set.Bounds)
+		rl.Rebound(time.Now(), set.Bounds)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -99,7 +95,7 @@
 			logger.Info().Str("role", "router").Str("callers", n.set.Callers).Msg("start")
 			server.Start()
 			go r.Run(ctx)
-			go func() { _ = p.front.Serve(front) }() // ends with Close
+			p.front.Start()
 			return nil
 		},
 		OnStop: p.stop,
--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -4,11 +4,13 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/platform"
@@ -17,13 +19,19 @@
 	"go.uber.org/fx"
 )
 
-// reloads reads the settings again on SIGHUP. What cannot change while a process runs (addresses, names)
-// stays as it was until the next start.
+// checkEvery is the time between two looks at whether the settings file has changed: the platform may
+// write it without a signal.
+const checkEvery = 2 * time.Second
+
+// reloads reads the settings again on SIGHUP, and when their file has changed. What cannot change while a
+// process runs (addresses, names) stays as it was until the next start.
 type reloads struct {
 	path string
 
 	mu   sync.Mutex
 	take []func(setting.Node)
+	// seen is the content of the file when it was last looked at.
+	seen []byte
 }
 
 // add calls f with the settings after each reload that succeeds.
@@ -40,16 +48,8 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			signal.Notify(signals, syscall.SIGHUP)
-			go func() {
-				for {
-					select {
-					case <-signals:
-						r.reload(logger)
-					case <-done:
-						return
-					}
-				}
-			}()
+			r.changed() // what the process has started with
+			go r.run(signals, done, logger)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -60,6 +60,38 @@
 	})
 }
 
+func (r *reloads) run(signals <-chan os.Signal, done <-chan struct{}, logger zerolog.Logger) {
+	tick := time.NewTicker(checkEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-signals:
+			r.changed()
+			r.reload(logger)
+		case <-tick.C:
+			if r.changed() {
+				r.reload(logger)
+			}
+		case <-done:
+			return
+		}
+	}
+}
+
+// changed reports whether the file has changed since it was last looked at. A file that cannot be read,
+// such as one that is just being replaced, counts as it was.
+func (r *reloads) changed() bool {
+	raw, err := os.ReadFile(r.path)
+	if err != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	same := bytes.Equal(raw, r.seen)
+	r.seen = raw
+	return !same
+}
+
 // reload reads the settings. Settings that cannot be used change nothing.
 func (r *reloads) reload(logger zerolog.Logger) {
 	set, err := platform.LoadNode(r.path)
--- a/cmd/reload_test.go
+++ b/cmd/reload_test.go
@@ -63,12 +63,19 @@
 	}
 	select {
 	case n := <-taken:
-		if n.KeyFreshness != 5*time.Second || len(n.Seeds) != 1 {
+		if n.Bounds.KeyFreshness != 5*time.Second || len(n.Seeds) != 1 {
 			t.Errorf("settings taken: %+v", n)
 		}
 	case <-time.After(10 * time.Second):
 		t.Fatal("the settings were not read again")
 	}
+	if r.changed() {
+		t.Error("settings that are as they were count as changed")
+	}
+	write(strings.Replace(nodeSettings, "revokeMs = 5000", "revokeMs = 4000", 1))
+	if !r.changed() || r.changed() {
+		t.Error("a change without a signal must be seen once")
+	}
 	var logs bytes.Buffer
 	write(strings.Replace(nodeSettings, "graceS = 8", "graceS = -1", 1))
 	r.reload(zerolog.New(&logs))
--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -102,18 +102,10 @@
 // Service is a service of the catalog.
 type Service struct {
 	ID service.ID
-	// MaxConnections is the number of connections that an upstream takes from all callers together.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
 
-// Limits bounds what callers may send.
-type Limits struct {
-	HeaderBytes, BodyBytes  int
-	HeaderTimeout, IdleTime time.Duration
-}
-
 // Account is a client account with its keys.
 type Account struct {
 	ID   account.ID
@@ -128,7 +120,8 @@
 	Version  Version
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// MaxBytes bounds the body of a request, in bytes; 0 if no bound is given.
+	MaxBytes int
 	Accounts []Account
 }
 
--- a/modules/httpx/httpx.go
+++ b/modules/httpx/httpx.go
@@ -114,10 +114,20 @@
 	done     chan struct{}
 }
 
+const (
+	// headerTimeout bounds how long a caller may take for a request's head. Callers on the users' platform
+	// keep within three seconds.
+	headerTimeout = 10 * time.Second
+	// idleTime is how long a caller's connection may rest. It is longer than any catalog asks for.
+	idleTime = 5 * time.Minute
+	// maxHeader bounds the head of a request, in bytes.
+	maxHeader = 64 << 10
+)
+
 // NewServer returns a server for h on l.
 func NewServer(l net.Listener, h http.Handler) *Server {
 	return &Server{
-		http:     &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10},
+		http:     &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader},
 		listener: l, done: make(chan struct{}),
 	}
 }
@@ -143,5 +153,15 @@
 	return nil
 }
 
+// Close ends all connections at once, also those with requests in flight.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("close http server: %w", err)
+	}
+	return nil
+}
+
 // Addr returns the address the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -29,10 +29,17 @@
 	// takes from all processes together.
 	Store                   string
 	StoreReads, StoreWrites float64
+	// Grace is the time between the order to stop and the kill.
+	Grace  time.Duration
+	Bounds Bounds
+}
+
+// Bounds holds what the users hold a router to. It may change while a process runs.
+type Bounds struct {
+	// ApplyTime is the time in which a catalog must be in force once the store has taken it.
+	ApplyTime time.Duration
 	// DrainTime is how long a leaving upstream still serves.
 	DrainTime time.Duration
-	// Grace is the time between the order to stop and the kill.
-	Grace time.Duration
 	// KeyFreshness is the time after which a key that was taken away must no longer be let in.
 	KeyFreshness time.Duration
 	// RetryRatio and RetrySlack bound the arrivals beyond the first of each request that a service may
--- a/services/balance/budget.go
+++ b/services/balance/budget.go
@@ -24,8 +24,18 @@
 // NewBudget returns the budget of one of several routers. It begins half full, so that a process that is
 // started again and again gets no more than its share.
 func NewBudget(now time.Time, ratio, slack float64, window time.Duration, routers int) *Budget {
+	b := &Budget{at: now}
+	b.Rebound(now, ratio, slack, window, routers)
+	b.tokens = b.most / 2
+	return b
+}
+
+// Rebound takes over new bounds; what was saved up stays, as far as they allow it.
+func (b *Budget) Rebound(now time.Time, ratio, slack float64, window time.Duration, routers int) {
+	b.refill(now)
 	share := budgetSafety * slack / float64(max(routers, fewestRouters)) / 2
-	return &Budget{ratio: ratio * budgetSafety, rate: share / window.Seconds(), most: share, tokens: share / 2, at: now}
+	b.ratio, b.rate, b.most = ratio*budgetSafety, share/window.Seconds(), share
+	b.tokens = min(b.tokens, b.most)
 }
 
 // Request notes a request, which earns a part of a retry.
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -8,39 +8,62 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
+// Extent tells how far a router knows a feed.
+type Extent struct {
+	Known bool
+	// Next is the offset from which the feed goes on.
+	Next services.Offset
+	// Age is how long ago that was known to be the end of the feed.
+	Age time.Duration
+}
+
+func extent(now time.Time, m knowledge.Mark) Extent {
+	if !m.Known() {
+		return Extent{}
+	}
+	return Extent{Known: true, Next: m.Next, Age: now.Sub(m.AsOf)}
+}
+
 // Hello is what routers tell each other.
 type Hello struct {
 	From peer.Info
-	// Catalog is the version in force, and CatalogAge how long ago it was known to be the newest.
-	Catalog    catalog.Version
-	CatalogAge time.Duration
-	// UpstreamsAge is how long ago the list of upstreams was known to be the newest.
-	UpstreamsKnown bool
-	UpstreamsAge   time.Duration
+	// Catalogs and Upstreams tell how far the sender knows the two feeds of the store.
+	Catalogs, Upstreams Extent
 	// Routers lists the routers that the sender has heard lately.
 	Routers []peer.Info
 }
 
-// Nothing is the argument of calls that need none.
-type Nothing struct{ Unused bool }
+// News is a stretch of a feed that a router has just read. It says nothing of its age: it may have been
+// on its way for long.
+type News[T any] struct {
+	From, Next services.Offset
+	Changes    []services.Change[T]
+}
+
+func (n News[T]) part() knowledge.Part[T] {
+	return knowledge.Part[T]{From: n.From, Next: n.Next, Changes: n.Changes}
+}
 
-// CatalogReply is the catalog that a router knows.
-type CatalogReply struct {
-	Catalog catalog.Catalog
-	Age     time.Duration
+// Whole is everything that a router knows of a feed.
+type Whole[T any] struct {
+	Extent  Extent
+	Changes []services.Change[T]
 }
 
-// UpstreamsReply is the list of upstreams that a router knows.
-type UpstreamsReply struct {
-	Instances []upstream.Instance
-	Age       time.Duration
+// part returns the knowledge as it was when the router was asked, so that it gets no younger on its way.
+func (w Whole[T]) part(asked time.Time) knowledge.Part[T] {
+	return knowledge.Part[T]{Whole: true, Next: w.Extent.Next, AsOf: asked.Add(-w.Extent.Age), Changes: w.Changes}
 }
 
+// Nothing is the argument or the answer of calls that need none.
+type Nothing struct{ Unused bool }
+
 // API is what a router offers to other processes over rpc.
 type API struct{ r *Router }
 
@@ -54,19 +77,39 @@
 	return nil
 }
 
-// Catalog returns the catalog in force here.
-func (a *API) Catalog(_ Nothing, reply *CatalogReply) error {
+// CatalogNews takes in what another router has read of the feed of catalogs.
+func (a *API) CatalogNews(n News[catalog.Catalog], _ *Nothing) error {
+	a.r.catalogs.hear(n.part())
+	return nil
+}
+
+// UpstreamNews takes in what another router has read of the feed of upstreams.
+func (a *API) UpstreamNews(n News[upstream.Instance], _ *Nothing) error {
+	a.r.upstreams.hear(n.part())
+	return nil
+}
+
+// Catalogs returns what is known here of the feed of catalogs.
+func (a *API) Catalogs(_ Nothing, reply *Whole[catalog.Catalog]) error {
+	now := time.Now()
 	a.r.opts.Relay.Know(func(s *knowledge.State) {
+		reply.Extent = extent(now, s.Catalogs())
 		if s.Index() != nil {
-			reply.Catalog, reply.Age = *s.Index().Catalog, s.CatalogAge(time.Now())
+			reply.Changes = []services.Change[catalog.Catalog]{{Value: s.Index().Catalog}}
 		}
 	})
 	return nil
 }
 
-// Upstreams returns the list of upstreams known here.
-func (a *API) Upstreams(_ Nothing, reply *UpstreamsReply) error {
-	a.r.opts.Relay.Know(func(s *knowledge.State) { reply.Instances, reply.Age = s.All(), s.UpstreamsAge(time.Now()) })
+// Upstreams returns what is known here of the feed of upstreams.
+func (a *API) Upstreams(_ Nothing, reply *Whole[upstream.Instance]) error {
+	now := time.Now()
+	a.r.opts.Relay.Know(func(s *knowledge.State) {
+		reply.Extent = extent(now, s.Upstreams())
+		for _, i := range s.All() {
+			reply.Changes = append(reply.Changes, services.Change[upstream.Instance]{Key: string(i.ID), Value: &i})
+		}
+	})
 	return nil
 }
 
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -16,11 +16,13 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/relay"
+	"fawnwinch.org/fawnwinch/services/watch"
 
 	"github.com/rs/zerolog"
 )
@@ -42,11 +44,14 @@
 	Pool   *rpc.Pool
 	Relay  *relay.Relay
 	Logger zerolog.Logger
+	Bounds setting.Bounds
 }
 
 // Router keeps a relay's knowledge up to date. It is safe for use by several goroutines.
 type Router struct {
-	opts Options
+	opts      Options
+	catalogs  *follower[catalog.Catalog]
+	upstreams *follower[upstream.Instance]
 
 	mu    sync.Mutex
 	self  peer.Info
@@ -58,65 +63,109 @@
 // New returns a router that knows nobody.
 func New(o Options) *Router {
 	o.Self.State = peer.StateStarting
-	return &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}}
+	r := &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}}
+	r.catalogs = &follower[catalog.Catalog]{
+		feed: o.Store.Catalogs(), wake: make(chan struct{}, 1), take: r.takeCatalogs,
+		mark: func() knowledge.Mark { return r.mark((*knowledge.State).Catalogs) },
+		mine: func(now time.Time) bool { return r.reads(now, feedCatalogs) },
+		tell: func(p knowledge.Part[catalog.Catalog]) { tell(r, "Router.CatalogNews", p) },
+		note: func(err error) { r.noteOutage(feedCatalogs, err) },
+	}
+	r.upstreams = &follower[upstream.Instance]{
+		feed: o.Store.Upstreams(), wake: make(chan struct{}, 1), take: r.takeUpstreams,
+		mark: func() knowledge.Mark { return r.mark((*knowledge.State).Upstreams) },
+		mine: func(now time.Time) bool { return r.reads(now, feedUpstreams) },
+		tell: func(p knowledge.Part[upstream.Instance]) { tell(r, "Router.UpstreamNews", p) },
+		note: func(err error) { r.noteOutage(feedUpstreams, err) },
+	}
+	r.rebound(o.Bounds)
+	return r
 }
 
+// The feeds that routers follow, as they are called in logs.
+const (
+	feedCatalogs  = "catalogs"
+	feedUpstreams = "upstreams"
+)
+
 const (
-	// catalogWait is how long a read of the catalog waits for news. A read proves its freshness for the
-	// time at which it was sent, and keys that are taken away must be gone within seconds.
-	catalogWait = time.Second
-	// upstreamsWait is how long a read of the list of upstreams waits for news.
-	upstreamsWait = 2 * time.Second
 	// greetEvery is the time between two greetings of the other routers.
 	greetEvery = 400 * time.Millisecond
 	// greetTime bounds a greeting.
 	greetTime = 350 * time.Millisecond
 	// registerTime bounds a registration.
 	registerTime = 1500 * time.Millisecond
-	// retryPause is the pause after a failed call of the store.
-	retryPause = 150 * time.Millisecond
-	// borrowAge is the age from which a router takes the knowledge of others over.
-	borrowAge = 1300 * time.Millisecond
+	// registerPause is the pause after a registration that failed.
+	registerPause = 150 * time.Millisecond
 )
 
 // Run keeps the router up to date until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	var w sync.WaitGroup
-	w.Go(func() {
-		follow(ctx, r.opts.Store.Catalogs(), catalogWait, r.takeCatalogs, func(err error) { r.noteOutage("catalog", err) })
-	})
-	w.Go(func() {
-		follow(ctx, r.opts.Store.Upstreams(), upstreamsWait, r.takeUpstreams, func(err error) { r.noteOutage("upstreams", err) })
-	})
+	w.Go(func() { r.catalogs.run(ctx) })
+	w.Go(func() { r.upstreams.run(ctx) })
 	w.Go(func() { r.register(ctx) })
 	w.Go(func() { r.greetAll(ctx) })
 	w.Wait()
 }
 
-func (r *Router) takeCatalogs(asOf time.Time, changes []services.Change[catalog.Catalog], _ bool) {
-	r.opts.Relay.Know(func(s *knowledge.State) {
-		for _, c := range changes {
-			if c.Value != nil && s.Catalog(asOf, c.Value) {
-				r.opts.Logger.Info().Uint64("version", uint64(c.Value.Version)).Int("routes", len(c.Value.Routes)).Msg("catalog-taken")
-			}
-		}
-		if len(changes) == 0 && s.Index() != nil {
-			s.Fresh(asOf, s.Index().Version)
+// reads reports whether this router reads a feed for all.
+func (r *Router) reads(now time.Time, feed string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	if r.self.State != peer.StateLeaving {
+		names = append(names, r.self.Name)
+	}
+	for _, n := range r.table.Live(now, vm.RoleRouter) {
+		if n.State != peer.StateLeaving && !n.StoreLost {
+			names = append(names, n.Name)
 		}
+	}
+	return watch.Reader(feed, names) == r.self.Name
+}
+
+func (r *Router) mark(of func(*knowledge.State) knowledge.Mark) knowledge.Mark {
+	var m knowledge.Mark
+	r.opts.Relay.Know(func(s *knowledge.State) { m = of(s) })
+	return m
+}
+
+func (r *Router) takeCatalogs(p knowledge.Part[catalog.Catalog]) knowledge.Fit {
+	var fit knowledge.Fit
+	var before, after *catalog.Index
+	r.opts.Relay.Know(func(s *knowledge.State) {
+		before = s.Index()
+		fit = s.TakeCatalogs(p)
+		after = s.Index()
 	})
+	if before != after {
+		r.opts.Logger.Info().Uint64("version", uint64(after.Version)).Int("routes", len(after.Routes)).Uint64("offset", uint64(p.Next)).
+			Bool("told", p.AsOf.IsZero()).Msg("catalog-taken")
+	}
 	r.becomeReady()
+	return fit
 }
 
-func (r *Router) takeUpstreams(asOf time.Time, changes []services.Change[upstream.Instance], whole bool) {
-	for _, c := range changes {
+func (r *Router) takeUpstreams(p knowledge.Part[upstream.Instance]) knowledge.Fit {
+	var fit knowledge.Fit
+	r.opts.Relay.Know(func(s *knowledge.State) { fit = s.TakeUpstreams(time.Now(), p) })
+	if fit == knowledge.FitNews {
+		r.noteUpstreams(p)
+	}
+	r.becomeReady()
+	return fit
+}
+
+func (r *Router) noteUpstreams(p knowledge.Part[upstream.Instance]) {
+	for _, c := range p.Changes {
 		state := "gone"
 		if c.Value != nil {
 			state = string(c.Value.State)
 		}
-		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", state).Bool("whole", whole).Str("address", addressOf(c.Value)).Msg("upstream-listed")
+		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", state).Bool("whole", p.Whole).Bool("told", p.AsOf.IsZero()).
+			Uint64("offset", uint64(p.Next)).Str("address", addressOf(c.Value)).Msg("upstream-listed")
 	}
-	r.opts.Relay.Know(func(s *knowledge.State) { s.Upstreams(time.Now(), asOf, changes, whole) })
-	r.becomeReady()
 }
 
 // noteOutage logs the begin and the end of a feed's outage.
@@ -153,7 +202,7 @@
 
 // register registers the process and learns of the others.
 func (r *Router) register(ctx context.Context) {
-	for registered := false; ctx.Err() == nil; sleep.For(ctx, retryPause) {
+	for registered := false; ctx.Err() == nil; sleep.For(ctx, registerPause) {
 		cctx, cancel := context.WithTimeout(ctx, registerTime)
 		var failed error
 		if !registered {
@@ -178,13 +227,20 @@
 	}
 }
 
-// Reseed takes over the addresses of routers to begin with.
-func (r *Router) Reseed(seeds []string) {
+// Reload takes over new settings: the addresses of routers to begin with, and bounds.
+func (r *Router) Reload(seeds []string, b setting.Bounds) {
+	r.rebound(b)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.opts.Seeds = seeds
 }
 
+// rebound takes over the times in which catalogs must be in force and leaving upstreams get no more work.
+func (r *Router) rebound(b setting.Bounds) {
+	r.catalogs.rebound(watch.NewTimes(b.ApplyTime))
+	r.upstreams.rebound(watch.NewTimes(b.DrainTime))
+}
+
 // Self returns what this process tells of itself.
 func (r *Router) Self() peer.Info {
 	r.mu.Lock()
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -17,10 +17,12 @@
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/relay"
+	"fawnwinch.org/fawnwinch/services/watch"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
@@ -84,25 +86,96 @@
 	defer cancel()
 	var got []string
 	var failures []error
-	follow(ctx, s, time.Second, func(_ time.Time, changes []services.Change[int], whole bool) {
-		name := ""
-		for _, c := range changes {
-			name += c.Key
-		}
-		if whole {
-			name += "*"
-		}
-		if got = append(got, name); len(got) == 5 {
-			cancel()
-		}
-	}, func(err error) {
-		if err != nil && !errors.Is(err, context.Canceled) {
-			failures = append(failures, err)
-		}
-	})
+	var told []services.Offset
+	var mark knowledge.Mark
+	f := &follower[int]{
+		feed: s, wake: make(chan struct{}, 1),
+		mark: func() knowledge.Mark { return mark },
+		mine: func(time.Time) bool { return true },
+		take: func(p knowledge.Part[int]) knowledge.Fit {
+			name := ""
+			for _, c := range p.Changes {
+				name += c.Key
+			}
+			if p.Whole {
+				name += "*"
+			}
+			mark = knowledge.Mark{Next: p.Next, AsOf: p.AsOf}
+			if got = append(got, name); len(got) == 5 {
+				cancel()
+			}
+			return knowledge.FitNews
+		},
+		tell: func(p knowledge.Part[int]) { told = append(told, p.Next) },
+		note: func(err error) {
+			if err != nil && !errors.Is(err, context.Canceled) {
+				failures = append(failures, err)
+			}
+		},
+	}
+	f.run(ctx)
 	if want := []string{"a*", "b", "", "c*", ""}; !slices.Equal(got, want) || len(failures) != 2 || errors.Is(failures[1], errWrongRead) {
 		t.Errorf("took %q, want %q; failures %v", got, want, failures)
 	}
+	if !slices.Equal(told, []services.Offset{5}) {
+		t.Errorf("told the others up to %v, want only what was read beyond a whole feed", told)
+	}
+}
+
+// TestOthersRead checks that a router which does not read for all reads nothing while it is told what is
+// new, and at once when it has missed something.
+func TestOthersRead(t *testing.T) {
+	s := &script[int]{reads: make(chan read[int])}
+	ctx, cancel := context.WithCancel(t.Context())
+	var mu sync.Mutex
+	mark := knowledge.Mark{Next: 4, AsOf: time.Now().Add(time.Hour)}
+	taken := make(chan knowledge.Part[int], 1)
+	f := &follower[int]{
+		feed: s, wake: make(chan struct{}, 1), times: watch.NewTimes(2 * time.Second),
+		mine: func(time.Time) bool { return false },
+		tell: func(knowledge.Part[int]) {},
+		note: func(error) {},
+		mark: func() knowledge.Mark {
+			mu.Lock()
+			defer mu.Unlock()
+			return mark
+		},
+		take: func(p knowledge.Part[int]) knowledge.Fit {
+			mu.Lock()
+			defer mu.Unlock()
+			if p.From > mark.Next {
+				return knowledge.FitGap
+			}
+			mark.Next = p.Next
+			taken <- p
+			return knowledge.FitNews
+		},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	f.hear(knowledge.Part[int]{From: 4, Next: 5})
+	if p := <-taken; p.Next != 5 {
+		t.Errorf("took news up to %d", p.Next)
+	}
+	f.hear(knowledge.Part[int]{From: 7, Next: 8})
+	select {
+	case s.reads <- read[int]{from: 5, next: 8}:
+	case <-taken:
+		t.Fatal("news that do not join on were taken")
+	}
+	if p := <-taken; p.From != 5 || p.Next != 8 {
+		t.Errorf("read from %d up to %d, want 5 to 8", p.From, p.Next)
+	}
+	select {
+	case s.reads <- read[int]{from: 8, next: 8}:
+		t.Error("the feed was read although nothing was missed")
+	default:
+	}
+	cancel()
+	<-done
 }
 
 // silent is a store that never answers.
@@ -135,7 +208,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rl := relay.New(relay.Options{KeyFreshness: time.Second, RetryWindow: time.Second, Metrics: metrics.New(name), Logger: zerolog.Nop()})
+	rl := relay.New(relay.Options{Bounds: setting.Bounds{ApplyTime: time.Second, KeyFreshness: time.Second, RetryWindow: time.Second}, Metrics: metrics.New(name), Logger: zerolog.Nop()})
 	pool := rpc.NewPool()
 	address := l.Addr().String()
 	r := New(Options{
@@ -179,8 +252,9 @@
 		old := time.Now().Add(-300 * time.Millisecond)
 		u := upstream.Instance{ID: "u", Service: "s", State: upstream.StateReady}
 		ra.Know(func(s *knowledge.State) {
-			s.Catalog(old, &catalog.Catalog{Version: 7, Accounts: []catalog.Account{{ID: "x", Keys: []catalog.Key{"k"}}}})
-			s.Upstreams(old, old, []services.Change[upstream.Instance]{{Key: "u", Value: &u}}, true)
+			c := catalog.Catalog{Version: 7, Accounts: []catalog.Account{{ID: "x", Keys: []catalog.Key{"k"}}}}
+			s.TakeCatalogs(knowledge.Part[catalog.Catalog]{Whole: true, Next: 5, AsOf: old, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+			s.TakeUpstreams(old, knowledge.Part[upstream.Instance]{Whole: true, Next: 9, AsOf: old, Changes: []services.Change[upstream.Instance]{{Key: "u", Value: &u}}})
 		})
 		a.becomeReady()
 		b, rb, _ := router(t, "b", address)
@@ -189,8 +263,8 @@
 			if s.Index().Version != 7 || s.Index().Account("k") == nil || len(s.Usable(time.Now(), "s")) != 1 {
 				t.Errorf("borrowed version %d", s.Index().Version)
 			}
-			if s.CatalogAt().After(old) {
-				t.Errorf("the catalog got fresher by being borrowed: %s", s.CatalogAt().Sub(old))
+			if s.Catalogs().AsOf.After(old) || s.Upstreams().AsOf.After(old) {
+				t.Errorf("the feeds got fresher by being borrowed: %s, %s", s.Catalogs().AsOf.Sub(old), s.Upstreams().AsOf.Sub(old))
 			}
 		})
 		both := []string{"callers of a", "callers of b"}
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -8,10 +8,8 @@
 	"sync"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/sleep"
-	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 )
 
@@ -58,17 +56,15 @@
 		return
 	}
 	r.heard(reply)
-	r.borrow(ctx, sent, address, reply)
+	r.compare(ctx, sent, address, reply)
 }
 
 // hello returns what this process says when it greets.
 func (r *Router) hello(now time.Time) Hello {
 	h := Hello{From: r.Self()}
+	h.From.StoreLost = r.catalogs.failing() || r.upstreams.failing()
 	r.opts.Relay.Know(func(s *knowledge.State) {
-		if s.Index() != nil {
-			h.Catalog, h.CatalogAge = s.Index().Version, s.CatalogAge(now)
-		}
-		h.UpstreamsKnown, h.UpstreamsAge = s.Complete(), s.UpstreamsAge(now)
+		h.Catalogs, h.Upstreams = extent(now, s.Catalogs()), extent(now, s.Upstreams())
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,47 +83,65 @@
 	}
 }
 
-// borrow takes over what another router knows better. Ages count from before the question was sent.
-func (r *Router) borrow(ctx context.Context, sent time.Time, address string, h Hello) {
-	mine := r.hello(sent)
-	if h.Catalog > mine.Catalog {
-		r.borrowCatalog(ctx, address)
-	} else if h.Catalog == mine.Catalog && h.Catalog != 0 {
-		r.opts.Relay.Know(func(s *knowledge.State) { s.Fresh(sent.Add(-h.CatalogAge), h.Catalog) })
-	}
-	if h.UpstreamsKnown && (!mine.UpstreamsKnown || mine.UpstreamsAge > upstreamsWait+borrowAge) && h.UpstreamsAge+borrowAge < mine.UpstreamsAge {
-		r.borrowUpstreams(ctx, address)
-	}
-	r.becomeReady()
-}
-
-func (r *Router) borrowCatalog(ctx context.Context, address string) {
-	cctx, cancel := context.WithTimeout(ctx, greetTime)
-	defer cancel()
-	sent := time.Now()
-	var k CatalogReply
-	if err := r.opts.Pool.Call(cctx, address, "Router.Catalog", Nothing{}, &k); err != nil || k.Catalog.Version == 0 {
-		return
-	}
+// compare compares what is known of the feeds with what another router knows. Ages count from before the
+// question was sent.
+func (r *Router) compare(ctx context.Context, sent time.Time, address string, h Hello) {
 	r.opts.Relay.Know(func(s *knowledge.State) {
-		if s.Catalog(sent.Add(-k.Age), &k.Catalog) {
-			r.opts.Logger.Info().Uint64("version", uint64(k.Catalog.Version)).Str("from", address).Msg("catalog-borrowed")
+		if h.Catalogs.Known {
+			s.ConfirmCatalogs(h.Catalogs.Next, sent.Add(-h.Catalogs.Age))
+		}
+		if h.Upstreams.Known {
+			s.ConfirmUpstreams(h.Upstreams.Next, sent.Add(-h.Upstreams.Age))
 		}
 	})
+	catchUp(ctx, r, address, r.catalogs, h.Catalogs, "Router.Catalogs")
+	catchUp(ctx, r, address, r.upstreams, h.Upstreams, "Router.Upstreams")
+	r.becomeReady()
 }
 
-func (r *Router) borrowUpstreams(ctx context.Context, address string) {
+// catchUp takes care that what another router knows more of a feed is soon known here: from the store, or
+// from that router while the store cannot be read.
+func catchUp[T any](ctx context.Context, r *Router, address string, f *follower[T], theirs Extent, method string) {
+	mark := f.mark()
+	if !theirs.Known || (mark.Known() && mark.Next >= theirs.Next) {
+		return
+	}
+	if mark.Known() && !f.failing() {
+		f.miss()
+		return
+	}
 	cctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
-	sent := time.Now()
-	var u UpstreamsReply
-	if err := r.opts.Pool.Call(cctx, address, "Router.Upstreams", Nothing{}, &u); err != nil {
+	asked := time.Now()
+	var w Whole[T]
+	if err := r.opts.Pool.Call(cctx, address, method, Nothing{}, &w); err != nil {
+		r.opts.Logger.Warn().Str("from", address).Str("call", method).Err(err).Msg("borrow-failed")
+		return
+	}
+	if !w.Extent.Known {
 		return
 	}
-	changes := make([]services.Change[upstream.Instance], len(u.Instances))
-	for i := range u.Instances {
-		changes[i] = services.Change[upstream.Instance]{Key: string(u.Instances[i].ID), Value: &u.Instances[i]}
+	fit := f.take(w.part(asked))
+	r.opts.Logger.Info().Str("from", address).Str("call", method).Uint64("next", uint64(w.Extent.Next)).Int64("age_ms", w.Extent.Age.Milliseconds()).
+		Int("records", len(w.Changes)).Str("fit", string(fit)).Msg("borrowed")
+}
+
+// tell tells the other routers what was read of a feed.
+func tell[T any](r *Router, method string, p knowledge.Part[T]) {
+	now := time.Now()
+	r.mu.Lock()
+	live := r.table.Live(now, vm.RoleRouter)
+	r.mu.Unlock()
+	news := News[T]{From: p.From, Next: p.Next, Changes: p.Changes}
+	for _, n := range live {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), greetTime)
+			defer cancel()
+			var reply Nothing
+			if err := r.opts.Pool.Call(ctx, n.Address, method, news, &reply); err != nil {
+				// The next greeting shows the other router that it has missed something.
+				r.opts.Logger.Debug().Str("address", n.Address).Str("call", method).Err(err).Msg("router-silent")
+			}
+		}()
 	}
-	r.opts.Relay.Know(func(s *knowledge.State) { s.Upstreams(time.Now(), sent.Add(-u.Age), changes, true) })
-	r.opts.Logger.Info().Int("upstreams", len(changes)).Str("from", address).Msg("upstreams-borrowed")
 }
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -33,12 +33,10 @@
 // State is a router's knowledge. It does no I/O and reads no clock.
 type State struct {
 	index *catalog.Index
-	// catalogAt is a time at which the catalog was the newest.
-	catalogAt time.Time
-	ups       map[upstream.ID]*entry
-	// upstreamsAt is a time at which the list of upstreams was the newest.
-	upstreamsAt time.Time
-	byService   map[service.ID][]upstream.ID
+	// catalogs and upstreams tell how far the two feeds are known.
+	catalogs, upstreams Mark
+	ups                 map[upstream.ID]*entry
+	byService           map[service.ID][]upstream.ID
 	// lapse is how long an upstream whose entry has gone may still be used.
 	lapse time.Duration
 }
@@ -46,49 +44,48 @@
 // New returns the knowledge of a process that has just started: none. DrainTime is how long an upstream
 // serves after it has said that it leaves, or after its entry has gone.
 func New(drainTime time.Duration) *State {
-	lapse := min(lapseMost, time.Duration(lapsePart*float64(drainTime)))
-	return &State{lapse: lapse, ups: map[upstream.ID]*entry{}, byService: map[service.ID][]upstream.ID{}}
+	s := &State{ups: map[upstream.ID]*entry{}, byService: map[service.ID][]upstream.ID{}}
+	s.Rebound(drainTime)
+	return s
 }
 
-// Catalog takes in a catalog that was the newest at a time, and reports whether it is news. Versions
-// only go up: an older one than is known changes nothing, also not the freshness.
-func (s *State) Catalog(asOf time.Time, c *catalog.Catalog) bool {
-	if s.index != nil && c.Version < s.index.Version {
-		return false
-	}
-	s.Fresh(asOf, c.Version)
-	if s.index != nil && c.Version == s.index.Version {
-		return false
-	}
-	s.index = catalog.NewIndex(c)
-	s.catalogAt = asOf
-	return true
+// Rebound takes over a new time for which a leaving upstream serves.
+func (s *State) Rebound(drainTime time.Duration) {
+	s.lapse = min(lapseMost, time.Duration(lapsePart*float64(drainTime)))
 }
 
-// Fresh notes that a version was the newest at a time.
-func (s *State) Fresh(asOf time.Time, v catalog.Version) {
-	if s.index != nil && v == s.index.Version && asOf.After(s.catalogAt) {
-		s.catalogAt = asOf
+// TakeCatalogs takes in a part of the feed of catalogs. Versions only go up: an older one than is known
+// changes nothing.
+func (s *State) TakeCatalogs(p Part[catalog.Catalog]) Fit {
+	fit := s.catalogs.fit(p.Whole, p.From, p.Next, p.AsOf)
+	if fit != FitNews {
+		return fit
+	}
+	for _, c := range p.Changes {
+		if c.Value != nil && (s.index == nil || c.Value.Version > s.index.Version) {
+			s.index = catalog.NewIndex(c.Value)
+		}
 	}
+	return fit
 }
 
 // Index returns the catalog in force, or nil.
 func (s *State) Index() *catalog.Index { return s.index }
 
-// CatalogAge returns how long ago the catalog was last known to be the newest.
-func (s *State) CatalogAge(now time.Time) time.Duration { return now.Sub(s.catalogAt) }
+// Catalogs tells how far the feed of catalogs is known.
+func (s *State) Catalogs() Mark { return s.catalogs }
 
-// CatalogAt returns the time at which the catalog was last known to be the newest.
-func (s *State) CatalogAt() time.Time { return s.catalogAt }
+// CatalogAge returns how long ago the catalog was last known to be the newest.
+func (s *State) CatalogAge(now time.Time) time.Duration { return now.Sub(s.catalogs.AsOf) }
 
-// Upstreams takes in changes of the list of upstreams, which was the newest at asOf. Whole says that
-// the changes are the whole list.
-func (s *State) Upstreams(now, asOf time.Time, changes []services.Change[upstream.Instance], whole bool) {
-	if asOf.After(s.upstreamsAt) {
-		s.upstreamsAt = asOf
+// TakeUpstreams takes in a part of the feed of upstreams.
+func (s *State) TakeUpstreams(now time.Time, p Part[upstream.Instance]) Fit {
+	fit := s.upstreams.fit(p.Whole, p.From, p.Next, p.AsOf)
+	if fit != FitNews {
+		return fit
 	}
 	listed := map[upstream.ID]bool{}
-	for _, c := range changes {
+	for _, c := range p.Changes {
 		id := upstream.ID(c.Key)
 		if c.Value == nil {
 			s.gone(now, id)
@@ -97,7 +94,7 @@
 		listed[id] = true
 		s.take(*c.Value)
 	}
-	if whole {
+	if p.Whole {
 		for id := range s.ups {
 			if !listed[id] {
 				s.gone(now, id)
@@ -105,6 +102,20 @@
 		}
 	}
 	s.sort(now)
+	return fit
+}
+
+// Upstreams tells how far the feed of upstreams is known.
+func (s *State) Upstreams() Mark { return s.upstreams }
+
+// ConfirmCatalogs notes that another router knew the feed of catalogs to end at an offset at a time.
+func (s *State) ConfirmCatalogs(next services.Offset, asOf time.Time) {
+	s.catalogs.fit(false, next, next, asOf)
+}
+
+// ConfirmUpstreams notes that another router knew the feed of upstreams to end at an offset at a time.
+func (s *State) ConfirmUpstreams(next services.Offset, asOf time.Time) {
+	s.upstreams.fit(false, next, next, asOf)
 }
 
 // take keeps an entry. An upstream that was once leaving does not come back under its id.
@@ -137,9 +148,6 @@
 	}
 }
 
-// UpstreamsAge returns how long ago the list of upstreams was last known to be the newest.
-func (s *State) UpstreamsAge(now time.Time) time.Duration { return now.Sub(s.upstreamsAt) }
-
 // Usable returns the upstreams of a service that may take new work: those listed, or else those whose
 // entries have just lapsed.
 func (s *State) Usable(now time.Time, id service.ID) []upstream.Instance {
@@ -178,4 +186,4 @@
 }
 
 // Complete reports whether the knowledge is enough to take callers.
-func (s *State) Complete() bool { return s.index != nil && !s.upstreamsAt.IsZero() }
+func (s *State) Complete() bool { return s.index != nil && s.upstreams.Known() }
--- a/services/knowledge/knowledge_test.go
+++ b/services/knowledge/knowledge_test.go
@@ -14,27 +14,58 @@
 
 var begin = time.Unix(1000, 0)
 
-// TestCatalog checks that a catalog never reverts, and that only word of the version in force makes it fresher.
+// TestCatalog checks that a catalog never reverts, and that only word of the end of the feed makes it fresher.
 func TestCatalog(t *testing.T) {
+	part := func(from, next services.Offset, asOf time.Duration, versions ...catalog.Version) Part[catalog.Catalog] {
+		p := Part[catalog.Catalog]{From: from, Next: next, AsOf: begin.Add(asOf)}
+		for _, v := range versions {
+			p.Changes = append(p.Changes, services.Change[catalog.Catalog]{Value: &catalog.Catalog{Version: v}})
+		}
+		return p
+	}
+	told := func(p Part[catalog.Catalog]) Part[catalog.Catalog] {
+		p.AsOf = time.Time{}
+		return p
+	}
+	whole := func(p Part[catalog.Catalog]) Part[catalog.Catalog] {
+		p.Whole = true
+		return p
+	}
 	s := New(2 * time.Second)
-	s.Catalog(begin, &catalog.Catalog{Version: 5})
 	steps := []struct {
 		name    string
-		do      func() bool
-		news    bool
+		part    Part[catalog.Catalog]
+		fit     Fit
 		version catalog.Version
+		next    services.Offset
 		at      time.Duration
 	}{
-		{"the same again", func() bool { return s.Catalog(begin.Add(time.Second), &catalog.Catalog{Version: 5}) }, false, 5, time.Second},
-		{"an older one", func() bool { return s.Catalog(begin.Add(2*time.Second), &catalog.Catalog{Version: 4}) }, false, 5, time.Second},
-		{"word of an older one", func() bool { s.Fresh(begin.Add(3*time.Second), 4); return false }, false, 5, time.Second},
-		{"word of the one in force", func() bool { s.Fresh(begin.Add(3*time.Second), 5); return false }, false, 5, 3 * time.Second},
-		{"late word", func() bool { s.Fresh(begin.Add(2*time.Second), 5); return false }, false, 5, 3 * time.Second},
-		{"a newer one", func() bool { return s.Catalog(begin.Add(2*time.Second), &catalog.Catalog{Version: 9}) }, true, 9, 2 * time.Second},
+		{"a stretch before anything is known", part(3, 4, 0, 6), FitGap, 0, 0, 0},
+		{"a whole feed", whole(part(0, 3, 0, 5)), FitNews, 5, 3, 0},
+		{"nothing new", part(3, 3, time.Second), FitSame, 5, 3, time.Second},
+		{"late word of that", part(3, 3, time.Second/2), FitSame, 5, 3, time.Second},
+		{"an older version", part(3, 4, 2*time.Second, 4), FitNews, 5, 4, 2 * time.Second},
+		{"word of an earlier end", part(3, 3, 3*time.Second), FitOld, 5, 4, 2 * time.Second},
+		{"word of a later end", part(5, 5, 3*time.Second), FitGap, 5, 4, 2 * time.Second},
+		{"a stretch that begins later", part(6, 7, 3*time.Second, 9), FitGap, 5, 4, 2 * time.Second},
+		{"a stretch that begins earlier", part(3, 6, 3*time.Second, 9), FitOld, 5, 4, 2 * time.Second},
+		{"what another router tells", told(part(4, 5, 0, 7)), FitNews, 7, 5, 2 * time.Second},
+		{"the same by an own read", part(4, 5, 3*time.Second, 7), FitSame, 7, 5, 3 * time.Second},
+		{"an older whole feed", whole(part(0, 4, 4*time.Second, 5)), FitOld, 7, 5, 3 * time.Second},
+		{"a newer whole feed", whole(part(0, 9, 2*time.Second, 9)), FitNews, 9, 9, 3 * time.Second},
 	}
 	for _, st := range steps {
-		if news := st.do(); news != st.news || s.Index().Version != st.version || !s.CatalogAt().Equal(begin.Add(st.at)) {
-			t.Errorf("%s: news %t, version %d as of %s", st.name, news, s.Index().Version, s.CatalogAt().Sub(begin))
+		fit := s.TakeCatalogs(st.part)
+		version := catalog.Version(0)
+		if s.Index() != nil {
+			version = s.Index().Version
+		}
+		want := Mark{Next: st.next, AsOf: begin.Add(st.at)}
+		if st.next == 0 {
+			want = Mark{}
+		}
+		if fit != st.fit || version != st.version || s.Catalogs() != want {
+			t.Errorf("%s: %s, version %d, known up to %d as of %s", st.name, fit, version, s.Catalogs().Next, s.Catalogs().AsOf.Sub(begin))
 		}
 	}
 }
@@ -69,8 +100,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := New(2 * time.Second)
-			s.Upstreams(begin, begin, changes{up("a", ready), up("b", ready)}, true)
-			s.Upstreams(begin, begin, c.then, c.whole)
+			s.TakeUpstreams(begin, Part[upstream.Instance]{Whole: true, Next: 1, AsOf: begin, Changes: changes{up("a", ready), up("b", ready)}})
+			s.TakeUpstreams(begin, Part[upstream.Instance]{Whole: c.whole, From: 1, Next: 2, AsOf: begin, Changes: c.then})
 			now := begin.Add(c.after)
 			if got := len(s.Usable(now, "s")); got != c.usable {
 				t.Errorf("%d usable, want %d", got, c.usable)
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -40,6 +40,8 @@
 	// Service is the service of that engine.
 	Service string `json:"service,omitempty"`
 	State   State  `json:"state"`
+	// StoreLost says that the process could not read the platform's store when it last tried.
+	StoreLost bool `json:"store_lost,omitempty"`
 }
 
 const (
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -42,9 +42,9 @@
 )
 
 const (
-	// denyAge is the age up to which a catalog may say that a route or key does not exist. A change must be
-	// in force two seconds after the store has taken it.
-	denyAge = 1800 * time.Millisecond
+	// denyPart is the part of the time in which a change must be in force, up to which the age of a catalog
+	// lets it say that a route or key does not exist.
+	denyPart = 0.9
 	// freshnessMargin is taken off the time in which keys that were taken away may still be let in.
 	freshnessMargin = 300 * time.Millisecond
 	// retryStarting is when a caller may come back to a process that does not know enough yet.
@@ -59,8 +59,8 @@
 	// leaveStreams is how long after the order to stop a process still takes streams: later ones might
 	// not end before it does.
 	leaveStreams = 3 * time.Second
-	// defaultBody bounds a body when the catalog gives no limit, in bytes.
-	defaultBody = 4 << 20
+	// defaultBytes bounds a body when the catalog gives no limit, in bytes.
+	defaultBytes = 4 << 20
 )
 
 // exchange is one request on its way.
@@ -75,6 +75,8 @@
 	service  service.ID
 	account  account.ID
 	urgency  int
+	// maxBytes bounds the body.
+	maxBytes int64
 	body     []byte
 	// version and age tell of the catalog by which the request was judged.
 	version catalog.Version
@@ -135,11 +137,7 @@
 	if !leaving.IsZero() && x.route.Kind == catalog.KindStream && x.arrived.Sub(leaving) > leaveStreams {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonLeaving, after: retryStarting}
 	}
-	limit := int64(defaultBody)
-	if b := x.bodyLimit(); b > 0 {
-		limit = int64(b)
-	}
-	body, err := httpx.ReadAll(x.req.Body, limit)
+	body, err := httpx.ReadAll(x.req.Body, x.maxBytes)
 	var large httpx.ErrTooLarge
 	switch {
 	case errors.As(err, &large):
@@ -151,12 +149,6 @@
 	return nil
 }
 
-func (x *exchange) bodyLimit() int {
-	x.r.mu.Lock()
-	defer x.r.mu.Unlock()
-	return x.r.know.Index().Limits.BodyBytes
-}
-
 // judge finds the route and the account of a request.
 func (x *exchange) judge() *refusal {
 	x.r.mu.Lock()
@@ -167,6 +159,9 @@
 	}
 	index := know.Index()
 	x.version, x.age = index.Version, know.CatalogAge(x.arrived)
+	if x.maxBytes = int64(index.MaxBytes); x.maxBytes <= 0 {
+		x.maxBytes = defaultBytes
+	}
 	x.route = index.Route(hostName(x.req.Host), pathOf(x.req.RequestURI))
 	if x.route == nil {
 		return x.deny(http.StatusNotFound, ReasonNoRoute)
@@ -176,7 +171,7 @@
 		if a == nil {
 			return x.deny(http.StatusUnauthorized, ReasonNoKey)
 		}
-		if x.age > x.r.opts.KeyFreshness-freshnessMargin {
+		if x.age > x.r.opts.Bounds.KeyFreshness-freshnessMargin {
 			return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
 		}
 		x.account = a.ID
@@ -200,7 +195,7 @@
 
 // deny refuses for good if the catalog is fresh enough to know, or else for now.
 func (x *exchange) deny(status int, reason Reason) *refusal {
-	if x.age > denyAge {
+	if x.age > time.Duration(denyPart*float64(x.r.opts.Bounds.ApplyTime)) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
 	}
 	return &refusal{status: status, reason: reason}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/httpconn"
 	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -26,16 +27,10 @@
 // Options holds what a Relay needs.
 type Options struct {
 	DataCentre vm.DataCentre
-	// DrainTime is how long an upstream serves after it has said that it leaves.
-	DrainTime time.Duration
-	// KeyFreshness is the time after which a key that was taken away must not be let in.
-	KeyFreshness time.Duration
-	// RetryRatio, RetrySlack and RetryWindow bound the retries of all routers.
-	RetryRatio, RetrySlack float64
-	RetryWindow            time.Duration
-	Protocol               services.CallerProtocol
-	Metrics                *metrics.Metrics
-	Logger                 zerolog.Logger
+	Bounds     setting.Bounds
+	Protocol   services.CallerProtocol
+	Metrics    *metrics.Metrics
+	Logger     zerolog.Logger
 }
 
 // Relay is the part of a router that serves callers. It is safe for use by several goroutines.
@@ -66,7 +61,7 @@
 
 // New returns a relay that knows nothing yet.
 func New(o Options) *Relay {
-	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.DrainTime), pools: map[service.ID]*lane{}, routers: 1}
+	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1}
 }
 
 // Know calls f with the router's knowledge, under the relay's lock.
@@ -83,11 +78,15 @@
 	r.routers = n
 }
 
-// Rebound takes over a new time for which keys that were taken away may still be let in.
-func (r *Relay) Rebound(keyFreshness time.Duration) {
+// Rebound takes over new bounds.
+func (r *Relay) Rebound(now time.Time, b setting.Bounds) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.opts.KeyFreshness = keyFreshness
+	r.opts.Bounds = b
+	r.know.Rebound(b.DrainTime)
+	for _, l := range r.pools {
+		l.budget.Rebound(now, b.RetryRatio, b.RetrySlack, b.RetryWindow, r.routers)
+	}
 }
 
 // Leave says that the process was told to stop at a time.
@@ -147,7 +146,7 @@
 		l = &lane{
 			service: id, patience: map[string]time.Duration{},
 			pool:   balance.NewPool(r.opts.DataCentre),
-			budget: balance.NewBudget(now, r.opts.RetryRatio, r.opts.RetrySlack, r.opts.RetryWindow, r.routers),
+			budget: balance.NewBudget(now, r.opts.Bounds.RetryRatio, r.opts.Bounds.RetrySlack, r.opts.Bounds.RetryWindow, r.routers),
 		}
 		r.pools[id] = l
 	}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -134,22 +135,29 @@
 	Accounts: []catalog.Account{{ID: "seiryu", Keys: []catalog.Key{"k"}}},
 }
 
+// catalogs returns the catalog of the tests as it was the newest at a time.
+func catalogs(asOf time.Time) knowledge.Part[catalog.Catalog] {
+	return knowledge.Part[catalog.Catalog]{Whole: true, Next: 1, AsOf: asOf, Changes: []services.Change[catalog.Catalog]{{Value: &testCatalog}}}
+}
+
 // start returns a router before some upstreams, and its relay.
 func start(t *testing.T, fakes ...*fake) (*httptest.Server, *Relay) {
 	t.Helper()
 	r := New(Options{
-		DrainTime: 2 * time.Second, KeyFreshness: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		Bounds: setting.Bounds{
+			ApplyTime: 2 * time.Second, DrainTime: 2 * time.Second, KeyFreshness: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		},
 		Protocol: protocol{}, Metrics: metrics.New("test"), Logger: zerolog.Nop(),
 	})
 	now := time.Now()
 	r.Know(func(s *knowledge.State) {
-		s.Catalog(now, &testCatalog)
+		s.TakeCatalogs(catalogs(now))
 		var list []services.Change[upstream.Instance]
 		for i, f := range fakes {
 			u := upstream.Instance{ID: upstream.ID(fmt.Sprintf("u%d", i)), Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
 			list = append(list, services.Change[upstream.Instance]{Key: string(u.ID), Value: &u})
 		}
-		s.Upstreams(now, now, list, true)
+		s.TakeUpstreams(now, knowledge.Part[upstream.Instance]{Whole: true, Next: 1, AsOf: now, Changes: list})
 	})
 	s := httptest.NewServer(r)
 	t.Cleanup(func() { s.Close(); r.Close() })
@@ -302,9 +310,11 @@
 			s, r := start(t, f)
 			r.Know(func(k *knowledge.State) {
 				*k = *knowledge.New(2 * time.Second)
-				k.Catalog(time.Now().Add(-c.age), &testCatalog)
+				k.TakeCatalogs(catalogs(time.Now().Add(-c.age)))
 				u := upstream.Instance{ID: "u0", Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
-				k.Upstreams(time.Now(), time.Now(), []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}, true)
+				k.TakeUpstreams(time.Now(), knowledge.Part[upstream.Instance]{
+					Whole: true, Next: 1, AsOf: time.Now(), Changes: []services.Change[upstream.Instance]{{Key: "u0", Value: &u}},
+				})
 			})
 			status, header, _, _ := get(t.Context(), t, s, c.path, map[string]string{"Key": c.key})
 			if status != c.status || (status == 503) != (header.Get("Retry-After") != "") {
@@ -341,7 +351,9 @@
 	s, r := start(t, f)
 	r.Know(func(k *knowledge.State) {
 		u := upstream.Instance{ID: "u0", Service: "s", Address: f.address, Slots: 4, State: upstream.StateLeaving}
-		k.Upstreams(time.Now(), time.Now(), []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}, false)
+		k.TakeUpstreams(time.Now(), knowledge.Part[upstream.Instance]{
+			From: 1, Next: 2, AsOf: time.Now(), Changes: []services.Change[upstream.Instance]{{Key: "u0", Value: &u}},
+		})
 	})
 	if r.takes(upstream.Instance{ID: "u0"}) {
 		t.Error("a leaving upstream takes work")
--- /dev/null
+++ b/tests/integration/platform_feeds_test.go
@@ -0,0 +1,107 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/services/watch"
+	"fawnwinch.org/fawnwinch/standin/metastore"
+)
+
+// feedOfCatalogs is the name under which routers choose who reads the operator's configuration.
+const feedOfCatalogs = "catalogs"
+
+// threeRouters starts three routers that know each other, with one replica behind them.
+func threeRouters(t *testing.T) (*site, map[string]*node) {
+	t.Helper()
+	s := newSite(t)
+	rp := newReplica(t, "i-1", nil)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	s.store.Put(replicaStream, "i-1", rp.entry("ready"))
+	routers := map[string]*node{}
+	for _, name := range []string{"a", "b", "c"} {
+		routers[name] = s.router(name)
+	}
+	for _, n := range routers {
+		eventually(t, "a router that names all three", func() bool {
+			named := n.named(t)
+			return strings.Contains(named, routers["a"].front) && strings.Contains(named, routers["b"].front) && strings.Contains(named, routers["c"].front)
+		})
+	}
+	// Reads that each began for itself have ended after some more of the one that reads for all.
+	first := s.store.Calls()
+	eventually(t, "reads for all", func() bool { return s.store.Calls() >= first+10 })
+	return s, routers
+}
+
+// TestReaderLost takes the router away that reads the configuration for all: the others have a change in
+// force all the same.
+func TestReaderLost(t *testing.T) {
+	cases := map[string]struct {
+		lose, bring func(n *node)
+	}{
+		"frozen": {func(n *node) { n.signal(syscall.SIGSTOP) }, func(n *node) { n.signal(syscall.SIGCONT) }},
+		"killed": {func(n *node) { n.kill() }, func(n *node) { n.start() }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, routers := threeRouters(t)
+			reader := watch.Reader(feedOfCatalogs, []string{"a", "b", "c"})
+			c.lose(routers[reader])
+			begun := time.Now()
+			s.store.Put(operatorStream, "config", operatorConfig(5, "new"))
+			for name, n := range routers {
+				if name == reader {
+					continue
+				}
+				eventually(t, "the new key at "+name, func() bool { status, _, _ := ask(t.Context(), t, n.front, "/view/x", "new"); return status == 200 })
+				eventually(t, "no old key at "+name, func() bool { status, _, _ := ask(t.Context(), t, n.front, "/view/x", "k"); return status == 401 })
+			}
+			t.Logf("in force at the others after %s", time.Since(begun).Round(time.Millisecond))
+			c.bring(routers[reader])
+			eventually(t, "the new key at the router that was lost", func() bool {
+				status, _, _ := ask(t.Context(), t, routers[reader].front, "/view/x", "new")
+				return status == 200
+			})
+		})
+	}
+}
+
+// TestOneReader checks that routers share what one of them reads: a router more costs no more reads.
+func TestOneReader(t *testing.T) {
+	s, routers := threeRouters(t)
+	const reads = 12
+	begun, first := time.Now(), s.store.Calls()
+	eventually(t, "some reads", func() bool { return s.store.Calls() >= first+reads })
+	// Both feeds are read every half second.
+	if took, least := time.Since(begun), reads/4*time.Second/2; took < least {
+		t.Errorf("%d reads by %d routers in %s: each reads by itself", reads, len(routers), took)
+	}
+	s.store.Put(operatorStream, "config", operatorConfig(5, "new"))
+	for name, n := range routers {
+		eventually(t, "the new key at "+name, func() bool { status, _, _ := ask(t.Context(), t, n.front, "/view/x", "new"); return status == 200 })
+	}
+}
+
+// TestReadersOut takes the store away and back: routers answer meanwhile what they can vouch for, and have
+// a change in force soon after.
+func TestReadersOut(t *testing.T) {
+	s, routers := threeRouters(t)
+	s.store.Trouble(metastore.TroubleBusy)
+	for name, n := range routers {
+		eventually(t, "refused keys at "+name, func() bool {
+			status, _, header := ask(t.Context(), t, n.front, "/view/x", "k")
+			return status == 503 && header.Get("Retry-After") != ""
+		})
+	}
+	s.store.Put(operatorStream, "config", operatorConfig(5, "new"))
+	s.store.Trouble(metastore.TroubleNone)
+	for name, n := range routers {
+		eventually(t, "the new key at "+name, func() bool { status, _, _ := ask(t.Context(), t, n.front, "/view/x", "new"); return status == 200 })
+	}
+}
