Free places are parted among the routers; who can be in time goes first

In the logs of the burst the group had 93 to 136 of 144 places in use while 20 to 45 requests waited at full ranks: each router knew of the others' sends a report later. And nearly all that was served was late: who had waited longest went first, so that everybody had waited too long.

Ruled out: passes beyond the goal (60 to 75 ms all the time, the goal is 120); the engines' own order; a lack of places.

Change: (1) The coordinator parts the free places of each rank among the routers that answer it, by what they would like to send; places of reports that are not answered yet count as used (balance.Allotter, rank.routerBook). Routers that hear no coordinator judge by themselves as before. One request more than there are slots may wait at a rank. (2) Of the waiting requests those that can still be answered in time are let in first, then those whose callers leave first. New requests wait too while the forecast lets them in within the bound of 1.2 s; beyond it they are refused at once. (3) Callers of a group that is known to miss a rank are told to stay away for 0.3 of the time they have left, others as long as the group needs to form. (4) A rank that reads a prompt gets fewer new ones. (5) An order without an answer is given again after 12 ms instead of 25.

--- a/modules/log/log.go
+++ b/modules/log/log.go
@@ -39,10 +39,16 @@
 // setTimeFormat makes the library keep more than seconds.
 var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000000Z07:00" })
 
-// fieldValue formats a value; the library hands those that are neither text nor a number over as JSON.
+// fieldValue formats a value. The library hands text with blanks or quotes over in quotes, and what is neither
+// text nor a number as JSON.
 func fieldValue(v any) string {
-	if raw, ok := v.([]byte); ok {
-		return quote(string(raw))
+	switch v := v.(type) {
+	case []byte:
+		return quote(string(v))
+	case string:
+		if strings.HasPrefix(v, `"`) {
+			return v
+		}
 	}
 	return quote(fmt.Sprint(v))
 }
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -48,8 +48,7 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// Limit returns the number of streams that a rank may have so that a pass stays within a time. Where even
-// a few streams take longer, every stream is late anyway, and the rank may fill all its slots.
+// Limit returns the number of streams that a rank may have so that a pass stays within a time.
 func Limit(e *catalog.Engine, skew, pace float64, within time.Duration) int {
 	n := 0
 	for n < e.Slots {
@@ -59,11 +58,33 @@
 		}
 		n++
 	}
-	if n < fewStreams {
-		return e.Slots
-	}
 	return n
 }
 
+const (
+	// passPart is the part of the pause goal that a pass may take by forecast.
+	passPart = 0.92
+	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
+	// follows some passes later.
+	guardSkew = 1.6
+	// unevenness is how many more requests than the mean a rank may have.
+	unevenness = 2
+)
+
+// GroupBounds returns how many requests the ranks of a group may have so that a pass keeps the pause goal,
+// which is 0 if there is none. Where it is not kept even with a few streams, ranks may fill all their slots.
+func GroupBounds(e *catalog.Engine, skew, pace float64, goal time.Duration) Bounds {
+	// One request more than there are slots may wait at a rank for the next that is free.
+	all := Bounds{Rank: e.Slots + 1, Mean: e.Slots + 1}
+	if goal <= 0 {
+		return all
+	}
+	mean := Limit(e, max(skew, guardSkew), pace, time.Duration(passPart*float64(goal)))
+	if mean < fewStreams || mean >= e.Slots-1 {
+		return all
+	}
+	return Bounds{Rank: min(mean+unevenness, e.Slots), Mean: mean}
+}
+
 // fewStreams is the least number of streams of a rank for which the goal is kept.
 const fewStreams = 3
--- /dev/null
+++ b/services/balance/places.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"math"
+	"slices"
+)
+
+// Places tells a router, for the address of each rank, how many requests it may send there until the next report.
+type Places map[string]int
+
+// Wish is how many requests a router would like to send until the next report.
+type Wish struct {
+	Router   string
+	Requests int
+}
+
+// Bounds bounds the requests of a group.
+type Bounds struct {
+	// Rank is the number that a rank may have, and Mean the number that ranks may have on average.
+	Rank, Mean int
+}
+
+// Allotter parts the free places of a group's ranks among the routers. Reports are some passes old when
+// the next one comes: routers that went by them alone would all send to the same ranks, where requests
+// then wait although others have room. It does no I/O and reads no clock.
+type Allotter struct {
+	// credit holds what each router was promised and not given so far, in places.
+	credit map[string]float64
+}
+
+// NewAllotter returns an allotter that has promised nothing.
+func NewAllotter() *Allotter { return &Allotter{credit: map[string]float64{}} }
+
+// Allot returns the places of each router. Given holds those of earlier reports that may be in use by now.
+// Routers get places as they wish for them, but each a little: what they know of their callers is old too.
+func (a *Allotter) Allot(ranks []RankLoad, b Bounds, given Places, wishes []Wish) map[string]Places {
+	out := map[string]Places{}
+	for _, w := range wishes {
+		out[w.Router] = Places{}
+	}
+	if len(wishes) == 0 || len(ranks) == 0 {
+		return out
+	}
+	a.forget(wishes)
+	loads := make([]float64, len(ranks))
+	left := float64(b.Mean * len(ranks))
+	for i, r := range ranks {
+		loads[i] = float64(r.requests() + given[r.Address])
+		left -= loads[i]
+	}
+	for ; left >= 1; left-- {
+		i := leastLoaded(ranks, loads, b.Rank)
+		if i < 0 {
+			break
+		}
+		loads[i]++
+		out[a.next(wishes)][ranks[i].Address]++
+	}
+	return out
+}
+
+// requests returns the requests at a rank. Those that routers have sent last are not yet in its own count.
+func (r *RankLoad) requests() int { return r.Running + max(r.Waiting, r.Unstarted) }
+
+// leastLoaded returns the rank that gets the next place, or -1 if all are full. A stream at a slow rank makes
+// the pass longer for all, so it counts for more there.
+func leastLoaded(ranks []RankLoad, loads []float64, most int) int {
+	best, bestLoad := -1, math.Inf(1)
+	for i := range ranks {
+		if loads[i] >= float64(most) {
+			continue
+		}
+		load := (loads[i] + readWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
+		if load < bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+// next returns the router that gets the next place.
+func (a *Allotter) next(wishes []Wish) string {
+	sum := 0.0
+	for _, w := range wishes {
+		sum += float64(w.Requests + 1)
+	}
+	best := ""
+	for _, w := range wishes {
+		a.credit[w.Router] += float64(w.Requests+1) / sum
+		if best == "" || a.credit[w.Router] > a.credit[best] {
+			best = w.Router
+		}
+	}
+	a.credit[best]--
+	return best
+}
+
+// forget drops routers that are no longer there.
+func (a *Allotter) forget(wishes []Wish) {
+	for router := range a.credit {
+		if !slices.ContainsFunc(wishes, func(w Wish) bool { return w.Router == router }) {
+			delete(a.credit, router)
+		}
+	}
+}
--- /dev/null
+++ b/services/balance/places_test.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestAllot checks how many places are given out, and at which ranks.
+func TestAllot(t *testing.T) {
+	cases := map[string]struct {
+		ranks  []RankLoad
+		bounds Bounds
+		given  Places
+		want   Places
+	}{
+		"empty ranks get up to the mean":            {[]RankLoad{{Address: "a"}, {Address: "b"}}, Bounds{Rank: 5, Mean: 3}, nil, Places{"a": 3, "b": 3}},
+		"the emptier rank gets more":                {[]RankLoad{{Address: "a", Running: 4}, {Address: "b"}}, Bounds{Rank: 5, Mean: 3}, nil, Places{"b": 2}},
+		"a full rank gets none":                     {[]RankLoad{{Address: "a", Running: 5}, {Address: "b", Running: 5}}, Bounds{Rank: 5, Mean: 9}, nil, Places{}},
+		"requests that have not begun count":        {[]RankLoad{{Address: "a", Running: 2, Unstarted: 2}}, Bounds{Rank: 5, Mean: 5}, nil, Places{"a": 1}},
+		"a rank's own count of them does not add":   {[]RankLoad{{Address: "a", Running: 2, Waiting: 2, Unstarted: 2}}, Bounds{Rank: 5, Mean: 5}, nil, Places{"a": 1}},
+		"places given before may be in use":         {[]RankLoad{{Address: "a"}, {Address: "b"}}, Bounds{Rank: 3, Mean: 3}, Places{"a": 2}, Places{"a": 1, "b": 3}},
+		"a slow rank gets fewer":                    {[]RankLoad{{Address: "a", Running: 2, Pace: 4}, {Address: "b", Running: 2}}, Bounds{Rank: 9, Mean: 4}, nil, Places{"b": 4}},
+		"a rank that reads a prompt is left for it": {[]RankLoad{{Address: "a", Unstarted: 1}, {Address: "b", Running: 2}}, Bounds{Rank: 9, Mean: 2}, nil, Places{"b": 1}},
+		"more than the mean is running":             {[]RankLoad{{Address: "a", Running: 9}, {Address: "b", Running: 9}}, Bounds{Rank: 20, Mean: 4}, nil, Places{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := NewAllotter().Allot(c.ranks, c.bounds, c.given, []Wish{{Router: "r"}})["r"]
+			if fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Errorf("places %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestAllotShares checks that routers get places as they wish for them, that none is left without, and that
+// a place that cannot be parted goes to each in turn.
+func TestAllotShares(t *testing.T) {
+	a := NewAllotter()
+	got := map[string]int{}
+	wishes := []Wish{{"busy", 17}, {"quiet", 0}, {"other", 0}}
+	for range 400 {
+		for router, places := range a.Allot([]RankLoad{{Address: "a", Running: 11}}, Bounds{Rank: 12, Mean: 12}, nil, wishes) {
+			got[router] += places["a"]
+		}
+	}
+	if got["busy"] != 360 || got["quiet"] != 20 || got["other"] != 20 {
+		t.Errorf("400 places were parted %v", got)
+	}
+	a.Allot([]RankLoad{{Address: "a"}}, Bounds{Rank: 12, Mean: 12}, nil, wishes[:1])
+	if len(a.credit) != 1 {
+		t.Errorf("routers that have gone are remembered: %v", a.credit)
+	}
+	if out := a.Allot(nil, Bounds{Rank: 12, Mean: 12}, nil, wishes); len(out) != 3 || out["quiet"] == nil {
+		t.Errorf("without ranks routers must be told that they may send nothing: %v", out)
+	}
+}
+
+// TestNoQueue lets routers whose callers are more than the ranks take send what they may, and compares the
+// fullest rank with what routers do that judge by themselves: then requests wait at some ranks while
+// others have room.
+func TestNoQueue(t *testing.T) {
+	const routers, ranks, most = 7, 12, 13
+	play := func(allot bool) (fullest, sent int) {
+		r := rand.New(rand.NewPCG(1, 1))
+		cands, ids := candidates(ranks)
+		pools := make([]*Pool, routers)
+		told := make([]Unstarted, routers)
+		for i := range pools {
+			pools[i] = NewPool("")
+		}
+		running := map[string]int{}
+		allotter := NewAllotter()
+		given := map[int]Places{}
+		for round := range 60 {
+			now := begin.Add(time.Duration(round) * 70 * time.Millisecond)
+			g := Group{Open: true}
+			for i, c := range cands {
+				l := RankLoad{Address: c.Address, Running: running[c.Address]}
+				for k := range told {
+					l.Unstarted += told[k][c.Address]
+				}
+				g.Ranks = append(g.Ranks, l)
+				running[c.Address] -= min(running[c.Address], r.IntN(2+i%2)) // some answers end
+			}
+			var places map[string]Places
+			if allot {
+				before := Places{}
+				wishes := make([]Wish, routers)
+				for k := range routers {
+					wishes[k] = Wish{Router: fmt.Sprint(k), Requests: 5}
+					for address, n := range given[k] {
+						before[address] += n
+					}
+				}
+				places = allotter.Allot(g.Ranks, Bounds{Rank: most, Mean: most}, before, wishes)
+			}
+			for k, p := range pools {
+				report := g
+				report.Places = places[fmt.Sprint(k)]
+				told[k] = p.Report(now, report, ids)
+				given[k] = report.Places
+			}
+			for range 40 { // many callers at each router, one after the other
+				p := pools[r.IntN(routers)]
+				if u, ok := p.Pick(now, cands, Ask{Engine: engine, Bounds: Bounds{Rank: most, Mean: most}, Routers: routers}); ok {
+					p.Sent(u.ID)
+					sent++
+				}
+			}
+			for _, c := range cands { // half of what was sent begins before the next report
+				requests := running[c.Address]
+				for _, p := range pools {
+					requests += p.state(c.ID).unstarted
+					for range p.state(c.ID).unstarted / 2 {
+						p.Started(c.ID)
+						running[c.Address]++
+					}
+				}
+				fullest = max(fullest, requests)
+			}
+		}
+		return fullest, sent
+	}
+	fullest, sent := play(true)
+	alone, sentAlone := play(false)
+	if fullest > most || alone <= most {
+		t.Errorf("the fullest rank has %d requests with places, %d without; %d are allowed", fullest, alone, most)
+	}
+	if 10*sent < 8*sentAlone {
+		t.Errorf("%d requests were sent with places, %d without", sent, sentAlone)
+	}
+}
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -66,6 +66,9 @@
 	// ended counts the answers that have ended since the report.
 	ended  int
 	report RankLoad
+	// places is how many requests the report lets this router send; allotted says that it tells so at all.
+	places   int
+	allotted bool
 	// group is the group of a rank, once it was reported.
 	group      group.ID
 	reportedAt time.Time
@@ -111,11 +114,16 @@
 	ID      group.ID
 	// Open says that the group works; a broken one answers nothing until it has formed anew.
 	Open bool
+	// Whole says that every rank answers: a broken group that is whole opens again within its form time, one
+	// that misses ranks at some time after they are back.
+	Whole bool
 	// Skew is the load of the heaviest rank against the mean under the map in force. It counts the time
 	// that ranks take, so it holds for slow ones too.
 	Skew float64
 	// Ranks lists the load of each rank.
 	Ranks []RankLoad
+	// Places holds what the router that is told may send until the next report; nil if it has to judge by itself.
+	Places Places
 }
 
 // RankLoad is the load of one rank.
@@ -160,6 +168,7 @@
 		}
 		s := p.state(id)
 		s.report, s.reportedAt, s.ended, s.group = r, now, 0, g.ID
+		s.places, s.allotted = g.Places[r.Address], g.Places != nil
 		s.known, s.told = s.told, s.unstarted
 		if s.unstarted > 0 {
 			mine[r.Address] = s.unstarted
@@ -190,6 +199,17 @@
 	return len(groups) > 0
 }
 
+// Missing reports whether all groups that were reported lately are broken and none has all its ranks.
+func (p *Pool) Missing(now time.Time) bool {
+	groups := p.recent(now)
+	for _, g := range groups {
+		if g.Open || g.Whole {
+			return false
+		}
+	}
+	return len(groups) > 0
+}
+
 // broken reports whether a rank's group is known to be broken.
 func (p *Pool) broken(now time.Time, s *state) bool {
 	g, ok := p.groups[s.group]
@@ -229,10 +249,8 @@
 type Ask struct {
 	// Engine is nil for plain services.
 	Engine *catalog.Engine
-	// Limit is the number of requests that an upstream may have; beyond it the request waits.
-	Limit int
-	// Mean is the number that the upstreams may have on average; 0 means any.
-	Mean    int
+	// Bounds holds for each upstream and for their mean; beyond it the request waits. 0 means any number.
+	Bounds  Bounds
 	Routers int
 	Exclude map[upstream.ID]bool
 }
@@ -241,7 +259,7 @@
 func (p *Pool) Pick(now time.Time, cands []upstream.Instance, a Ask) (upstream.Instance, bool) {
 	best, bestScore := -1, math.Inf(1)
 	p.turn++
-	if a.Mean > 0 && p.total(now, cands, a.Routers) >= float64(a.Mean*len(cands)) {
+	if a.Bounds.Mean > 0 && !p.allotted(now, cands) && p.total(now, cands, a.Routers) >= float64(a.Bounds.Mean*len(cands)) {
 		return upstream.Instance{}, false
 	}
 	for k := range cands {
@@ -252,7 +270,7 @@
 			continue
 		}
 		load := p.load(now, s, a.Routers)
-		if a.Limit > 0 && load >= float64(a.Limit) {
+		if !s.room(now, load, a.Bounds.Rank) {
 			continue
 		}
 		if score := p.score(now, s, c, load, a.Engine != nil); score < bestScore {
@@ -265,6 +283,24 @@
 	return cands[best], true
 }
 
+// room reports whether an upstream with a load may get one more request of this router.
+func (s *state) room(now time.Time, load float64, limit int) bool {
+	if s.allotted && now.Sub(s.reportedAt) < reportValid {
+		return s.places > 0
+	}
+	return limit <= 0 || load < float64(limit)
+}
+
+// allotted reports whether a coordinator has lately told this router what it may send.
+func (p *Pool) allotted(now time.Time, cands []upstream.Instance) bool {
+	for _, c := range cands {
+		if s := p.state(c.ID); s.allotted && now.Sub(s.reportedAt) < reportValid {
+			return true
+		}
+	}
+	return false
+}
+
 // total estimates the requests at all upstreams together.
 func (p *Pool) total(now time.Time, cands []upstream.Instance, routers int) float64 {
 	var sum float64
@@ -284,6 +320,9 @@
 		}
 		return score
 	}
+	if now.Sub(s.reportedAt) < reportValid {
+		score += readWeight * float64(max(s.report.Unstarted-s.known, 0)+s.unstarted)
+	}
 	// A stream at a slow rank makes the pass longer for all; a fuller rank of usual pace does not.
 	score *= max(s.report.Pace, 1)
 	if c.DataCentre != p.here {
@@ -292,6 +331,10 @@
 	return score + herdSpread*rand.Float64() //nolint:gosec // no secret
 }
 
+// readWeight is how many streams a request that has not begun counts for beyond itself: its prompt is being
+// read, and two prompts that one rank reads in a pass make that pass longer for all.
+const readWeight = 1.5
+
 // herdSpread is how many requests a choice may be off the least loaded rank, so that routers with the
 // same report do not all choose the same one.
 const herdSpread = 1.5
@@ -304,6 +347,7 @@
 	s := p.state(id)
 	s.inFlight++
 	s.unstarted++
+	s.places--
 }
 
 // Started notes that the answer to an attempt has begun.
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -114,10 +114,14 @@
 }
 
 // ReportReply is what a router adds to the load of a group.
-type ReportReply struct{ Unstarted balance.Unstarted }
+type ReportReply struct {
+	Unstarted balance.Unstarted
+	// Wanted is how many requests it would like to send until the next report.
+	Wanted int
+}
 
 // Report takes in the load of a model group.
 func (a *API) Report(g balance.Group, reply *ReportReply) error {
-	reply.Unstarted = a.r.opts.Relay.Report(time.Now(), g)
+	reply.Unstarted, reply.Wanted = a.r.opts.Relay.Report(time.Now(), g)
 	return nil
 }
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -72,6 +72,8 @@
 	layers  []expertmap.Layer
 	step    group.Step
 	holds   int
+	// heldAt is when the group was held; zero before.
+	heldAt time.Time
 	// release holds the pass to be let go at each rank that may hold one.
 	release map[group.Rank]group.Step
 	// done and sent tell for each rank whether it has confirmed the stage, and whether an order is on its way.
@@ -99,6 +101,9 @@
 // Stage returns how far the change has got.
 func (m *Machine) Stage() Stage { return m.stage }
 
+// HeldAt returns when the group was held for the change, or zero if it was not.
+func (m *Machine) HeldAt() time.Time { return m.heldAt }
+
 // Ended reports whether nothing more is to be done.
 func (m *Machine) Ended() bool {
 	return m.stage == StageDone || m.stage == StageFailed || m.stage == StageLost
@@ -276,7 +281,7 @@
 	case StagePrepare:
 		m.enter(now, StageHold)
 	case StageHold:
-		m.release[m.self] = m.step
+		m.release[m.self], m.heldAt = m.step, now
 		m.enter(now, StageArm)
 	case StageSettleHold:
 		m.release[m.self] = m.step
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -96,11 +96,13 @@
 type OrderReply struct{ Answer services.RankAnswer }
 
 const (
-	// engineTime bounds a call of the engine on the same VM. It answers within a few milliseconds, or,
-	// when an order is lost, not at all.
+	// engineTime bounds a question to the engine on the same VM. It answers within a few milliseconds.
 	engineTime = 25 * time.Millisecond
-	// orderTries bounds how often an order without an answer is given.
-	orderTries = 3
+	// orderTime bounds the first try of an order to that engine; each further one gets a quarter more.
+	// While the group is held every try that is lost adds to a pause that all streams have.
+	orderTime = 12 * time.Millisecond
+	// orderTries bounds how often an order without an answer is given. All tries end within peerTime.
+	orderTries = 4
 	// loadTime bounds the loading of experts, and loadTick is the time between two looks at it.
 	loadTime = 3 * time.Second
 	loadTick = 10 * time.Millisecond
@@ -192,10 +194,8 @@
 // once, however often it is given under one fence. Loading is done when its experts are there.
 func (a *Agent) order(o services.RankOrder) services.RankAnswer {
 	answer := services.RankUnknown
-	for range orderTries {
-		if answer = a.orderOnce(o); answer != services.RankUnknown {
-			break
-		}
+	for try, limit := 0, orderTime; try < orderTries && answer == services.RankUnknown; try, limit = try+1, limit*5/4 {
+		answer = a.orderOnce(o, limit)
 	}
 	if o.Kind == services.RankPrepare && answer == services.RankDone {
 		return a.awaitLoaded(o)
@@ -203,8 +203,8 @@
 	return answer
 }
 
-func (a *Agent) orderOnce(o services.RankOrder) services.RankAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
+func (a *Agent) orderOnce(o services.RankOrder, limit time.Duration) services.RankAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	answer, err := a.opts.Engine.Order(ctx, o)
 	if err != nil {
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -67,14 +67,11 @@
 	reached   time.Time
 	lost      bool
 	sending   sync.WaitGroup
-
-	mu sync.Mutex
-	// unstarted holds what each router has told.
-	unstarted map[string]told
+	book      *routerBook
 }
 
 func newCoordinator(a *Agent, au Authority, s services.RankStatus) *coordinator {
-	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), unstarted: map[string]told{}}
+	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), book: newRouterBook()}
 	c.members = make([]*member, s.Size)
 	for i := range c.members {
 		c.members[i] = &member{}
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -48,13 +48,21 @@
 	stage := d.drive(ctx, m)
 	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
-		Int64("took_ms", time.Since(began).Milliseconds()).Msg("map-change")
+		Int64("took_ms", time.Since(began).Milliseconds()).Int64("held_ms", d.held(m).Milliseconds()).Msg("map-change")
 	if stage == mapswitch.StageDone {
 		d.c.pending = next.Version
 	}
 	d.c.planner.ended(next, stage == mapswitch.StageDone)
 }
 
+// held returns how long the group was held by a change that has just ended.
+func (d *driver) held(m *mapswitch.Machine) time.Duration {
+	if m.HeldAt().IsZero() {
+		return 0
+	}
+	return time.Since(m.HeldAt())
+}
+
 func (d *driver) self(status []services.RankStatus) group.Rank {
 	for r := range status {
 		if d.c.members[r].info.Name == d.c.a.opts.Self.Name {
--- /dev/null
+++ b/services/rank/router_book.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"sync"
+	"time"
+
+	"fawnwinch.org/fawnwinch/services/balance"
+)
+
+// routerBook holds what the routers have told a coordinator, and what it has let them send. It is safe for
+// use by several goroutines and reads no clock.
+type routerBook struct {
+	mu       sync.Mutex
+	allotter *balance.Allotter
+	routers  map[string]*routerEntry
+	// reports counts the reports.
+	reports uint64
+}
+
+// routerEntry is what is known of one router.
+type routerEntry struct {
+	answeredAt time.Time
+	// report is the number of the latest report that was answered.
+	report    uint64
+	unstarted balance.Unstarted
+	wanted    int
+	// given holds the places of each report whose use the router has not told of yet.
+	given map[uint64]balance.Places
+}
+
+// answerValid is how long an answer of a router counts. Reports come several times a second.
+const answerValid = time.Second
+
+func newRouterBook() *routerBook {
+	return &routerBook{allotter: balance.NewAllotter(), routers: map[string]*routerEntry{}}
+}
+
+// report begins a report: it returns its number, and the places of each router that has answered lately.
+// Other routers have to judge by themselves; so have all without bounds.
+func (b *routerBook) report(now time.Time, names []string, ranks []balance.RankLoad, bounds *balance.Bounds) (uint64, map[string]balance.Places) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reports++
+	if bounds == nil {
+		return b.reports, nil
+	}
+	given := balance.Places{}
+	var wishes []balance.Wish
+	for _, name := range names {
+		e, ok := b.routers[name]
+		if !ok || now.Sub(e.answeredAt) > answerValid {
+			continue
+		}
+		wishes = append(wishes, balance.Wish{Router: name, Requests: e.wanted})
+		for _, places := range e.given {
+			for address, n := range places {
+				given[address] += n
+			}
+		}
+	}
+	places := b.allotter.Allot(ranks, *bounds, given, wishes)
+	for name, p := range places {
+		b.routers[name].given[b.reports] = p
+	}
+	return b.reports, places
+}
+
+// answered takes in a router's answer to a report. It tells what the router had sent before it got the
+// report, so the places of earlier ones are settled.
+func (b *routerBook) answered(now time.Time, name string, report uint64, unstarted balance.Unstarted, wanted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.routers[name]
+	if !ok {
+		e = &routerEntry{given: map[uint64]balance.Places{}}
+		b.routers[name] = e
+	}
+	if report < e.report {
+		return // answers may pass each other
+	}
+	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, unstarted, wanted
+	for n := range e.given {
+		if n < report {
+			delete(e.given, n)
+		}
+	}
+}
+
+// unstarted returns the requests at a rank that have not begun, as the routers told lately.
+func (b *routerBook) unstarted(now time.Time, engine string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, e := range b.routers {
+		if now.Sub(e.answeredAt) < answerValid {
+			sum += e.unstarted[engine]
+		}
+	}
+	return sum
+}
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -14,6 +14,9 @@
 // noteEvery is the time between two lines on the load of the group.
 const noteEvery = 500 * time.Millisecond
 
+// missingAfter is how long a rank may be silent before its group counts as not whole; some looks.
+const missingAfter = 400 * time.Millisecond
+
 // note logs the load of the group from time to time.
 func (c *coordinator) note(now time.Time) {
 	if now.Sub(c.notedAt) < noteEvery {
@@ -21,9 +24,10 @@
 	}
 	var most, sum, waiting int
 	var step group.Step
+	pace := 1.0
 	for _, m := range c.members {
 		most, sum, waiting = max(most, m.status.Running), sum+m.status.Running, waiting+m.status.Waiting
-		step = max(step, m.status.Step)
+		step, pace = max(step, m.status.Step), max(pace, m.status.Pace)
 	}
 	pass := 0.0
 	if step > c.notedStep {
@@ -33,56 +37,75 @@
 	if c.planner != nil {
 		skew = c.planner.skew
 	}
+	load := balance.PassLoad{Mean: float64(sum) / float64(len(c.members)), Max: float64(most), Skew: skew, Pace: pace}
 	c.a.opts.Logger.Info().Int("running", sum).Int("fullest", most).Int("waiting", waiting).Uint64("step", uint64(step)).
-		Float64("pass_ms", pass).Float64("skew", skew).Msg("group-load")
+		Float64("pass_ms", pass).Float64("forecast_ms", c.forecast(load)).Float64("skew", skew).Msg("group-load")
 	c.notedAt, c.notedStep = now, step
 }
 
-// tellRouters tells all routers the load of the group.
-func (c *coordinator) tellRouters(ctx context.Context, now time.Time) {
-	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true}
-	for _, m := range c.members {
-		if m.known && now.Sub(m.heard) < 2*directEvery {
-			g.Open = g.Open && m.status.Open
-			g.Ranks = append(g.Ranks, balance.RankLoad{
-				Address: m.info.Engine, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.unstartedAt(now, m.info.Engine), Pace: m.status.Pace,
-			})
-		}
+// forecast returns the length of a pass under a load in milliseconds, 0 while the engine's figures are not known.
+func (c *coordinator) forecast(l balance.PassLoad) float64 {
+	if c.engine == nil {
+		return 0
 	}
-	if c.planner != nil {
-		g.Skew = c.planner.skew
+	l.Context = c.engine.UsualPrompt
+	return balance.Pass(c.engine, l).Seconds() * 1000
+}
+
+// tellRouters tells all routers the load of the group, and each of them what it may send.
+func (c *coordinator) tellRouters(ctx context.Context, now time.Time) {
+	g := c.load(now)
+	names := make([]string, len(c.routers))
+	for i, n := range c.routers {
+		names[i] = n.Name
 	}
+	number, places := c.book.report(now, names, g.Ranks, c.bounds(g))
 	for _, n := range c.routers {
+		told := g
+		told.Places = places[n.Name]
 		c.sending.Go(func() {
 			cctx, cancel := context.WithTimeout(ctx, reportTime)
 			defer cancel()
-			var r struct{ Unstarted balance.Unstarted }
-			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", g, &r); err != nil {
+			var r struct {
+				Unstarted balance.Unstarted
+				Wanted    int
+			}
+			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", told, &r); err != nil {
 				c.a.opts.Logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
 				return
 			}
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.unstarted[n.Name] = told{at: time.Now(), requests: r.Unstarted}
+			c.book.answered(time.Now(), n.Name, number, r.Unstarted, r.Wanted)
 		})
 	}
 }
 
-// told is what a router has said of its requests that have not begun.
-type told struct {
-	at       time.Time
-	requests balance.Unstarted
+// load returns the load of the group as it was last heard of.
+func (c *coordinator) load(now time.Time) balance.Group {
+	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true}
+	for _, m := range c.members {
+		g.Whole = g.Whole && m.known && now.Sub(m.heard) < missingAfter
+		if m.known && now.Sub(m.heard) < 2*directEvery {
+			g.Open = g.Open && m.status.Open
+			g.Ranks = append(g.Ranks, balance.RankLoad{
+				Address: m.info.Engine, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.book.unstarted(now, m.info.Engine), Pace: m.status.Pace,
+			})
+		}
+	}
+	if c.planner != nil {
+		g.Skew = c.planner.skew
+	}
+	return g
 }
 
-// unstartedAt returns the requests at a rank that have not begun, as the routers told lately.
-func (c *coordinator) unstartedAt(now time.Time, engine string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	sum := 0
-	for _, t := range c.unstarted {
-		if now.Sub(t.at) < time.Second {
-			sum += t.requests[engine]
-		}
+// bounds returns what the ranks may have, or nil while the figures of the engine are not known.
+func (c *coordinator) bounds(g balance.Group) *balance.Bounds {
+	if c.engine == nil {
+		return nil
+	}
+	pace := 1.0
+	for _, r := range g.Ranks {
+		pace = max(pace, r.Pace)
 	}
-	return sum
+	b := balance.GroupBounds(c.engine, g.Skew, pace, c.goal)
+	return &b
 }
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if !x.again(ctx) {
-			x.comeBack = x.r.afterNotRun(x.service)
+			x.comeBack = x.r.afterNotRun(x)
 			no := x.busy()
 			no.reason = ReasonNotRun
 			x.giveUp(ctx, no)
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -49,8 +49,8 @@
 	freshnessMargin = 300 * time.Millisecond
 	// retryStarting is when a caller may come back to a process that does not know enough yet.
 	retryStarting = 300 * time.Millisecond
-	// retryBusy and retryBusyMax bound when a caller may come back that found no room; up to retryBusySpread
-	// is added by chance, so that callers do not come back together.
+	// retryBusy and retryBusyMax bound when a caller may come back that found all upstreams busy; up to
+	// retryBusySpread is added by chance, so that callers do not come back together.
 	retryBusy       = 250 * time.Millisecond
 	retryBusyMax    = 1500 * time.Millisecond
 	retryBusySpread = 250 * time.Millisecond
@@ -251,6 +251,6 @@
 // busy returns the refusal for a request that has not run because there is no room.
 func (x *exchange) busy() refusal {
 	spread := time.Duration(rand.Int64N(int64(retryBusySpread))) //nolint:gosec // no secret
-	after := min(max(x.comeBack, retryBusy), retryBusyMax) + spread
+	after := max(x.comeBack, retryBusy) + spread
 	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, after: after}
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -103,8 +103,9 @@
 	return r.active
 }
 
-// Report takes in the load of a model group, and returns what this router has to add to it.
-func (r *Relay) Report(now time.Time, g balance.Group) balance.Unstarted {
+// Report takes in the load of a model group, and returns what this router has to add to it and how many
+// requests it would like to send until the next report.
+func (r *Relay) Report(now time.Time, g balance.Group) (balance.Unstarted, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := service.ID(g.Service)
@@ -115,7 +116,7 @@
 	l := r.lane(now, id)
 	mine := l.pool.Report(now, g, ids)
 	r.wake(now, l)
-	return mine
+	return mine, l.wanted(now)
 }
 
 // Sweep drops what is no longer needed.
--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -5,76 +5,95 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
 
 // waiter is a request that waits for an upstream with room.
 type waiter struct {
-	ask      balance.Ask
-	deadline time.Time
-	ready    chan upstream.Instance
+	ask balance.Ask
+	// inTime is the time up to which the request can still be answered within its goal, and deadline that
+	// at which its caller leaves.
+	inTime, deadline time.Time
+	ready            chan upstream.Instance
 }
 
 const (
-	// holdPart is the part of a route's goal that a request may wait for room and still be answered in
+	// inTimePart is the part of a route's goal that a request may wait for room and still be answered in
 	// time. The rest is needed for the pass under way and for reading the prompt.
-	holdPart = 0.55
-	// lateHold and lateHoldPart bound the wait of a request that is late anyway or that was refused before:
-	// refusing it again would lose it. The rest of the time is needed for the answer, and callers leave a
-	// stream that says nothing for two seconds.
-	lateHold     = 1200 * time.Millisecond
-	lateHoldPart = 0.4
+	inTimePart = 0.55
+	// holdMost and holdMostPart bound the wait for room. The rest of the time is needed for the answer, and
+	// callers leave a stream that says nothing for two seconds.
+	holdMost     = 1200 * time.Millisecond
+	holdMostPart = 0.4
 	// triedPart tells callers that come again: they have less patience left than this part of the longest
 	// that callers of the route had.
 	triedPart = 0.97
 	// maxWaiters bounds the requests that wait for one service at a router.
 	maxWaiters = 64
-	// passPart is the part of the pause goal that a pass may take by forecast.
-	passPart = 0.92
-	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
-	// follows some passes later.
-	guardSkew = 1.6
-	// unevenness is how many more requests than the mean a rank may have.
-	unevenness = 2
 	// plainRoom is the number of requests for each slot of a plain upstream that are sent to it at most.
 	plainRoom = 2
 	// rateWindow is the time over which the rate of choices is taken.
 	rateWindow = time.Second
+	// reportTime is about the time between two reports of a group's load.
+	reportTime = 100 * time.Millisecond
 )
 
-// queueWait forecasts how long a request waits behind those that wait already.
-func (l *lane) queueWait(now time.Time) time.Duration {
+// rate returns the choices of the last second, and forgets earlier ones.
+func (l *lane) rate(now time.Time) float64 {
 	old := 0
 	for old < len(l.granted) && now.Sub(l.granted[old]) > rateWindow {
 		old++
 	}
 	l.granted = l.granted[old:]
-	rate := float64(max(len(l.granted), 1)) / rateWindow.Seconds()
+	return float64(len(l.granted)) / rateWindow.Seconds()
+}
+
+// wanted forecasts how many requests the lane could send until the next report.
+func (l *lane) wanted(now time.Time) int {
+	return len(l.waiters) + int(math.Ceil(l.rate(now)*reportTime.Seconds()))
+}
+
+// queueWait forecasts how long it takes until all that wait are let in, and one more.
+func (l *lane) queueWait(now time.Time) time.Duration {
+	rate := max(l.rate(now), 1/rateWindow.Seconds())
 	return time.Duration(float64(len(l.waiters)+1) / rate * float64(time.Second))
 }
 
+// first returns the index of the waiting request that is let in next: of those that can still be answered
+// in time the one with the least time for that, or else the one whose caller leaves first.
+func (l *lane) first(now time.Time) int {
+	best := 0
+	for i, w := range l.waiters {
+		b := l.waiters[best]
+		switch inTime := now.Before(w.inTime); {
+		case inTime != now.Before(b.inTime):
+			if inTime {
+				best = i
+			}
+		case inTime && w.inTime.Before(b.inTime), !inTime && w.deadline.Before(b.deadline):
+			best = i
+		}
+	}
+	return best
+}
+
 // hold returns how long a request may wait for room; 0 if it should be refused at once and come back
 // when there is some. Nobody says that no upstream is listed. The caller holds the lock.
-func (l *lane) hold(now time.Time, x *exchange, a balance.Ask, nobody bool) time.Duration {
-	late := min(lateHold, time.Duration(lateHoldPart*float64(x.deadline.Sub(now))))
-	inTime := time.Duration(holdPart*float64(x.route.Goal)) - now.Sub(x.arrived)
-	hopeless := a.Engine != nil && a.Mean >= a.Engine.Slots
-	switch {
-	case l.triedBefore(x):
-		return late
-	case nobody || l.pool.Closed(now):
-		return 0
-	case hopeless:
-		return late
-	case l.queueWait(now) > inTime:
+func (l *lane) hold(now time.Time, x *exchange, nobody bool) time.Duration {
+	most := min(holdMost, time.Duration(holdMostPart*float64(x.deadline.Sub(now))))
+	if l.triedBefore(x) {
+		return most
+	}
+	if nobody || l.pool.Closed(now) || l.queueWait(now) > most {
 		return 0
 	}
-	return inTime
+	return most
 }
 
 // triedBefore reports whether the caller has less patience left than others of its route had: it was
@@ -85,27 +104,42 @@
 	return x.meta.Patience < time.Duration(triedPart*float64(full))
 }
 
-// room forecasts when a request that is refused now would find room. A broken group needs the time in
-// which it forms anew, and its ranks a moment to be listed.
-func (l *lane) room(now time.Time, a balance.Ask) time.Duration {
-	wait := l.queueWait(now)
+// room forecasts when a request that is refused now would find room.
+func (l *lane) room(now time.Time, x *exchange, a balance.Ask) time.Duration {
+	wait := min(l.queueWait(now), retryBusyMax)
 	if a.Engine != nil && (l.pool.Closed(now) || len(l.granted) == 0) {
-		wait = max(wait, a.Engine.FormTime+listTime)
+		return max(wait, l.back(now, x, a.Engine))
 	}
 	return wait
 }
 
+// back forecasts when a broken group is back. It needs the time in which it forms anew, and its ranks a
+// moment to be listed. Nobody knows when a rank that is missing comes back, so a caller is told to come as
+// late as callers are willing to: it comes again only once or twice.
+func (l *lane) back(now time.Time, x *exchange, e *catalog.Engine) time.Duration {
+	forms := e.FormTime + listTime
+	if l.pool.Missing(now) {
+		return max(forms, time.Duration(obeyPart*float64(x.deadline.Sub(now))))
+	}
+	return forms
+}
+
 // afterNotRun forecasts when a request finds room that upstreams did not run.
-func (r *Relay) afterNotRun(id service.ID) time.Duration {
+func (r *Relay) afterNotRun(x *exchange) time.Duration {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.know.Index().Service(id); s != nil && s.Engine != nil {
-		// Ranks refuse what they get while their group forms.
-		return s.Engine.FormTime + listTime
+	if s := r.know.Index().Service(x.service); s != nil && s.Engine != nil {
+		// Ranks refuse what they get while their group is broken.
+		return r.lane(now, x.service).back(now, x, s.Engine)
 	}
 	return retryBusy
 }
 
+// obeyPart is the part of the time that a caller has left for which it is told to stay away at most. The
+// users' callers obey up to a third.
+const obeyPart = 0.3
+
 // listTime is the time that a rank of a new group needs until routers know it.
 const listTime = 400 * time.Millisecond
 
@@ -116,21 +150,23 @@
 	now := time.Now()
 	l := r.lane(now, x.service)
 	a := r.ask(now, l, x)
-	hold := l.hold(now, x, a, len(r.know.Usable(now, x.service)) == 0)
+	hold := l.hold(now, x, len(r.know.Usable(now, x.service)) == 0)
 	if len(l.waiters) == 0 {
 		if u, ok := r.pick(now, l, a); ok {
 			r.mu.Unlock()
 			return u, true
 		}
 	}
-	x.comeBack = l.room(now, a)
+	x.comeBack = l.room(now, x, a)
 	if len(l.waiters) >= maxWaiters || hold <= 0 {
 		r.mu.Unlock()
 		return upstream.Instance{}, false
 	}
-	w := &waiter{ask: a, deadline: x.deadline, ready: make(chan upstream.Instance, 1)}
-	at, _ := slices.BinarySearchFunc(l.waiters, w, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
-	l.waiters = slices.Insert(l.waiters, at, w)
+	w := &waiter{
+		ask: a, deadline: x.deadline, ready: make(chan upstream.Instance, 1),
+		inTime: x.arrived.Add(time.Duration(inTimePart * float64(x.route.Goal))),
+	}
+	l.waiters = append(l.waiters, w)
 	r.mu.Unlock()
 	return r.await(ctx, l, w, hold)
 }
@@ -151,11 +187,8 @@
 		return u, true
 	default:
 	}
-	for i := range l.waiters {
-		if l.waiters[i] == w {
-			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			break
-		}
+	if i := slices.Index(l.waiters, w); i >= 0 {
+		l.waiters = slices.Delete(l.waiters, i, i+1)
 	}
 	return upstream.Instance{}, false
 }
@@ -165,12 +198,7 @@
 	a := balance.Ask{Routers: r.routers, Exclude: x.tried}
 	if s := r.know.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
-		a.Limit = s.Engine.Slots
-		if x.route.PauseGoal > 0 {
-			skew := max(l.pool.Skew(now), guardSkew)
-			a.Mean = balance.Limit(s.Engine, skew, l.pool.Pace(now), time.Duration(passPart*float64(x.route.PauseGoal)))
-			a.Limit = min(a.Mean+unevenness, s.Engine.Slots)
-		}
+		a.Bounds = balance.GroupBounds(s.Engine, l.pool.Skew(now), l.pool.Pace(now), x.route.PauseGoal)
 	}
 	return a
 }
@@ -182,7 +210,7 @@
 		return upstream.Instance{}, false
 	}
 	if a.Engine == nil {
-		a.Limit = plainRoom * cands[0].Slots
+		a.Bounds.Rank = plainRoom * cands[0].Slots
 	}
 	u, ok := l.pool.Pick(now, cands, a)
 	if ok {
@@ -195,12 +223,13 @@
 // wake lets waiting requests in while there is room. The caller holds the lock.
 func (r *Relay) wake(now time.Time, l *lane) {
 	for len(l.waiters) > 0 {
-		w := l.waiters[0]
+		i := l.first(now)
+		w := l.waiters[i]
 		u, ok := r.pick(now, l, w.ask)
 		if !ok {
 			return
 		}
-		l.waiters = l.waiters[1:]
+		l.waiters = slices.Delete(l.waiters, i, i+1)
 		w.ready <- u
 	}
 }
