Nothing waits for the store in a coordinator; failures that upstreams gave are passed on; lists only when they differ

Cause: (1) A coordinator read the list of processes in between its looks, every four seconds and for up to 1.5 s: while the store was silent or slow, no map changed and routers heard nothing for longer than a report counts (0.7 s). (2) A safe request that failed at one upstream and was turned away by the next was answered 502, although an upstream had given an answer.

Ruled out: (1) a shorter time-out: a slow store answers after a quarter of a second; (3) rarer greetings: a router that has gone would be named for longer.

Change: (1) a goroutine of its own reads the processes; a look takes what it has found. (2) The first failure is kept and passed on as it was given if no other upstream answers. (3) Greetings carry a digest of the routers that are heard; an answer lists them only if the digests differ.

--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -35,7 +35,9 @@
 	From peer.Info
 	// Catalogs and Upstreams tell how far the sender knows the two feeds of the store.
 	Catalogs, Upstreams Extent
-	// Routers lists the routers that the sender has heard lately.
+	// Digest tells of the routers that the sender has heard lately, itself among them. Routers lists the others,
+	// in an answer to a router with another digest: as long as all know the same, nobody sends lists.
+	Digest  uint64
 	Routers []peer.Info
 }
 
@@ -73,7 +75,10 @@
 // Greet takes in a greeting and answers it.
 func (a *API) Greet(h Hello, reply *Hello) error {
 	a.r.heard(h)
-	*reply = a.r.hello(time.Now())
+	var routers []peer.Info
+	if *reply, routers = a.r.hello(time.Now()); reply.Digest != h.Digest {
+		reply.Routers = routers
+	}
 	return nil
 }
 
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -11,6 +11,7 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services/knowledge"
+	"fawnwinch.org/fawnwinch/services/peer"
 )
 
 // greetAll greets the other routers again and again.
@@ -50,8 +51,9 @@
 	cctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
 	sent := time.Now()
+	hello, _ := r.hello(sent)
 	var reply Hello
-	if err := r.opts.Pool.Call(cctx, address, "Router.Greet", r.hello(sent), &reply); err != nil {
+	if err := r.opts.Pool.Call(cctx, address, "Router.Greet", hello, &reply); err != nil {
 		r.opts.Logger.Debug().Str("address", address).Err(err).Msg("router-silent")
 		return
 	}
@@ -59,8 +61,8 @@
 	r.compare(ctx, sent, address, reply)
 }
 
-// hello returns what this process says when it greets.
-func (r *Router) hello(now time.Time) Hello {
+// hello returns what this process says when it greets, and the other routers that it has heard lately.
+func (r *Router) hello(now time.Time) (Hello, []peer.Info) {
 	h := Hello{From: r.Self()}
 	h.From.StoreLost = r.catalogs.failing() || r.upstreams.failing()
 	r.opts.Relay.Know(func(s *knowledge.State) {
@@ -68,8 +70,9 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h.Routers = r.table.Live(now, vm.RoleRouter)
-	return h
+	routers := r.table.Live(now, vm.RoleRouter)
+	h.Digest = peer.Digest(append(routers[:len(routers):len(routers)], h.From))
+	return h, routers
 }
 
 // heard takes in what another router says.
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -6,11 +6,15 @@
 package peer
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State tells whether a process takes work.
@@ -98,6 +102,15 @@
 	return t.list(func(e *entry) bool { return e.info.Role == role && now.Sub(e.told) < forgetAfter })
 }
 
+// Digest returns a number that differs when the processes do; their order does not matter.
+func Digest(infos []Info) uint64 {
+	var sum uint64
+	for _, i := range infos {
+		sum += xxhash.Sum64String(fmt.Sprintf("%q", []string{i.Name, string(i.Role), i.Address, i.Callers, string(i.State), strconv.FormatBool(i.StoreLost)}))
+	}
+	return sum
+}
+
 func (t *Table) list(keep func(*entry) bool) []Info {
 	var out []Info
 	for _, e := range t.nodes {
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/sleep"
@@ -47,12 +47,9 @@
 	service   string
 	fence     services.Fence
 	first     services.RankStatus
-	engine    *catalog.Engine
-	// goal is the shortest pause goal of the routes to the service.
-	goal    time.Duration
-	nodesAt time.Time
-	routers []peer.Info
-	agents  []peer.Info
+	// surroundings is what was last found; found holds what followNodes has found since.
+	surroundings
+	found atomic.Pointer[surroundings]
 	// members holds the ranks, in their order.
 	members []*member
 	planner *planner
@@ -82,10 +79,13 @@
 // run coordinates until the authority is lost, and says why.
 func (c *coordinator) run(ctx context.Context) string {
 	defer c.sending.Wait()
+	cctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.sending.Go(func() { c.followNodes(cctx, nodesEvery, claimPause) })
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if begun.Sub(c.nodesAt) > nodesEvery {
-			c.readNodes(ctx)
+		if found := c.found.Load(); found != nil {
+			c.surroundings = *found
 		}
 		c.look(ctx, true)
 		now := time.Now()
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -10,57 +10,85 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
-// readNodes reads the list of processes and, once, the figures of the engine.
-func (c *coordinator) readNodes(ctx context.Context) {
+// surroundings is what a coordinator has read in the store: the other processes, and the figures of its engine.
+type surroundings struct {
+	// at is when the processes were read.
+	at              time.Time
+	routers, agents []peer.Info
+	engine          *catalog.Engine
+	// goal is the shortest pause goal of the routes to the service; 0 if there is none.
+	goal time.Duration
+}
+
+// followNodes reads the processes in an interval until ctx ends, after a failure sooner, and hands over what it
+// finds. The store may be slow or away for long, so nothing else waits for it.
+func (c *coordinator) followNodes(ctx context.Context, every, afterFailure time.Duration) {
+	var s surroundings
+	for ctx.Err() == nil {
+		pause := every
+		if c.read(ctx, &s) {
+			found := s
+			c.found.Store(&found)
+		} else {
+			pause = afterFailure
+		}
+		sleep.For(ctx, pause)
+	}
+}
+
+// read reads the list of processes and, once, the figures of the engine. It reports whether the list was read.
+func (c *coordinator) read(ctx context.Context, s *surroundings) bool {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	c.nodesAt = time.Now()
+	now := time.Now()
 	nodes, _, err := c.a.opts.Store.Nodes().Snapshot(cctx)
 	if err != nil {
 		c.a.opts.Logger.Warn().Err(err).Msg("nodes-unread")
-		return
+		return false
 	}
-	c.routers, c.agents = nil, nil
+	s.at, s.routers, s.agents = now, nil, nil
 	for _, n := range nodes {
 		switch {
 		case n.Value == nil:
 		case n.Value.Role == vm.RoleRouter:
-			c.routers = append(c.routers, *n.Value)
+			s.routers = append(s.routers, *n.Value)
 		case n.Value.Service == c.service && n.Key != c.a.opts.Self.Name:
-			c.agents = append(c.agents, *n.Value)
+			s.agents = append(s.agents, *n.Value)
 		}
 	}
-	if c.engine != nil {
-		return
+	if s.engine != nil {
+		return true
 	}
 	catalogs, _, err := c.a.opts.Store.Catalogs().Snapshot(cctx)
 	if err != nil {
 		c.a.opts.Logger.Warn().Err(err).Msg("catalog-unread")
-		return
+		return true
 	}
 	for _, k := range catalogs {
 		if k.Value != nil {
-			c.takeFigures(k.Value)
+			s.take(k.Value, c.service)
 		}
 	}
+	return true
 }
 
-// takeFigures keeps what the catalog says of the service.
-func (c *coordinator) takeFigures(k *catalog.Catalog) {
+// take keeps what the catalog says of a service.
+func (s *surroundings) take(k *catalog.Catalog, service string) {
 	for i := range k.Services {
-		if s := &k.Services[i]; string(s.ID) == c.service {
-			c.engine = s.Engine
+		if v := &k.Services[i]; string(v.ID) == service {
+			s.engine = v.Engine
 		}
 	}
 	for i := range k.Routes {
 		r := &k.Routes[i]
 		for _, t := range r.Targets {
-			if string(t.Service) == c.service && r.PauseGoal > 0 && (c.goal == 0 || r.PauseGoal < c.goal) {
-				c.goal = r.PauseGoal
+			if string(t.Service) == service && r.PauseGoal > 0 && (s.goal == 0 || r.PauseGoal < s.goal) {
+				s.goal = r.PauseGoal
 			}
 		}
 	}
@@ -121,7 +149,7 @@
 		if m != nil && (now.Sub(m.heard) < directEvery || now.Sub(m.asked) < directEvery) {
 			continue
 		}
-		if m == nil && now.Sub(c.nodesAt) > directEvery {
+		if m == nil && now.Sub(c.at) > directEvery {
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, peerTime)
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -90,9 +90,11 @@
 	return x.r.mayRetry(x.service)
 }
 
-// giveUp answers a request that no upstream has answered.
+// giveUp answers a request that no upstream has answered, or else passes on what the first has said.
 func (x *exchange) giveUp(ctx context.Context, notRun refusal) {
 	switch {
+	case x.failure != nil && !x.stream.begun && x.req.Context().Err() == nil:
+		x.write(x.failure)
 	case x.stream.begun:
 		x.finish(http.StatusOK, ReasonBrokeStream)
 		panic(http.ErrAbortHandler)
@@ -234,43 +236,76 @@
 	}
 	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.r.mayRetry(x.service) {
 		x.paidFor = true
-		x.settle(a, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
-		return false
+		return x.keepFailure(ctx, a)
 	}
 	return x.deliverWhole(ctx, a)
 }
 
+// keepFailure keeps a failure, to be passed on if no other upstream answers. It returns false: another is tried.
+func (x *exchange) keepFailure(ctx context.Context, a *answer) bool {
+	failure, ok := x.readWhole(ctx, a, balance.ResultError)
+	if !ok {
+		return false
+	}
+	x.failure = failure
+	x.logAttempt(a.upstream, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
+	return false
+}
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	upstream upstream.ID
+	status   int
+	header   http.Header
+	body     []byte
+}
+
 // deliverWhole passes an answer on once it is there to its end.
 func (x *exchange) deliverWhole(ctx context.Context, a *answer) bool {
+	res := balance.ResultOK
+	if a.resp.StatusCode >= http.StatusInternalServerError {
+		res = balance.ResultError
+	}
+	got, ok := x.readWhole(ctx, a, res)
+	if ok {
+		x.write(got)
+	}
+	return ok
+}
+
+// readWhole reads an answer to its end and notes the end of the attempt: with a result, or as broken if
+// the answer breaks off.
+func (x *exchange) readWhole(ctx context.Context, a *answer, res balance.Result) (*wholeAnswer, bool) {
 	body, err := httpx.ReadAll(a.resp.Body, maxAnswer)
 	if err != nil {
 		a.drop()
-		res := x.brokenOr(ctx)
+		res = x.brokenOr(ctx)
 		x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 		x.logAttempt(a.upstream, res, err)
-		return false
+		return nil, false
 	}
 	a.keep(x.r.conns)
-	res := balance.ResultOK
-	if a.resp.StatusCode >= http.StatusInternalServerError {
-		res = balance.ResultError
-	}
 	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
-	x.copyHead(a)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(a.resp.StatusCode)
-	if _, err := x.w.Write(body); err != nil {
-		x.finish(a.resp.StatusCode, ReasonCallerGone)
-		return true
+	return &wholeAnswer{upstream: a.upstream.ID, status: a.resp.StatusCode, header: x.r.opts.Protocol.Returned(a.resp.Header), body: body}, true
+}
+
+// write passes a whole answer on.
+func (x *exchange) write(got *wholeAnswer) {
+	x.last = got.upstream
+	x.setHead(got.header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
+	x.w.WriteHeader(got.status)
+	if _, err := x.w.Write(got.body); err != nil {
+		x.finish(got.status, ReasonCallerGone)
+		return
 	}
-	x.finish(a.resp.StatusCode, ReasonAnswered)
-	return true
+	x.finish(got.status, ReasonAnswered)
 }
 
-// copyHead sets the header of an upstream's answer for the caller.
-func (x *exchange) copyHead(a *answer) {
+// setHead sets the header of an upstream's answer for the caller.
+func (x *exchange) setHead(header http.Header) {
 	h := x.w.Header()
-	for name, values := range x.r.opts.Protocol.Returned(a.resp.Header) {
+	for name, values := range header {
 		h[name] = values
 	}
 }
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -89,6 +89,8 @@
 	// paidFor says that the next attempt has been taken out of the budget already.
 	paidFor bool
 	last    upstream.ID
+	// failure is the answer of an upstream that has failed, while others are tried.
+	failure *wholeAnswer
 	waited  time.Duration
 	// comeBack is when room is forecast for a request that found none.
 	comeBack time.Duration
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -229,6 +229,20 @@
 			}
 			whole(c, h["Id"], "ok")
 		}, status: 200, body: "ok", sent: 2},
+		"a failure is passed on if no other upstream runs it": {path: "/safe/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				say(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 4\r\n\r\nwhy?", h["Id"])
+				return
+			}
+			say(c, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}, status: 500, body: "why?", sent: 2},
+		"a failure is passed on if the next breaks off": {path: "/safe/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				say(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 4\r\n\r\nwhy?", h["Id"])
+				return
+			}
+			reset(c)
+		}, status: 500, body: "why?", sent: 2},
 		"a failure of an unsafe one is passed on": {path: "/unsafe/x", script: func(_ int, h map[string]string, c net.Conn) {
 			say(c, "HTTP/1.1 500 Broken\r\nId: %s\r\nContent-Length: 4\r\n\r\nwhy?", h["Id"])
 		}, status: 500, body: "why?", sent: 1},
