--- a/cmd/reload_test.go
+++ b/cmd/reload_test.go
@@ -13,33 +13,17 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/platform/platformtest"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/fx/fxtest"
 )
 
 // nodeSettings are settings as the platform writes them; the names and addresses are made up.
-const nodeSettings = `
-nodeName = "entry-1"
-ip = "127.0.0.1"
-zone = "a"
-internalPortRange = [7001, 7002]
-seeds = ["127.0.0.1:7003"]
-somethingNew = 1
-[listen]
-front = "127.0.0.1:7004"
-[bounds]
-drainMs = 2000
-graceS = 8
-revokeMs = 5000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retrySlack = 90
-[platform]
-address = "127.0.0.1:7005"
-writes_per_s = 400
-reads_per_s = 2000
-`
+var nodeSettings = platformtest.NodeFile{
+	Name: "entry-1", IP: "127.0.0.1", Zone: "a", Ports: [2]int{7001, 7002}, Seeds: []string{"127.0.0.1:7003"},
+	Front: "127.0.0.1:7004", Store: "127.0.0.1:7005",
+}.Text()
 
 // TestHangUp checks that a process which gets SIGHUP goes on and takes the settings over, and that
 // settings which cannot be used change nothing.
--- a/standin/rankgroup/rankgroup.go
+++ b/standin/rankgroup/rankgroup.go
@@ -69,7 +69,7 @@
 
 // New returns a group on its first map, in which experts are dealt out in turn.
 func New(o Options) *Group {
-	g := &Group{opts: o, epoch: 1, rand: rand.New(rand.NewPCG(o.Seed, 1)), stopped: make(chan struct{})}
+	g := &Group{opts: o, epoch: 1, rand: rand.New(rand.NewPCG(o.Seed, 1)), stopped: make(chan struct{})} //nolint:gosec // tests repeat by their seed
 	first := make(expertMap, o.Layers)
 	for l := range first {
 		first[l] = make([][]int, o.Ranks)
--- a/tests/integration/platform_ranks_test.go
+++ b/tests/integration/platform_ranks_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"fawnwinch.org/fawnwinch/platform/platformtest"
 	"fawnwinch.org/fawnwinch/standin/rankgroup"
 )
 
@@ -63,8 +64,7 @@
 	r.t.Helper()
 	port := freePort(r.t)
 	settings := filepath.Join(r.dir, name+".toml")
-	text := fmt.Sprintf("nodeName = %q\nip = %q\nzone = \"a\"\ninternalPortRange = [%d, %d]\napp = %q\nservice = \"pool\"\n[platform]\naddress = %q\nwrites_per_s = 400\nreads_per_s = 2000\n",
-		name, r.ip, port, port, engine, r.addr)
+	text := platformtest.NodeFile{Name: name, IP: r.ip, Zone: "a", Ports: [2]int{port, port}, App: engine, Service: "pool", Store: r.addr}.Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/platform/platformtest"
 	"fawnwinch.org/fawnwinch/standin/metastore"
 )
 
@@ -115,31 +116,11 @@
 	s.t.Helper()
 	address := func() string { return net.JoinHostPort(s.ip, strconv.Itoa(freePort(s.t))) }
 	n := &node{front: address(), ready: address(), control: address(), directory: address()}
-	list, _ := json.Marshal(append([]string{}, seeds...))
 	n.settings = filepath.Join(s.dir, name+".toml")
-	text := fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = "a"
-internalPortRange = [1, 2]
-seeds = %s
-unheardOf = 1
-[listen]
-front = %q
-ready = %q
-control = %q
-directory = %q
-[bounds]
-drainMs = 2000
-graceS = 8
-revokeMs = 5000
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retrySlack = 90
-[platform]
-address = %q
-writes_per_s = 400
-reads_per_s = 2000
-`, name, s.ip, list, n.front, n.ready, n.control, n.directory, s.addr)
+	text := platformtest.NodeFile{
+		Name: name, IP: s.ip, Zone: "a", Ports: [2]int{1, 2}, Seeds: seeds,
+		Front: n.front, Ready: n.ready, Control: n.control, Directory: n.directory, Store: s.addr,
+	}.Text()
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
