A router that is silent holds up no greeting; routers count as gone after 1.05 s

Cause: a round of greetings waited for the slowest, so that one dead router made all others hear each other every 0.75 s instead of 0.4 s; and it stayed in the directory for 1.5 s. Ruled out: shorter time-outs of a greeting (links that lose packets need a fifth of a second to send again). Change: greetings of a round are not waited for (each ends before the next is due); 1.05 s of silence instead of 1.5 s.

--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -253,7 +253,9 @@
 	r.mu.Lock()
 	r.self.State = peer.StateLeaving
 	r.mu.Unlock()
-	r.greet(ctx)
+	var w sync.WaitGroup
+	r.greet(ctx, &w)
+	w.Wait()
 }
 
 // Ready reports whether the process takes callers.
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -14,16 +14,20 @@
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
-// greetAll greets the other routers again and again.
+// greetAll greets the other routers again and again. One that does not answer holds up nobody: a greeting
+// ends before the next is due.
 func (r *Router) greetAll(ctx context.Context) {
+	var w sync.WaitGroup
+	defer w.Wait()
 	for ctx.Err() == nil {
-		r.greet(ctx)
+		r.greet(ctx, &w)
 		r.opts.Relay.Sweep(time.Now())
 		sleep.For(ctx, greetEvery)
 	}
 }
 
-func (r *Router) greet(ctx context.Context) {
+// greet begins to greet all other routers.
+func (r *Router) greet(ctx context.Context, w *sync.WaitGroup) {
 	now := time.Now()
 	r.mu.Lock()
 	known := r.table.Known(now, vm.RoleRouter)
@@ -40,11 +44,9 @@
 		}
 	}
 	delete(to, r.opts.Self.Address)
-	var w sync.WaitGroup
 	for address := range to {
 		w.Go(func() { r.greetOne(ctx, address) })
 	}
-	w.Wait()
 }
 
 func (r *Router) greetOne(ctx context.Context, address string) {
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -49,9 +49,9 @@
 }
 
 const (
-	// silentAfter is how long a process may be silent before others act as if it were gone. It is longer
-	// than three greetings.
-	silentAfter = 1500 * time.Millisecond
+	// silentAfter is how long a process may be silent before others act as if it were gone. One greeting in
+	// either direction may be lost, two may not.
+	silentAfter = 1050 * time.Millisecond
 	// forgetAfter is how long a silent process is still greeted.
 	forgetAfter = 60 * time.Second
 )
