--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -65,24 +65,38 @@
 	return time.Duration(float64(len(l.waiters)+1) / rate * float64(time.Second))
 }
 
-// first returns the index of the waiting request that is let in next: of those that can still be answered
-// in time the one with the least time for that, or else the one whose caller leaves first.
-func (l *lane) first(now time.Time) int {
-	best := 0
-	for i, w := range l.waiters {
-		b := l.waiters[best]
-		switch inTime := now.Before(w.inTime); {
-		case inTime != now.Before(b.inTime):
-			if inTime {
-				best = i
-			}
-		case inTime && w.inTime.Before(b.inTime), !inTime && w.deadline.Before(b.deadline):
-			best = i
+// first returns the waiting request that is let in next, or nil: of those that can still be answered in time
+// the one with the least time for that, or else the one whose caller leaves first. Requests that were passed
+// over are left out.
+func (l *lane) first(now time.Time, passed []*waiter) *waiter {
+	var best *waiter
+	for _, w := range l.waiters {
+		if !slices.Contains(passed, w) && (best == nil || w.before(now, best)) {
+			best = w
 		}
 	}
 	return best
 }
 
+// before reports whether a waiting request is let in before another one.
+func (w *waiter) before(now time.Time, o *waiter) bool {
+	inTime := now.Before(w.inTime)
+	if inTime != now.Before(o.inTime) {
+		return inTime
+	}
+	if inTime {
+		return w.inTime.Before(o.inTime)
+	}
+	return w.deadline.Before(o.deadline)
+}
+
+// drop takes a request out of those that wait.
+func (l *lane) drop(w *waiter) {
+	if i := slices.Index(l.waiters, w); i >= 0 {
+		l.waiters = slices.Delete(l.waiters, i, i+1)
+	}
+}
+
 // hold returns how long a request may wait for room; 0 if it should be refused at once and come back
 // when there is some. Nobody says that no upstream is listed. The caller holds the lock.
 func (l *lane) hold(now time.Time, x *exchange, nobody bool) time.Duration {
@@ -187,9 +201,7 @@
 		return u, true
 	default:
 	}
-	if i := slices.Index(l.waiters, w); i >= 0 {
-		l.waiters = slices.Delete(l.waiters, i, i+1)
-	}
+	l.drop(w)
 	return upstream.Instance{}, false
 }
 
@@ -220,16 +232,20 @@
 	return u, ok
 }
 
-// wake lets waiting requests in while there is room. The caller holds the lock.
+// wake lets waiting requests in while there is room. One that has tried the only upstream with room does not
+// keep the others from it. The caller holds the lock.
 func (r *Relay) wake(now time.Time, l *lane) {
-	for len(l.waiters) > 0 {
-		i := l.first(now)
-		w := l.waiters[i]
+	var passed []*waiter
+	for w := l.first(now, passed); w != nil; w = l.first(now, passed) {
 		u, ok := r.pick(now, l, w.ask)
-		if !ok {
+		switch {
+		case ok:
+			l.drop(w)
+			w.ready <- u
+		case len(w.ask.Exclude) > 0:
+			passed = append(passed, w)
+		default:
 			return
 		}
-		l.waiters = slices.Delete(l.waiters, i, i+1)
-		w.ready <- u
 	}
 }
