--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -34,6 +34,15 @@
 	Places Places
 }
 
+// Pace returns that of the slowest rank, or 1.
+func (g *Group) Pace() float64 {
+	pace := 1.0
+	for _, r := range g.Ranks {
+		pace = max(pace, r.Pace)
+	}
+	return pace
+}
+
 // RankLoad is the load of one rank.
 type RankLoad struct {
 	// Address is where the rank's engine takes requests.
@@ -123,9 +132,7 @@
 func (p *Pool) Pace(now time.Time) float64 {
 	pace := 1.0
 	for _, g := range p.recent(now) {
-		for _, r := range g.Ranks {
-			pace = max(pace, r.Pace)
-		}
+		pace = max(pace, g.Pace())
 	}
 	return pace
 }
--- a/services/balance/places.go
+++ b/services/balance/places.go
@@ -45,6 +45,10 @@
 		return out
 	}
 	a.forget(wishes)
+	wanted := 0
+	for _, w := range wishes {
+		wanted += w.share()
+	}
 	loads := make([]float64, len(ranks))
 	left := float64(b.Mean * len(ranks))
 	for i, r := range ranks {
@@ -57,7 +61,7 @@
 			break
 		}
 		loads[i]++
-		out[a.next(wishes)][ranks[i].Address]++
+		out[a.next(wishes, wanted)][ranks[i].Address]++
 	}
 	return out
 }
@@ -81,15 +85,14 @@
 	return best
 }
 
-// next returns the router that gets the next place.
-func (a *Allotter) next(wishes []Wish) string {
-	sum := 0.0
-	for _, w := range wishes {
-		sum += float64(w.Requests + 1)
-	}
+// share returns the weight of a wish. A router that wishes for nothing has one too.
+func (w Wish) share() int { return w.Requests + 1 }
+
+// next returns the router that gets the next place. Wanted is the sum of all shares.
+func (a *Allotter) next(wishes []Wish, wanted int) string {
 	best := ""
 	for _, w := range wishes {
-		a.credit[w.Router] += float64(w.Requests+1) / sum
+		a.credit[w.Router] += float64(w.share()) / float64(wanted)
 		if best == "" || a.credit[w.Router] > a.credit[best] {
 			best = w.Router
 		}
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -116,11 +116,16 @@
 	return s
 }
 
+// reported reports whether a coordinator has told of the upstream lately.
+func (s *state) reported(now time.Time) bool { return now.Sub(s.reportedAt) < reportValid }
+
+// notBegun estimates the requests of all routers whose answers have not begun.
+func (s *state) notBegun() int { return max(s.report.Unstarted-s.known, 0) + s.unstarted }
+
 // load estimates the requests at an upstream. Routers is the number of routers that send to it.
 func (p *Pool) load(now time.Time, s *state, routers int) float64 {
-	if now.Sub(s.reportedAt) < reportValid {
-		others := max(s.report.Unstarted-s.known, 0)
-		return float64(max(s.report.Running-s.ended, 0) + max(s.report.Waiting, others+s.unstarted))
+	if s.reported(now) {
+		return float64(max(s.report.Running-s.ended, 0) + max(s.report.Waiting, s.notBegun()))
 	}
 	return float64(s.inFlight * max(routers, 1))
 }
@@ -165,7 +170,7 @@
 
 // room reports whether an upstream with a load may get one more request of this router.
 func (s *state) room(now time.Time, load float64, limit int) bool {
-	if s.allotted && now.Sub(s.reportedAt) < reportValid {
+	if s.allotted && s.reported(now) {
 		return s.places > 0
 	}
 	return limit <= 0 || load < float64(limit)
@@ -174,7 +179,7 @@
 // allotted reports whether a coordinator has lately told this router what it may send.
 func (p *Pool) allotted(now time.Time, cands []upstream.Instance) bool {
 	for _, c := range cands {
-		if s := p.state(c.ID); s.allotted && now.Sub(s.reportedAt) < reportValid {
+		if s := p.state(c.ID); s.allotted && s.reported(now) {
 			return true
 		}
 	}
@@ -200,8 +205,8 @@
 		}
 		return score
 	}
-	if now.Sub(s.reportedAt) < reportValid {
-		score += readWeight * float64(max(s.report.Unstarted-s.known, 0)+s.unstarted)
+	if s.reported(now) {
+		score += readWeight * float64(s.notBegun())
 	}
 	// A stream at a slow rank makes the pass longer for all; a fuller rank of usual pace does not.
 	score *= max(s.report.Pace, 1)
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -64,20 +64,12 @@
 func New(o Options) *Router {
 	o.Self.State = peer.StateStarting
 	r := &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}}
-	r.catalogs = &follower[catalog.Catalog]{
-		feed: o.Store.Catalogs(), wake: make(chan struct{}, 1), take: r.takeCatalogs,
-		mark: func() knowledge.Mark { return r.mark((*knowledge.State).Catalogs) },
-		mine: func(now time.Time) bool { return r.reads(now, feedCatalogs) },
-		tell: func(p knowledge.Part[catalog.Catalog]) { tell(r, "Router.CatalogNews", p) },
-		note: func(err error) { r.noteOutage(feedCatalogs, err) },
-	}
-	r.upstreams = &follower[upstream.Instance]{
-		feed: o.Store.Upstreams(), wake: make(chan struct{}, 1), take: r.takeUpstreams,
-		mark: func() knowledge.Mark { return r.mark((*knowledge.State).Upstreams) },
-		mine: func(now time.Time) bool { return r.reads(now, feedUpstreams) },
-		tell: func(p knowledge.Part[upstream.Instance]) { tell(r, "Router.UpstreamNews", p) },
-		note: func(err error) { r.noteOutage(feedUpstreams, err) },
-	}
+	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), calls{news: "Router.CatalogNews", whole: "Router.Catalogs"})
+	r.catalogs.mark = func() knowledge.Mark { return r.mark((*knowledge.State).Catalogs) }
+	r.catalogs.take = r.takeCatalogs
+	r.upstreams = newFollower(r, feedUpstreams, o.Store.Upstreams(), calls{news: "Router.UpstreamNews", whole: "Router.Upstreams"})
+	r.upstreams.mark = func() knowledge.Mark { return r.mark((*knowledge.State).Upstreams) }
+	r.upstreams.take = r.takeUpstreams
 	r.rebound(o.Bounds)
 	return r
 }
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -22,7 +22,10 @@
 
 // follower keeps what is known of one feed up to date. It reads the store when that is this router's turn.
 type follower[T any] struct {
-	feed services.Feed[T]
+	// name is what the feed is called in logs and in the choice of its reader.
+	name  string
+	feed  services.Feed[T]
+	calls calls
 	// mark returns how far the feed is known, and take takes in more of it.
 	mark func() knowledge.Mark
 	take func(p knowledge.Part[T]) knowledge.Fit
@@ -42,6 +45,22 @@
 	tried    time.Time
 }
 
+// calls holds the methods by which routers tell each other of a feed.
+type calls struct {
+	// news takes in a stretch that another router has read, and whole returns all that is known.
+	news, whole string
+}
+
+// newFollower returns the follower of one of a router's feeds. Mark and take are still to be set.
+func newFollower[T any](r *Router, name string, feed services.Feed[T], c calls) *follower[T] {
+	return &follower[T]{
+		name: name, feed: feed, calls: c, wake: make(chan struct{}, 1),
+		mine: func(now time.Time) bool { return r.reads(now, name) },
+		tell: func(p knowledge.Part[T]) { tell(r, c.news, p) },
+		note: func(err error) { r.noteOutage(name, err) },
+	}
+}
+
 // run follows the feed until ctx ends.
 func (f *follower[T]) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -44,23 +44,24 @@
 		}
 	}
 	delete(to, r.opts.Self.Address)
+	hello, _ := r.hello(now)
 	for address := range to {
-		w.Go(func() { r.greetOne(ctx, address) })
+		w.Go(func() { r.greetOne(ctx, address, hello) })
 	}
 }
 
-func (r *Router) greetOne(ctx context.Context, address string) {
+func (r *Router) greetOne(ctx context.Context, address string, hello Hello) {
 	cctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
 	sent := time.Now()
-	hello, _ := r.hello(sent)
 	var reply Hello
 	if err := r.opts.Pool.Call(cctx, address, "Router.Greet", hello, &reply); err != nil {
 		r.opts.Logger.Debug().Str("address", address).Err(err).Msg("router-silent")
 		return
 	}
 	r.heard(reply)
-	r.compare(ctx, sent, address, reply)
+	compare(ctx, r, r.catalogs, sent, address, reply.Catalogs)
+	compare(ctx, r, r.upstreams, sent, address, reply.Upstreams)
 }
 
 // hello returns what this process says when it greets, and the other routers that it has heard lately.
@@ -88,30 +89,18 @@
 	}
 }
 
-// compare compares what is known of the feeds with what another router knows. Ages count from before the
-// question was sent.
-func (r *Router) compare(ctx context.Context, sent time.Time, address string, h Hello) {
-	r.opts.Relay.Know(func(s *knowledge.State) {
-		if h.Catalogs.Known {
-			s.ConfirmCatalogs(h.Catalogs.Next, sent.Add(-h.Catalogs.Age))
-		}
-		if h.Upstreams.Known {
-			s.ConfirmUpstreams(h.Upstreams.Next, sent.Add(-h.Upstreams.Age))
-		}
-	})
-	catchUp(ctx, r, address, r.catalogs, h.Catalogs, "Router.Catalogs")
-	catchUp(ctx, r, address, r.upstreams, h.Upstreams, "Router.Upstreams")
-	r.becomeReady()
-}
-
-// catchUp takes care that what another router knows more of a feed is soon known here: from the store, or
-// from that router while the store cannot be read.
-func catchUp[T any](ctx context.Context, r *Router, address string, f *follower[T], theirs Extent, method string) {
-	mark := f.mark()
-	if !theirs.Known || (mark.Known() && mark.Next >= theirs.Next) {
+// compare compares what is known of a feed with what another router knows. If that is more, it takes care that
+// it is soon known here: from the store, or from that router while the store cannot be read. Ages count from
+// before the question was sent.
+func compare[T any](ctx context.Context, r *Router, f *follower[T], sent time.Time, address string, theirs Extent) {
+	if !theirs.Known {
+		return
+	}
+	end := knowledge.Part[T]{From: theirs.Next, Next: theirs.Next, AsOf: sent.Add(-theirs.Age)}
+	if f.take(end) != knowledge.FitGap {
 		return
 	}
-	if mark.Known() && !f.failing() {
+	if f.mark().Known() && !f.failing() {
 		f.miss()
 		return
 	}
@@ -119,15 +108,15 @@
 	defer cancel()
 	asked := time.Now()
 	var w Whole[T]
-	if err := r.opts.Pool.Call(cctx, address, method, Nothing{}, &w); err != nil {
-		r.opts.Logger.Warn().Str("from", address).Str("call", method).Err(err).Msg("borrow-failed")
+	if err := r.opts.Pool.Call(cctx, address, f.calls.whole, Nothing{}, &w); err != nil {
+		r.opts.Logger.Warn().Str("from", address).Str("feed", f.name).Err(err).Msg("borrow-failed")
 		return
 	}
 	if !w.Extent.Known {
 		return
 	}
 	fit := f.take(w.part(asked))
-	r.opts.Logger.Info().Str("from", address).Str("call", method).Uint64("next", uint64(w.Extent.Next)).Int64("age_ms", w.Extent.Age.Milliseconds()).
+	r.opts.Logger.Info().Str("from", address).Str("feed", f.name).Uint64("next", uint64(w.Extent.Next)).Int64("age_ms", w.Extent.Age.Milliseconds()).
 		Int("records", len(w.Changes)).Str("fit", string(fit)).Msg("borrowed")
 }
 
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -112,16 +112,6 @@
 // Upstreams tells how far the feed of upstreams is known.
 func (s *State) Upstreams() Mark { return s.upstreams }
 
-// ConfirmCatalogs notes that another router knew the feed of catalogs to end at an offset at a time.
-func (s *State) ConfirmCatalogs(next services.Offset, asOf time.Time) {
-	s.catalogs.fit(false, next, next, asOf)
-}
-
-// ConfirmUpstreams notes that another router knew the feed of upstreams to end at an offset at a time.
-func (s *State) ConfirmUpstreams(next services.Offset, asOf time.Time) {
-	s.upstreams.fit(false, next, next, asOf)
-}
-
 // take keeps an entry. An upstream that was once leaving does not come back under its id.
 func (s *State) take(i upstream.Instance, at services.Offset) {
 	if e, ok := s.ups[i.ID]; ok && e.instance.State == upstream.StateLeaving {
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -33,10 +33,7 @@
 	if step > c.notedStep && !c.notedAt.IsZero() {
 		pass = now.Sub(c.notedAt).Seconds() * 1000 / float64(step-c.notedStep)
 	}
-	skew := 0.0
-	if c.planner != nil {
-		skew = c.planner.skew
-	}
+	skew := c.skew()
 	load := balance.PassLoad{Mean: float64(sum) / float64(len(c.members)), Max: float64(most), Skew: skew, Pace: pace}
 	c.a.opts.Logger.Info().Int("running", sum).Int("fullest", most).Int("waiting", waiting).Uint64("step", uint64(step)).
 		Float64("pass_ms", pass).Float64("forecast_ms", c.forecast(load)).Float64("skew", skew).Msg("group-load")
@@ -91,21 +88,23 @@
 			})
 		}
 	}
-	if c.planner != nil {
-		g.Skew = c.planner.skew
-	}
+	g.Skew = c.skew()
 	return g
 }
 
+// skew returns the skew of the map in use, or 0 if it is not known.
+func (c *coordinator) skew() float64 {
+	if c.planner == nil {
+		return 0
+	}
+	return c.planner.skew
+}
+
 // bounds returns what the ranks may have, or nil while the figures of the engine are not known.
 func (c *coordinator) bounds(g balance.Group) *balance.Bounds {
 	if c.engine == nil {
 		return nil
 	}
-	pace := 1.0
-	for _, r := range g.Ranks {
-		pace = max(pace, r.Pace)
-	}
-	b := balance.GroupBounds(c.engine, g.Skew, pace, c.goal)
+	b := balance.GroupBounds(c.engine, g.Skew, g.Pace(), c.goal)
 	return &b
 }
