TestHold: the fault strikes inside the hold, at every speed of the machine

Cause: the whole test run failed once with "no hold seen" in "rank's agent frozen". A hold lasts from the last rank's order to its answer's way back, a few ms on a calm machine, and the test asked for it over and over: a hold between two questions was missed, the one change of maps was over, and no other came.

Ruled out: no plan made (the switch was recorded in each failed case, step 552 to 631), a rank that never held.

Change: the stand-in can keep a rank's answer to an order to hold (Fault.KeepHoldAnswer). The hold is in force, and neither the coordinator nor that rank's agent gets further until the act is done. The test waits for a completed step after the hold, no longer for one rank's hold to be gone. Stricter than before: every case now strikes while all ranks wait.

Conclusion: the fault was in the test; the product's holds end as designed.

--- a/standin/upstream/group.go
+++ b/standin/upstream/group.go
@@ -71,10 +71,12 @@
 	running  []*sequence
 	waiting  []*sequence
 	stall    time.Duration
-	speed    float64
-	busy     float64
-	reported report
-	cache    *prefixCache
+	// keepHoldAnswer is set by Fault.
+	keepHoldAnswer bool
+	speed          float64
+	busy           float64
+	reported       report
+	cache          *prefixCache
 }
 
 // report is the load of a rank as it was at a time.
--- a/standin/upstream/group_order.go
+++ b/standin/upstream/group_order.go
@@ -53,6 +53,7 @@
 			return services.ErrRefused{Reason: "not staged"}
 		}
 		r.hold, r.holdMap = o.Step, o.Map.Version
+		g.keepAnswer(r)
 	case services.OrderSwitch:
 		if r.staged == nil || r.staged.Version != o.Map.Version {
 			return services.ErrRefused{Reason: "not staged"}
@@ -72,6 +73,14 @@
 	return nil
 }
 
+// keepAnswer returns when the rank may answer an order to hold. The hold is in force meanwhile: the
+// wait on changed gives the lock back.
+func (g *Group) keepAnswer(r *rank) {
+	for r.keepHoldAnswer && !g.stopped {
+		g.changed.Wait()
+	}
+}
+
 // Fault is a switchable misbehaviour of a group.
 type Fault struct {
 	Rank group.Rank `json:"rank"`
@@ -81,6 +90,9 @@
 	Speed float64 `json:"speed"`
 	// Drift swaps this many pairs of expert popularities in every layer.
 	Drift int `json:"drift"`
+	// KeepHoldAnswer makes the rank carry out an order to hold but answer it only when the fault is
+	// over, so that a test can act while all ranks hold.
+	KeepHoldAnswer bool `json:"keep_hold_answer"`
 }
 
 // SetFault switches the misbehaviour.
@@ -89,6 +101,8 @@
 	defer g.mu.Unlock()
 	r := g.ranks[f.Rank]
 	r.stall = time.Duration(f.StallMillis) * time.Millisecond
+	r.keepHoldAnswer = f.KeepHoldAnswer
+	g.changed.Broadcast()
 	if f.Speed > 0 {
 		r.speed = f.Speed
 	}
--- a/tests/integration/map_test.go
+++ b/tests/integration/map_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/setting"
@@ -76,18 +77,18 @@
 	w.c.t.Logf("%d whole, others: %v", w.whole, w.told)
 }
 
-// inHold waits until a rank holds before a step, and acts then.
-func (c *cluster) inHold(act func()) {
+// inHold lets popularity drift until ranks hold before a step, acts then, and returns that step. The
+// stand-in keeps rank 2's answer to the hold until the act is done: neither the coordinator nor rank 2's
+// agent can be further than the hold when the act strikes.
+func (c *cluster) inHold(act func()) group.Step {
 	c.t.Helper()
-	deadline := time.Now().Add(40 * time.Second)
-	for time.Now().Before(deadline) {
-		var s services.EngineState
-		if getJSON(c.ranks["group-0-1"]+"/engine/state", "", &s) == nil && s.Hold != 0 {
-			act()
-			return
-		}
-	}
-	c.t.Fatal("no hold seen")
+	rank := c.ranks["group-0-2"]
+	var s services.EngineState
+	c.put(rank+"/control/fault", upstreamstandin.Fault{Rank: 2, Drift: 40, KeepHoldAnswer: true})
+	c.await("a hold", 40*time.Second, func() bool { return getJSON(rank+"/engine/state", "", &s) == nil && s.Hold != 0 })
+	act()
+	c.put(rank+"/control/fault", upstreamstandin.Fault{Rank: 2})
+	return s.Hold
 }
 
 // TestHold breaks a process while the ranks hold before a step. The group must step on, on one map.
@@ -104,13 +105,9 @@
 			c := newCluster(t, options{routers: 2, groups: 1, ranks: 3, agent: func(s *setting.Agent) { s.Upstream.ChecksFence = true }})
 			w := c.chats(4, 16)
 			w.more(20)
-			c.put(c.ranks["group-0-1"]+"/control/fault", upstreamstandin.Fault{Rank: 1, Drift: 40})
-			c.inHold(func() { fault(c) })
+			hold := c.inHold(func() { fault(c) })
 			broken := time.Now()
-			c.await("the group has stepped on", 30*time.Second, func() bool {
-				var s services.EngineState
-				return getJSON(c.ranks["group-0-1"]+"/engine/state", "", &s) == nil && s.Hold == 0
-			})
+			c.await("the group has stepped on", 30*time.Second, func() bool { return c.report("group-0-1").Step > hold })
 			t.Logf("the hold ended %s after the fault", time.Since(broken).Round(time.Millisecond))
 			w.more(20)
 			for _, p := range c.procs {
