Reports by number, and counts as differences from as many ranks as the link carries

Ruled out: fewer reports (places would be older, which is what requests wait for), counts less often (the time of a look is part of the time to follow a shift of demand).

A router without the list says so and is sent it with the next report; its answer counts as none. An agent tells what was added to the counts that the asker has, all of them if an answer was lost, the engine or the agent started anew, or the asker has none. A coordinator asks as many ranks for counts as 24,000 counters a look allow, those of its own data centre first: all ranks at today's sizes, a dozen of 63 with 8 sets of 252 experts. What a rank counted before it was asked is not taken for recent demand. The map in use is read from all ranks at once.

--- /dev/null
+++ b/services/balance/report_test.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// TestReport sends groups as reports and reads them with the lists that a router may have.
+func TestReport(t *testing.T) {
+	g := Group{
+		Service: "chat", ID: "g", Open: true, Skew: 1.25,
+		Ranks: []RankLoad{{Address: "a", Running: 200, Waiting: 3, Unstarted: 1, Pace: 1}, {Address: "b", Pace: 5}},
+	}
+	list := RankList{Number: 7}.Next(g.Ranks)
+	if same := list.Next(g.Ranks); list.Number != 8 || same.Number != 8 {
+		t.Fatalf("list %d, then %d for the same ranks; want 8 and 8", list.Number, same.Number)
+	}
+	given := g
+	given.Places = Places{"b": 2}
+	none := g
+	none.Places = Places{}
+	cases := map[string]struct {
+		group Group
+		// has is the list of the router before the report.
+		has  RankList
+		read bool
+	}{
+		"first report":              {group: g, read: true},
+		"list is known":             {group: g, has: list, read: true},
+		"places":                    {group: given, has: list, read: true},
+		"not a single place":        {group: none, has: list, read: true},
+		"list of an earlier start":  {group: g, has: RankList{Number: 8, Addresses: []string{"a"}}},
+		"same number, other ranks":  {group: given, has: RankList{Number: 8, Addresses: []string{"a", "b", "c"}}},
+		"another list, sent anew":   {group: given, has: RankList{Number: 4, Addresses: []string{"z"}}, read: true},
+		"no ranks are known at all": {group: Group{ID: "g"}, has: RankList{}, read: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := list.Next(tc.group.Ranks)
+			r := over(t, l.Pack(tc.group, tc.has.Number))
+			has := tc.has
+			if carried, ok := r.Carried(); ok {
+				has = carried
+			}
+			got, ok := has.Unpack(r)
+			if ok != tc.read {
+				t.Fatalf("read: %t, want %t", ok, tc.read)
+			}
+			want := tc.group
+			if want.Ranks == nil {
+				want.Ranks = []RankLoad{}
+			}
+			if ok && !reflect.DeepEqual(got, want) {
+				t.Errorf("got  %+v\nwant %+v", got, want)
+			}
+		})
+	}
+}
+
+// TestUnstarted sends what a router adds to a report.
+func TestUnstarted(t *testing.T) {
+	l := RankList{Number: 1, Addresses: []string{"a", "b"}}
+	if got := l.UnpackUnstarted(l.PackUnstarted(Unstarted{"b": 2})); !reflect.DeepEqual(got, Unstarted{"b": 2}) {
+		t.Errorf("got %v, want 2 at b", got)
+	}
+	if got := l.PackUnstarted(Unstarted{}); got != nil {
+		t.Errorf("got %v for nothing", got)
+	}
+	if got := l.UnpackUnstarted([]uint{1}); got != nil {
+		t.Errorf("got %v from a list of other length", got)
+	}
+}
+
+// TestReportSize bounds the bytes of a report of a large group to a router that has the list.
+func TestReportSize(t *testing.T) {
+	g := Group{Service: "chat", ID: "group-0", Open: true, Whole: true, Skew: 1.2, Places: Places{}}
+	for i := range 64 {
+		address := fmt.Sprintf("10.20.30.%d:8000", i)
+		g.Ranks = append(g.Ranks, RankLoad{Address: address, Running: 10, Waiting: 2, Unstarted: 1, Pace: 1})
+		g.Places[address] = i % 2
+	}
+	l := RankList{}.Next(g.Ranks)
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	size := func(v any) int {
+		from := b.Len()
+		if err := enc.Encode(v); err != nil {
+			t.Fatal(err)
+		}
+		return b.Len() - from
+	}
+	size(Group{}) // the first value of a type carries its description
+	size(Report{})
+	plain, packed := size(g), size(l.Pack(g, l.Number))
+	if packed > 350 {
+		t.Errorf("a report of %d ranks takes %d bytes, want 350 at most (with addresses %d)", len(g.Ranks), packed, plain)
+	}
+	t.Logf("%d bytes instead of %d", packed, plain)
+}
+
+// over returns a report as it arrives over a connection.
+func over(t *testing.T, r Report) Report {
+	t.Helper()
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(r); err != nil {
+		t.Fatal(err)
+	}
+	var out Report
+	if err := gob.NewDecoder(&b).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -116,15 +116,14 @@
 	return nil
 }
 
-// ReportReply is what a router adds to the load of a group.
-type ReportReply struct {
-	Unstarted balance.Unstarted
-	// Wanted is how many requests it would like to send until the next report.
-	Wanted int
-}
-
 // Report takes in the load of a model group.
-func (a *API) Report(g balance.Group, reply *ReportReply) error {
-	reply.Unstarted, reply.Wanted = a.r.opts.Relay.Report(time.Now(), g)
+func (a *API) Report(report balance.Report, reply *balance.ReportReply) error {
+	list := a.r.rankList(&report)
+	g, ok := list.Unpack(report)
+	if !ok {
+		return nil
+	}
+	unstarted, wanted := a.r.opts.Relay.Report(time.Now(), g)
+	*reply = balance.ReportReply{List: list.Number, Unstarted: list.PackUnstarted(unstarted), Wanted: wanted}
 	return nil
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/relay"
@@ -58,12 +60,14 @@
 	table *peer.Table
 	// outage tells for each feed since when it cannot be read; absent while it can.
 	outage map[string]time.Time
+	// lists holds the list of ranks by which the coordinator of each group tells its load.
+	lists map[group.ID]balance.RankList
 }
 
 // New returns a router that knows nobody.
 func New(o Options) *Router {
 	o.Self.State = peer.StateStarting
-	r := &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}}
+	r := &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}, lists: map[group.ID]balance.RankList{}}
 	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), calls{news: "Router.CatalogNews", whole: "Router.Catalogs"})
 	r.catalogs.mark = func() knowledge.Mark { return r.mark((*knowledge.State).Catalogs) }
 	r.catalogs.take = r.takeCatalogs
@@ -74,6 +78,16 @@
 	return r
 }
 
+// rankList returns the list of ranks for a report, and keeps it if the report brings one.
+func (r *Router) rankList(report *balance.Report) balance.RankList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if list, ok := report.Carried(); ok {
+		r.lists[report.ID] = list
+	}
+	return r.lists[report.ID]
+}
+
 // The feeds that routers follow, as they are called in logs.
 const (
 	feedCatalogs  = "catalogs"
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -63,18 +63,22 @@
 	led     bool
 	rank    int
 	group   group.ID
+	tally   tally
 }
 
 // New returns an agent.
-func New(now time.Time, o Options) *Agent { return &Agent{opts: o, asked: now} }
+func New(now time.Time, o Options) *Agent {
+	return &Agent{opts: o, asked: now, tally: newTally(now)}
+}
 
 // Ask is a coordinator's question for a rank's load.
 type Ask struct {
 	// Group is the group that is coordinated. A service may have several.
 	Group     group.ID
 	Authority Authority
-	// Counts asks for the experts' counts too.
+	// Counts asks for the experts' counts too, and Since numbers those that the asker has, 0 for none.
 	Counts bool
+	Since  uint64
 }
 
 // Reply is a rank's answer.
@@ -84,7 +88,7 @@
 	// Authority is the highest that the agent has heard of. If it is not the asker's, the rest is empty.
 	Authority Authority
 	Status    services.RankStatus
-	Counts    services.RankCounts
+	Counts    CountsPart
 }
 
 // Order is a coordinator's order.
@@ -139,7 +143,7 @@
 	if r.Authority != ask.Authority {
 		return nil
 	}
-	return p.a.status(ask.Counts, r)
+	return p.a.status(ask, r)
 }
 
 // Order carries out an order of a coordinator.
@@ -178,7 +182,8 @@
 	return a.highest
 }
 
-func (a *Agent) status(counts bool, r *Reply) error {
+// status reads the status of the engine, and its counts if they are asked for.
+func (a *Agent) status(ask Ask, r *Reply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
 	defer cancel()
 	var err error
@@ -188,10 +193,17 @@
 	a.mu.Lock()
 	a.rank, a.group = int(r.Status.Rank), r.Status.Group
 	a.mu.Unlock()
-	if counts {
-		r.Counts, err = a.opts.Engine.Counts(ctx)
+	if !ask.Counts {
+		return nil
 	}
-	return err
+	counts, err := a.opts.Engine.Counts(ctx)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.Counts = a.tally.tell(ask.Since, counts)
+	return nil
 }
 
 // order gives an order to the engine on the same VM, and again if there is no answer: each order holds
@@ -222,7 +234,7 @@
 func (a *Agent) awaitLoaded(o services.RankOrder) services.RankAnswer {
 	for end := time.Now().Add(loadTime); time.Now().Before(end); time.Sleep(loadTick) {
 		var r Reply
-		if err := a.status(false, &r); err != nil {
+		if err := a.status(Ask{}, &r); err != nil {
 			continue // the engine is asked again until the end
 		}
 		if r.Status.Epoch != o.Epoch || r.Status.Prepared > o.Version {
@@ -238,7 +250,7 @@
 // Run looks for a coordinator until ctx ends, and is one when there is none.
 func (a *Agent) Run(ctx context.Context) {
 	var first Reply
-	if err := a.status(false, &first); err != nil {
+	if err := a.status(Ask{}, &first); err != nil {
 		a.opts.Logger.Warn().Err(err).Msg("engine-unreachable")
 	}
 	registered := false
@@ -276,7 +288,7 @@
 // stand claims the authority to coordinate and coordinates until it is lost.
 func (a *Agent) stand(ctx context.Context) {
 	var r Reply
-	if err := a.status(false, &r); err != nil {
+	if err := a.status(Ask{}, &r); err != nil {
 		sleep.For(ctx, claimPause)
 		return
 	}
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -36,7 +36,7 @@
 	status services.RankStatus
 	// heard is the time of the latest status; asked the latest direct question.
 	heard, asked time.Time
-	counts       services.RankCounts
+	counts       heldCounts
 	known        bool
 }
 
@@ -68,7 +68,7 @@
 }
 
 func newCoordinator(a *Agent, au Authority, s services.RankStatus) *coordinator {
-	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), book: newRouterBook()}
+	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), book: newRouterBook(uint64(au.fence()))}
 	c.members = make([]*member, s.Size)
 	for i := range c.members {
 		c.members[i] = &member{}
@@ -128,7 +128,7 @@
 	speed := make([]float64, len(c.members))
 	writers := 0.0
 	for i, m := range c.members {
-		counts[i] = m.counts
+		counts[i] = m.counts.RankCounts
 		speed[i] = 1 / max(m.status.Pace, 1)
 		writers += float64(m.status.Running) / float64(len(c.members))
 	}
--- a/services/rank/map.go
+++ b/services/rank/map.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
@@ -17,8 +18,9 @@
 	for l := range m.Layers {
 		m.Layers[l].Slots = make([][]expertmap.Expert, len(status))
 	}
-	for r := range status {
-		held, err := c.mapOf(ctx, group.Rank(r))
+	parts, errs := c.heldMaps(ctx, len(status))
+	for r, held := range parts {
+		err := errs[r]
 		if err != nil || held.Version != m.Version || len(held.Experts) != c.engine.Layers {
 			c.a.opts.Logger.Warn().Int("rank", r).Uint64("version", uint64(held.Version)).Uint64("want", uint64(m.Version)).Int("layers", len(held.Experts)).Err(err).Msg("map-unread")
 			return nil, false
@@ -33,6 +35,18 @@
 	return m, true
 }
 
+// heldMaps asks all ranks at once what they hold.
+func (c *coordinator) heldMaps(ctx context.Context, ranks int) ([]services.RankMap, []error) {
+	parts := make([]services.RankMap, ranks)
+	errs := make([]error, ranks)
+	var w sync.WaitGroup
+	for r := range parts {
+		w.Go(func() { parts[r], errs[r] = c.mapOf(ctx, group.Rank(r)) })
+	}
+	w.Wait()
+	return parts, errs
+}
+
 func (c *coordinator) mapOf(ctx context.Context, r group.Rank) (services.RankMap, error) {
 	cctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -96,15 +96,21 @@
 
 // look asks all ranks for their load.
 func (c *coordinator) look(ctx context.Context, counts bool) {
+	counted := map[string]bool{}
+	if counts {
+		counted = c.counted(time.Now())
+		c.dropCounts(counted)
+	}
 	var own Reply
-	if err := c.a.status(counts, &own); err == nil {
+	if err := c.a.status(c.ask(c.a.opts.Self, counted), &own); err == nil {
 		c.take(c.a.opts.Self, own)
 	}
 	c.lost = c.lost || c.a.hear(time.Now(), c.authority) != c.authority
 	replies := make([]*Reply, len(c.agents))
 	var w sync.WaitGroup
 	for i, n := range c.agents {
-		w.Go(func() { replies[i] = c.askAgent(ctx, n, counts) })
+		ask := c.ask(n, counted)
+		w.Go(func() { replies[i] = c.askAgent(ctx, n, ask) })
 	}
 	w.Wait()
 	for i, r := range replies {
@@ -130,11 +136,20 @@
 	}
 }
 
-func (c *coordinator) askAgent(ctx context.Context, n peer.Info, counts bool) *Reply {
+// ask returns the question for the agent of a rank. Counted holds the engines whose counts are wanted.
+func (c *coordinator) ask(n peer.Info, counted map[string]bool) Ask {
+	a := Ask{Group: c.first.Group, Authority: c.authority, Counts: counted[n.Engine]}
+	if m := c.memberOf(n); m != nil && a.Counts {
+		a.Since = m.counts.number
+	}
+	return a
+}
+
+func (c *coordinator) askAgent(ctx context.Context, n peer.Info, ask Ask) *Reply {
 	cctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	var r Reply
-	if err := c.a.opts.Pool.Call(cctx, n.Address, "Rank.Status", Ask{Group: c.first.Group, Authority: c.authority, Counts: counts}, &r); err != nil {
+	if err := c.a.opts.Pool.Call(cctx, n.Address, "Rank.Status", ask, &r); err != nil {
 		c.a.opts.Logger.Debug().Str("agent", n.Name).Err(err).Msg("agent-silent")
 		return nil
 	}
@@ -182,9 +197,7 @@
 	}
 	m := c.members[r.Status.Rank]
 	m.info, m.status, m.heard, m.known = n, r.Status, time.Now(), true
-	if len(r.Counts.Counts) > 0 {
-		m.counts = r.Counts
-	}
+	m.counts.add(r.Counts)
 }
 
 // statuses returns the latest status of every rank, or false if one is not known or they differ in epoch.
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -128,13 +128,14 @@
 	p.counts = append([]services.RankCounts(nil), counts...)
 }
 
-// add adds what one rank has counted since. A rank that has started anew counts from 0.
+// add adds what one rank has counted since. A rank that has started anew counts from 0. What a rank counted
+// before it was asked is not recent.
 func (p *planner) add(before, after services.RankCounts) {
-	if len(after.Counts) != p.engine.Layers*p.engine.Experts {
+	if len(after.Counts) != p.engine.Layers*p.engine.Experts || len(before.Counts) != len(after.Counts) {
 		return
 	}
 	for i, n := range after.Counts {
-		if len(before.Counts) == len(after.Counts) && before.Counts[i] <= n {
+		if before.Counts[i] <= n {
 			n -= before.Counts[i]
 		}
 		p.recent[i/p.engine.Experts][i%p.engine.Experts] += float64(n)
--- a/services/rank/router_book.go
+++ b/services/rank/router_book.go
@@ -18,6 +18,8 @@
 	routers  map[string]*routerEntry
 	// reports counts the reports.
 	reports uint64
+	// list is the list of ranks that the latest report went by.
+	list balance.RankList
 }
 
 // routerEntry is what is known of one router.
@@ -27,6 +29,8 @@
 	report    uint64
 	unstarted balance.Unstarted
 	wanted    int
+	// list numbers the list of ranks that the router has.
+	list uint64
 	// given holds the places of each report whose use the router has not told of yet.
 	given map[uint64]balance.Places
 }
@@ -34,8 +38,10 @@
 // answerValid is how long an answer of a router counts. Reports come several times a second.
 const answerValid = time.Second
 
-func newRouterBook() *routerBook {
-	return &routerBook{allotter: balance.NewAllotter(), routers: map[string]*routerEntry{}}
+// newRouterBook returns an empty book. Lists of ranks are numbered from first on; coordinators must not use the
+// same numbers.
+func newRouterBook(first uint64) *routerBook {
+	return &routerBook{allotter: balance.NewAllotter(), routers: map[string]*routerEntry{}, list: balance.RankList{Number: first}}
 }
 
 // report begins a report: it returns its number, and the places of each router that has answered lately.
@@ -44,6 +50,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reports++
+	b.list = b.list.Next(ranks)
 	if bounds == nil {
 		return b.reports, nil
 	}
@@ -68,9 +75,20 @@
 	return b.reports, places
 }
 
-// answered takes in a router's answer to a report. It tells what the router had sent before it got the
-// report, so the places of earlier ones are settled.
-func (b *routerBook) answered(now time.Time, name string, report uint64, unstarted balance.Unstarted, wanted int) {
+// pack returns the latest report as a router can read it, and the list that it goes by.
+func (b *routerBook) pack(name string, g balance.Group) (balance.Report, balance.RankList) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	has := uint64(0)
+	if e, ok := b.routers[name]; ok {
+		has = e.list
+	}
+	return b.list.Pack(g, has), b.list
+}
+
+// answered takes in a router's answer to a report that went by a list. It tells what the router had sent before
+// it got the report, so the places of earlier ones are settled.
+func (b *routerBook) answered(now time.Time, name string, report uint64, list balance.RankList, reply balance.ReportReply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.routers[name]
@@ -81,7 +99,10 @@
 	if report < e.report {
 		return // answers may pass each other
 	}
-	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, unstarted, wanted
+	if e.list = reply.List; reply.List != list.Number {
+		return // the router could not read the report; the next one brings it the list
+	}
+	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
 	for n := range e.given {
 		if n < report {
 			delete(e.given, n)
--- a/services/rank/router_book_test.go
+++ b/services/rank/router_book_test.go
@@ -23,19 +23,23 @@
 		}
 		return n
 	}
-	b := newRouterBook()
+	b := newRouterBook(1)
 	names := []string{"a", "b"}
 	first, places := b.report(at(0), names, ranks, bounds)
 	if len(places) != 0 {
 		t.Errorf("routers that have never answered got places %v", places)
 	}
-	b.answered(at(5), "a", first, nil, 3)
-	b.answered(at(5), "b", first, nil, 0)
+	answer := func(ms int, name string, report uint64, unstarted uint, wanted int) {
+		_, list := b.pack(name, balance.Group{Ranks: ranks})
+		b.answered(at(ms), name, report, list, balance.ReportReply{List: list.Number, Unstarted: []uint{unstarted}, Wanted: wanted})
+	}
+	answer(5, "a", first, 0, 3)
+	answer(5, "b", first, 0, 0)
 	second, places := b.report(at(70), names, ranks, bounds)
 	if sum(places) != 8 || places["a"]["e"] <= places["b"]["e"] {
 		t.Errorf("places %v, want 8, most of them for the busy router", places)
 	}
-	b.answered(at(75), "a", second, balance.Unstarted{"e": 1}, 3)
+	answer(75, "a", second, 1, 3)
 	if _, places = b.report(at(140), names, ranks, bounds); sum(places) != 0 {
 		t.Errorf("places %v, but all may be in use", places)
 	}
@@ -43,8 +47,8 @@
 		t.Errorf("%d requests have not begun, want 1", n)
 	}
 	third, _ := b.report(at(210), names, ranks, bounds)
-	b.answered(at(215), "a", third, nil, 0)
-	b.answered(at(216), "a", second, balance.Unstarted{"e": 5}, 0)
+	answer(215, "a", third, 0, 0)
+	answer(216, "a", second, 5, 0)
 	if n := b.unstarted(at(220), "e"); n != 0 {
 		t.Errorf("an answer that came late counts: %d requests have not begun", n)
 	}
@@ -59,3 +63,46 @@
 		t.Errorf("places %v without bounds", places)
 	}
 }
+
+// TestRankList follows a router that loses the list of ranks by which it is told: it is sent the list again, and
+// gets no places by an answer to a report that it could not read.
+func TestRankList(t *testing.T) {
+	ranks := []balance.RankLoad{{Address: "e"}, {Address: "f"}}
+	g := balance.Group{Ranks: ranks}
+	bounds := &balance.Bounds{Rank: 8, Mean: 8}
+	b := newRouterBook(1)
+	tell := func(ms int, read bool) (carried bool, places balance.Places) {
+		now := begin.Add(time.Duration(ms) * time.Millisecond)
+		number, all := b.report(now, []string{"a"}, g.Ranks, bounds)
+		report, list := b.pack("a", g)
+		reply := balance.ReportReply{}
+		if read {
+			reply.List = list.Number
+		}
+		b.answered(now, "a", number, list, reply)
+		_, carried = report.Carried()
+		return carried, all["a"]
+	}
+	steps := []struct {
+		what          string
+		ranks         int
+		read, carried bool
+	}{
+		{"the first report", 2, true, true},
+		{"the router has the list", 2, true, false},
+		{"a rank has gone", 1, true, true},
+		{"the router has started anew", 1, false, false},
+		{"the router has no list", 1, true, true},
+		{"the router has the list again", 1, true, false},
+	}
+	for i, step := range steps {
+		g.Ranks = ranks[:step.ranks]
+		carried, places := tell(70*i, step.read)
+		if carried != step.carried {
+			t.Errorf("%s: list carried: %t, want %t", step.what, carried, step.carried)
+		}
+		if i > 0 && places == nil {
+			t.Errorf("%s: no places", step.what)
+		}
+	}
+}
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -60,18 +60,16 @@
 	for _, n := range c.routers {
 		told := g
 		told.Places = places[n.Name]
+		report, list := c.book.pack(n.Name, told)
 		c.sending.Go(func() {
 			cctx, cancel := context.WithTimeout(ctx, reportTime)
 			defer cancel()
-			var r struct {
-				Unstarted balance.Unstarted
-				Wanted    int
-			}
-			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", told, &r); err != nil {
+			var r balance.ReportReply
+			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", report, &r); err != nil {
 				c.a.opts.Logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
 				return
 			}
-			c.book.answered(time.Now(), n.Name, number, r.Unstarted, r.Wanted)
+			c.book.answered(time.Now(), n.Name, number, list, r)
 		})
 	}
 }
