Maps travel as changes

Cause: every change of map was sent to every agent whole, by the coordinator: 8 sets x 63 ranks x 5 places to 62 agents over 8 Mbit/s took 0.7 to 1.4 s (seven changes logged), most of the time between two shifts of demand.

Ruled out: loading of experts (0.1 s each, one or two a rank and change), the hold (44 to 71 ms).

Change: an order to prepare holds the slots that differ from the map in use and a digest of the result. Agents keep the last two maps they were ordered to prepare. One that does not have that map, or whose slots are arranged otherwise (engines do not tell which slots are free), says so and gets the order whole. The way around a silent agent, directly to the engine, gets it whole as before.

--- /dev/null
+++ b/models/expertmap/change.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package expertmap
+
+import "fawnwinch.org/fawnwinch/models/group"
+
+// Change tells how a map differs from another one. A change moves few experts, and the whole map of a large group
+// takes some kilobytes for each rank it is sent to.
+type Change struct {
+	// Base is the version of the other map.
+	Base  Version
+	Slots []SlotChange
+	// Digest is that of the changed map. It tells a receiver whose base is not the sender's: an engine does not
+	// tell which slots are free, so a map that was read from engines may have its experts in other slots.
+	Digest string
+}
+
+// SlotChange puts an expert into a slot, or Free.
+type SlotChange struct {
+	Layer  int
+	Rank   group.Rank
+	Slot   int
+	Expert Expert
+}
+
+// ChangeFrom returns how m differs from base, or false if they do not have the same slots.
+func (m *Map) ChangeFrom(base *Map) (Change, bool) {
+	c := Change{Base: base.Version, Digest: m.Digest()}
+	if len(m.Layers) != len(base.Layers) {
+		return Change{}, false
+	}
+	for l := range m.Layers {
+		before, after := base.Layers[l].Slots, m.Layers[l].Slots
+		if len(before) != len(after) {
+			return Change{}, false
+		}
+		for r := range after {
+			if len(before[r]) != len(after[r]) {
+				return Change{}, false
+			}
+			for s, e := range after[r] {
+				if before[r][s] != e {
+					c.Slots = append(c.Slots, SlotChange{Layer: l, Rank: group.Rank(r), Slot: s, Expert: e})
+				}
+			}
+		}
+	}
+	return c, true
+}
+
+// Changed returns m with a change made, under a new version, or false if m is not the map that it was made for.
+func (m *Map) Changed(c Change, v Version) (*Map, bool) {
+	if m.Version != c.Base {
+		return nil, false
+	}
+	out := m.Clone()
+	out.Version = v
+	for _, s := range c.Slots {
+		if !out.has(s) {
+			return nil, false
+		}
+		out.Layers[s.Layer].Slots[s.Rank][s.Slot] = s.Expert
+	}
+	return out, out.Digest() == c.Digest
+}
+
+// has reports whether the map has the slot of a change.
+func (m *Map) has(s SlotChange) bool {
+	if s.Layer < 0 || s.Layer >= len(m.Layers) {
+		return false
+	}
+	ranks := m.Layers[s.Layer].Slots
+	if int(s.Rank) < 0 || int(s.Rank) >= len(ranks) {
+		return false
+	}
+	return s.Slot >= 0 && s.Slot < len(ranks[s.Rank])
+}
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -64,6 +64,7 @@
 	rank    int
 	group   group.ID
 	tally   tally
+	maps    preparedMaps
 }
 
 // New returns an agent.
@@ -91,15 +92,6 @@
 	Counts    CountsPart
 }
 
-// Order is a coordinator's order.
-type Order struct {
-	Authority Authority
-	Order     services.RankOrder
-}
-
-// OrderReply tells what became of an order.
-type OrderReply struct{ Answer services.RankAnswer }
-
 const (
 	// engineTime bounds a question to the engine on the same VM. It answers within a few milliseconds.
 	engineTime = 25 * time.Millisecond
@@ -146,16 +138,6 @@
 	return p.a.status(ask, r)
 }
 
-// Order carries out an order of a coordinator.
-func (p *API) Order(o Order, r *OrderReply) error {
-	if p.a.hear(time.Now(), o.Authority) != o.Authority {
-		r.Answer = services.RankFenced
-		return nil
-	}
-	r.Answer = p.a.order(o.Order)
-	return nil
-}
-
 // Map tells a coordinator which experts the rank holds.
 func (p *API) Map(_ Ask, r *services.RankMap) error {
 	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -45,6 +45,10 @@
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
 	began := time.Now()
 	m := mapswitch.Start(began, d.c.fence+1, d.self(status), status, next.Version, next.Layers)
+	d.c.change = nil
+	if change, ok := next.ChangeFrom(d.c.planner.current); ok && change.Base != 0 {
+		d.c.change = &change
+	}
 	stage := d.drive(ctx, m)
 	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
@@ -80,7 +84,8 @@
 	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
 		for _, s := range m.Sends() {
 			to := d.c.members[s.Rank].info
-			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s)} })
+			first := d.c.inChanges(s.Order)
+			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s, first)} })
 		}
 		select {
 		case a := <-answers:
@@ -111,8 +116,9 @@
 	d.c.tellRouters(ctx, now)
 }
 
-// send gives an order to a rank: by its agent, or directly if the agent does not answer.
-func (d *driver) send(ctx context.Context, to peer.Info, s mapswitch.Send) services.RankAnswer {
+// send gives an order to a rank: by its agent, or directly if the agent does not answer. First is the order as
+// the agent gets it first; if that goes on from a map that it does not have, it gets the whole order.
+func (d *driver) send(ctx context.Context, to peer.Info, s mapswitch.Send, first Order) services.RankAnswer {
 	if to.Name == d.c.a.opts.Self.Name {
 		answer := d.c.a.order(s.Order)
 		if answer == services.RankUnknown {
@@ -127,7 +133,10 @@
 	cctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var r OrderReply
-	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Order: s.Order}, &r)
+	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", first, &r)
+	if err == nil && r.NoBase {
+		err = d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Order: s.Order}, &r)
+	}
 	if err == nil {
 		return r.Answer
 	}
--- /dev/null
+++ b/services/rank/order_test.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"context"
+	"reflect"
+	"testing"
+
+	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/services"
+
+	"github.com/rs/zerolog"
+)
+
+// mapEngine keeps the maps that it is ordered to prepare.
+type mapEngine struct {
+	engine
+	maps [][]expertmap.Layer
+}
+
+func (e *mapEngine) Order(ctx context.Context, o services.RankOrder) (services.RankAnswer, error) {
+	e.maps = append(e.maps, o.Layers)
+	e.status.Prepared = o.Version
+	return e.engine.Order(ctx, o)
+}
+
+// TestOrderInChanges sends maps as changes to an agent: its engine gets the whole map, or nothing if the agent
+// does not have the map that the change goes on from.
+func TestOrderInChanges(t *testing.T) {
+	e := &mapEngine{}
+	api := NewAPI(New(begin, Options{Engine: e, Logger: zerolog.Nop()}))
+	version := func(v expertmap.Version, first expertmap.Expert) *expertmap.Map {
+		return &expertmap.Map{Version: v, Layers: []expertmap.Layer{{Slots: [][]expertmap.Expert{{first, 1}, {2, expertmap.Free}}}}}
+	}
+	c := &coordinator{authority: 1}
+	give := func(m, base *expertmap.Map) OrderReply {
+		t.Helper()
+		c.change = nil
+		if base != nil {
+			change, ok := m.ChangeFrom(base)
+			if !ok {
+				t.Fatal("no change between the maps")
+			}
+			c.change = &change
+		}
+		o := c.inChanges(services.RankOrder{Kind: services.RankPrepare, Version: m.Version, Layers: m.Layers})
+		if whole := o.Order.Layers != nil; whole != (base == nil) {
+			t.Errorf("version %d sent whole: %t", m.Version, whole)
+		}
+		var r OrderReply
+		if err := api.Order(o, &r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	steps := []struct {
+		what    string
+		m, base *expertmap.Map
+		noBase  bool
+	}{
+		{"the first change", version(5, 0), version(4, 3), true},
+		{"the same map whole", version(5, 0), nil, false},
+		{"a change", version(6, 7), version(5, 0), false},
+		{"another change from the same map, as the last was not taken", version(7, 8), version(5, 0), false},
+		{"a change from a map that is long gone", version(8, 9), version(4, 3), true},
+	}
+	for _, step := range steps {
+		before := len(e.maps)
+		r := give(step.m, step.base)
+		if r.NoBase != step.noBase {
+			t.Fatalf("%s: no base: %t, want %t", step.what, r.NoBase, step.noBase)
+		}
+		switch {
+		case step.noBase && len(e.maps) != before:
+			t.Errorf("%s: the engine was given an order", step.what)
+		case !step.noBase && (r.Answer != services.RankDone || !reflect.DeepEqual(e.maps[len(e.maps)-1], step.m.Layers)):
+			t.Errorf("%s: %s, the engine got %v, want %v", step.what, r.Answer, e.maps[len(e.maps)-1], step.m.Layers)
+		}
+	}
+}
