--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -55,8 +55,6 @@
 	planner *planner
 	// pending is the version that all ranks are armed with, until its pass has begun.
 	pending expertmap.Version
-	// change is how the map that is being prepared differs from the one in use; nil if it is sent whole.
-	change *expertmap.Change
 	// version is the latest that this coordinator has given out. Each authority has a range of its own,
 	// above those of all earlier ones: a rank takes no version that is not above all it had.
 	version expertmap.Version
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -16,7 +16,11 @@
 )
 
 // driver carries out a change of map: it sends what the machine wants sent and hands the answers back.
-type driver struct{ c *coordinator }
+type driver struct {
+	c *coordinator
+	// delta is how the map that is being prepared differs from the one in use; nil if it is sent whole.
+	delta *expertmap.Change
+}
 
 const (
 	// driveTick is the time between two looks at the ranks during a change.
@@ -45,10 +49,7 @@
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
 	began := time.Now()
 	m := mapswitch.Start(began, d.c.fence+1, d.self(status), status, next.Version, next.Layers)
-	d.c.change = nil
-	if change, ok := next.ChangeFrom(d.c.planner.current); ok && change.Base != 0 {
-		d.c.change = &change
-	}
+	d.goOnFrom(d.c.planner.current, next)
 	stage := d.drive(ctx, m)
 	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
@@ -59,6 +60,24 @@
 	d.c.planner.ended(next, stage == mapswitch.StageDone)
 }
 
+// goOnFrom has a map sent as what differs from the one in use. No agent has been sent the map that engines start with.
+func (d *driver) goOnFrom(current, next *expertmap.Map) {
+	d.delta = nil
+	if change, ok := next.ChangeFrom(current); ok && change.Base != 0 {
+		d.delta = &change
+	}
+}
+
+// inChanges returns an order as an agent gets it first: a map as what differs from the one in use.
+func (d *driver) inChanges(o services.RankOrder) Order {
+	out := Order{Authority: d.c.authority, Order: o}
+	if o.Kind != services.RankPrepare || d.delta == nil {
+		return out
+	}
+	out.Order.Layers, out.Change = nil, d.delta
+	return out
+}
+
 // held returns how long the group was held by a change that has just ended.
 func (d *driver) held(m *mapswitch.Machine) time.Duration {
 	if m.HeldAt().IsZero() {
@@ -84,7 +103,7 @@
 	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
 		for _, s := range m.Sends() {
 			to := d.c.members[s.Rank].info
-			first := d.c.inChanges(s.Order)
+			first := d.inChanges(s.Order)
 			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s, first)} })
 		}
 		select {
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -86,13 +86,3 @@
 	}
 	return nil, false
 }
-
-// inChanges returns an order as it is sent first: a map that goes on from the one in use as a change.
-func (c *coordinator) inChanges(o services.RankOrder) Order {
-	out := Order{Authority: c.authority, Order: o}
-	if o.Kind != services.RankPrepare || c.change == nil {
-		return out
-	}
-	out.Order.Layers, out.Change = nil, c.change
-	return out
-}
--- a/services/rank/order_test.go
+++ b/services/rank/order_test.go
@@ -34,19 +34,12 @@
 	version := func(v expertmap.Version, first expertmap.Expert) *expertmap.Map {
 		return &expertmap.Map{Version: v, Layers: []expertmap.Layer{{Slots: [][]expertmap.Expert{{first, 1}, {2, expertmap.Free}}}}}
 	}
-	c := &coordinator{authority: 1}
+	d := &driver{c: &coordinator{authority: 1}}
 	give := func(m, base *expertmap.Map) OrderReply {
 		t.Helper()
-		c.change = nil
-		if base != nil {
-			change, ok := m.ChangeFrom(base)
-			if !ok {
-				t.Fatal("no change between the maps")
-			}
-			c.change = &change
-		}
-		o := c.inChanges(services.RankOrder{Kind: services.RankPrepare, Version: m.Version, Layers: m.Layers})
-		if whole := o.Order.Layers != nil; whole != (base == nil) {
+		d.goOnFrom(base, m)
+		o := d.inChanges(services.RankOrder{Kind: services.RankPrepare, Version: m.Version, Layers: m.Layers})
+		if whole := o.Order.Layers != nil; whole != (base.Version == 0) {
 			t.Errorf("version %d sent whole: %t", m.Version, whole)
 		}
 		var r OrderReply
@@ -61,7 +54,7 @@
 		noBase  bool
 	}{
 		{"the first change", version(5, 0), version(4, 3), true},
-		{"the same map whole", version(5, 0), nil, false},
+		{"the same map whole, as from the first map", version(5, 0), version(0, 3), false},
 		{"a change", version(6, 7), version(5, 0), false},
 		{"another change from the same map, as the last was not taken", version(7, 8), version(5, 0), false},
 		{"a change from a map that is long gone", version(8, 9), version(4, 3), true},
