One listener for tests that speak HTTP byte by byte

Cause: the tests of httpconn and of relay each had the same listener with the same loop of accepts. Ruled out: the listener of rpc.Server, which counts its connections and waits for them. Change: httpxtest.Serve serves both. Cases and assertions are as they were. Checked: go test -race ./modules/... ./services/relay, linter.

--- a/modules/httpconn/httpconn_test.go
+++ b/modules/httpconn/httpconn_test.go
@@ -13,29 +13,9 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/modules/httpconn"
-	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/httpx/httpxtest"
 )
 
-// listen serves each connection with f.
-func listen(t *testing.T, f func(c net.Conn)) string {
-	t.Helper()
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
 
 func exchange(t *testing.T, p *httpconn.Pool, address string) bool {
@@ -92,7 +72,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := httpconn.NewPool()
 			defer p.Close()
-			address := listen(t, serve(c.after))
+			address := httpxtest.Serve(t, serve(c.after))
 			exchange(t, p, address)
 			<-ready
 			if c.reused {
@@ -121,7 +101,7 @@
 // TestEarlyAnswer checks that an answer which comes before a long request was read is seen, and that the
 // connection carries no other request.
 func TestEarlyAnswer(t *testing.T) {
-	address := listen(t, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
+	address := httpxtest.Serve(t, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
 	p := httpconn.NewPool()
 	defer p.Close()
 	c, _, err := p.Take(t.Context(), time.Now(), address)
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -21,7 +21,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
-	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/httpx/httpxtest"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
@@ -77,21 +77,8 @@
 
 func newFake(t *testing.T, script func(n int, head map[string]string, c net.Conn)) *fake {
 	t.Helper()
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fake{address: l.Addr().String(), closed: make(chan struct{}, 16)}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(c, script)
-		}
-	}()
+	f := &fake{closed: make(chan struct{}, 16)}
+	f.address = httpxtest.Serve(t, func(c net.Conn) { f.serve(c, script) })
 	return f
 }
 
