The reader of logs reads one file in a function of its own

Cause: three levels deep, and all files stayed open until the last was read, as their closing was deferred in the loop. Change: readLog reads one file and closes it. What is printed stays the same. Checked: go test -race ./cmd (TestPlatformTimeline), linter.

--- a/cmd/platform_timeline.go
+++ b/cmd/platform_timeline.go
@@ -72,29 +72,11 @@
 // readLogs reads all lines of processes, sorted by time, and counts the others.
 func readLogs(in io.Reader, paths []string) (lines []log.Line, passed int, err error) {
 	for _, path := range paths {
-		r := in
-		if path != "-" {
-			file, err := os.Open(path) //nolint:gosec // the operator names the file
-			if err != nil {
-				return nil, 0, fmt.Errorf("open log: %w", err)
-			}
-			defer func() { _ = file.Close() }()
-			r = file
-		}
-		s := bufio.NewScanner(r)
-		s.Buffer(nil, maxLogLine)
-		for s.Scan() {
-			l, err := log.ParseLine(s.Text())
-			var no log.ErrNoLine
-			if errors.As(err, &no) {
-				passed++
-				continue
-			}
-			lines = append(lines, l)
-		}
-		if err := s.Err(); err != nil {
-			return nil, 0, fmt.Errorf("read log %s: %w", path, err)
+		found, others, err := readLog(in, path)
+		if err != nil {
+			return nil, 0, err
 		}
+		lines, passed = append(lines, found...), passed+others
 	}
 	slices.SortStableFunc(lines, func(a, b log.Line) int {
 		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Process, b.Process))
@@ -102,6 +84,33 @@
 	return lines, passed, nil
 }
 
+// readLog reads the lines of one file, or of in for a path of "-", and counts those that no process has written.
+func readLog(in io.Reader, path string) (lines []log.Line, passed int, err error) {
+	if path != "-" {
+		file, err := os.Open(path) //nolint:gosec // the operator names the file
+		if err != nil {
+			return nil, 0, fmt.Errorf("open log: %w", err)
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		l, err := log.ParseLine(s.Text())
+		var no log.ErrNoLine
+		if errors.As(err, &no) {
+			passed++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if err := s.Err(); err != nil {
+		return nil, 0, fmt.Errorf("read log %s: %w", path, err)
+	}
+	return lines, passed, nil
+}
+
 // choose returns the lines that are asked for.
 func (f timelineFlags) choose(lines []log.Line) []log.Line {
 	from, to := f.span(lines)
