Keys stay in force while the store is away, where the operators allow it

Cause: strictRevocation stands in the settings and was not read. Ruled out: leaving keys out of the check everywhere; where the bound is true or missing it holds as before. Unknown keys and routes are still refused for now.

--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
@@ -15,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/platform"
 	"fawnwinch.org/fawnwinch/routers"
 	"fawnwinch.org/fawnwinch/services/entry"
+	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/relay"
 
 	"github.com/rs/zerolog"
@@ -37,6 +39,15 @@
 	r := relay.New(relay.Options{
 		DataCentre: n.set.DataCentre, Bounds: n.set.Bounds, Protocol: platform.Headers{}, Metrics: m, Logger: logger,
 	})
+	m.Gauge("catalog_age_seconds", "Time since the catalog in force was last known to be the newest; NaN before one is known.", nil, func() float64 {
+		age := math.NaN()
+		r.Know(func(s *knowledge.State) {
+			if s.Catalogs().Known() {
+				age = s.CatalogAge(time.Now()).Seconds()
+			}
+		})
+		return age
+	})
 	m.Counter("upstream_connections_total", "Connections opened to upstreams.", nil, func() float64 { return float64(r.Connections()) })
 	return r
 }
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -42,6 +42,9 @@
 	DrainTime time.Duration
 	// KeyFreshness is the time after which a key that was taken away must no longer be let in.
 	KeyFreshness time.Duration
+	// KeepKeys says that keys stay in force while nobody can say whether the catalog is the newest, for example
+	// while the platform's store is away. KeyFreshness does not bind then.
+	KeepKeys bool
 	// RetryRatio and RetrySlack bound the arrivals beyond the first of each request that a service may
 	// get from all routers in any RetryWindow: RetryRatio of the requests, and RetrySlack.
 	RetryRatio, RetrySlack float64
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -173,7 +173,7 @@
 		if a == nil {
 			return x.deny(http.StatusUnauthorized, ReasonNoKey)
 		}
-		if x.age > x.r.opts.Bounds.KeyFreshness-freshnessMargin {
+		if x.keyMayBeGone() {
 			return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
 		}
 		x.account = a.ID
@@ -195,6 +195,12 @@
 	return nil
 }
 
+// keyMayBeGone reports whether the key of the request may have been taken away so long ago that it must not be let in.
+func (x *exchange) keyMayBeGone() bool {
+	b := x.r.opts.Bounds
+	return !b.KeepKeys && x.age > b.KeyFreshness-freshnessMargin
+}
+
 // deny refuses for good if the catalog is fresh enough to know, or else for now.
 func (x *exchange) deny(status int, reason Reason) *refusal {
 	if x.age > time.Duration(denyPart*float64(x.r.opts.Bounds.ApplyTime)) {
