Changes of map follow the time of a load and are given up when demand shifts

Cause: the planner's sizes of a change were found where an expert loads in 0.1 s; here it takes 0.4 s (2,200 MB over the replicas' 44 Gbit/s, which the engine's figures tell). Change: the time of a load comes from the engine's figures and then from what changes took; a rank loads as many experts for a change as fit into 0.2 s. services/rank.demand tells a shift from chance and forgets what was before it. A change whose demand has shifted while its experts load is given up (mapswitch.StageAbandoned): nothing is armed or held by then, and a later version makes late prepares void. The explorer gives changes up in half of its worlds. A stream's log line has its first event, its longest pause and when that ended. Ruled out: that engines go on loading for the change that was given up; the next one took 430 ms, as always. Tests: TestShift, TestOutdated, TestLoads, TestExplore, TestCatalog. TestPlannerForgets became TestShift, which asks for more (the old expert counts less than a third, with few choices too, and chance is not taken for a shift).

--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -93,6 +93,8 @@
 	MaxFresh int
 	// ExpertMB is the size of an expert in megabytes.
 	ExpertMB float64
+	// LoadTime is the time in which a rank loads an expert; 0 if it is not told.
+	LoadTime time.Duration
 	// ExpertShare is the part of the work for tokens that experts do.
 	ExpertShare float64
 	// FormTime is the time in which a broken group comes back.
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -35,6 +35,8 @@
 	// StageDone says that all ranks take the new map, StageFailed that none does.
 	StageDone   Stage = "done"
 	StageFailed Stage = "failed"
+	// StageAbandoned says that the change was given up while experts were loaded.
+	StageAbandoned Stage = "abandoned"
 	// StageLost says that another coordinator has taken over.
 	StageLost Stage = "lost"
 )
@@ -106,7 +108,15 @@
 
 // Ended reports whether nothing more is to be done.
 func (m *Machine) Ended() bool {
-	return m.stage == StageDone || m.stage == StageFailed || m.stage == StageLost
+	return m.stage == StageDone || m.stage == StageFailed || m.stage == StageAbandoned || m.stage == StageLost
+}
+
+// Abandon gives the change up if experts are still being loaded. Nothing is armed or held for it yet, and a prepare
+// that is still on its way is refused once a later version was prepared.
+func (m *Machine) Abandon() {
+	if m.stage == StagePrepare {
+		m.stage = StageAbandoned
+	}
 }
 
 // Version returns the version of the new map.
@@ -175,7 +185,7 @@
 		}
 	case StageRelease:
 		o.Kind, o.Step = services.RankRelease, m.release[r]
-	case StageDone, StageFailed, StageLost:
+	case StageDone, StageFailed, StageAbandoned, StageLost:
 	}
 	return o
 }
@@ -226,7 +236,7 @@
 		m.takeBack(now)
 	case StageFence, StageDisarm, StageRelease:
 		m.confirm(now, r)
-	case StageDone, StageFailed, StageLost:
+	case StageDone, StageFailed, StageAbandoned, StageLost:
 	}
 }
 
@@ -293,7 +303,7 @@
 		if m.failed {
 			m.stage = StageFailed
 		}
-	case StageDone, StageFailed, StageLost:
+	case StageDone, StageFailed, StageAbandoned, StageLost:
 	}
 }
 
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -124,15 +124,14 @@
 		}
 		c.planner = newPlanner(c.engine, c.goal, status[0].Epoch, current)
 	}
-	counts := make([]services.RankCounts, len(c.members))
+	c.planner.watch(now, c.counts())
 	speed := make([]float64, len(c.members))
 	writers := 0.0
 	for i, m := range c.members {
-		counts[i] = m.counts.RankCounts
 		speed[i] = 1 / max(m.status.Pace, 1)
 		writers += float64(m.status.Running) / float64(len(c.members))
 	}
-	next := c.planner.plan(now, counts, speed, writers)
+	next := c.planner.plan(now, speed, writers)
 	if next != nil {
 		c.version++
 		next.Version = c.version
@@ -140,6 +139,15 @@
 	}
 }
 
+// counts returns the latest counts of every rank.
+func (c *coordinator) counts() []services.RankCounts {
+	counts := make([]services.RankCounts, len(c.members))
+	for i, m := range c.members {
+		counts[i] = m.counts.RankCounts
+	}
+	return counts
+}
+
 // waits reports whether the ranks are still to begin the pass that takes the latest map.
 func (c *coordinator) waits(status []services.RankStatus) bool {
 	if c.pending == 0 {
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -56,8 +56,12 @@
 		Int64("took_ms", time.Since(began).Milliseconds()).Int64("held_ms", d.held(m).Milliseconds()).Msg("map-change")
 	if stage == mapswitch.StageDone {
 		d.c.pending = next.Version
+		d.c.planner.loaded(m.HeldAt().Sub(began))
 	}
 	d.c.planner.ended(next, stage == mapswitch.StageDone)
+	if stage == mapswitch.StageAbandoned {
+		d.c.planner.gaveUp()
+	}
 }
 
 // goOnFrom has a map sent as what differs from the one in use. No agent has been sent the map that engines start with.
@@ -125,8 +129,15 @@
 // observe asks all ranks and tells the machine. Routers go on being told.
 func (d *driver) observe(ctx context.Context, m *mapswitch.Machine) {
 	asked := time.Now()
-	d.c.look(ctx, false)
+	loading := m.Stage() == mapswitch.StagePrepare
+	d.c.look(ctx, loading)
 	now := time.Now()
+	if loading {
+		d.c.planner.watch(now, d.c.counts())
+		if d.c.planner.outdated(now, driveTick) {
+			m.Abandon()
+		}
+	}
 	for r, mb := range d.c.members {
 		if mb.known && mb.heard.After(asked) {
 			m.Observe(now, asked, group.Rank(r), mb.status)
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// popularityHalfLife is the time in which past choices count half. Demand shifts every few seconds.
-	popularityHalfLife = 140 * time.Millisecond
-	// fewestChoices is the number of choices of a layer on which a plan may rest, for each expert.
-	fewestChoices = 4
 	// enoughSkew is the skew up to which a layer is left alone when passes are long, and restSkew when
 	// they are short.
 	enoughSkew = 1.1
@@ -29,11 +25,15 @@
 	movePrice = 0.016
 	// changeGain is the fall of the mean skew that a change must bring at least.
 	changeGain = 0.07
-	// freshAtOnce is the number of experts of a layer that a rank loads in one change. Each takes a tenth
-	// of a second, in which passes are slower; the next change follows at once.
-	freshAtOnce = 1
-	// rankAtOnce is the number of experts that a rank loads in one change in all layers.
-	rankAtOnce = 2
+	// changeTime is the time that the loading for one change should take: the first relief after a shift of demand
+	// comes so much later. A rank loads as many experts for a change as fit into it, one at least.
+	changeTime = 200 * time.Millisecond
+	// layerPart is the part of them that may be of one layer.
+	layerPart = 0.5
+	// usualLoad is the time of a load that is reckoned with while neither the engine's figures nor a load tell.
+	usualLoad = 100 * time.Millisecond
+	// loadKeep is the weight of the past in the observed time of a load.
+	loadKeep = 0.7
 	// retryAfter is the pause after a change that failed.
 	retryAfter = 200 * time.Millisecond
 )
@@ -45,20 +45,21 @@
 	goal    time.Duration
 	epoch   services.Epoch
 	current *expertmap.Map
-	counts  []services.RankCounts
-	recent  placement.Popularity
-	at      time.Time
-	pauseTo time.Time
-	// skew is that of the map in use under recent demand, and moves the loads of the latest plan.
-	skew  float64
-	moves int
+	demand  *demand
+	// load is the time in which a rank loads an expert.
+	load time.Duration
+	// plannedAt is when the latest change was planned; no new one is before pauseTo.
+	plannedAt, pauseTo time.Time
+	// skew is that of the map in use under recent demand, and moves the loads of the latest plan. Most is the
+	// number of them at the rank with the most.
+	skew        float64
+	moves, most int
 }
 
 func newPlanner(e *catalog.Engine, goal time.Duration, epoch services.Epoch, current *expertmap.Map) *planner {
-	p := &planner{engine: e, goal: goal, epoch: epoch, current: current}
-	p.recent = make(placement.Popularity, e.Layers)
-	for l := range p.recent {
-		p.recent[l] = make([]float64, e.Experts)
+	p := &planner{engine: e, goal: goal, epoch: epoch, current: current, demand: newDemand(e.Layers, e.Experts), load: e.LoadTime}
+	if p.load <= 0 {
+		p.load = usualLoad
 	}
 	return p
 }
@@ -79,16 +80,17 @@
 // skewStep is the step in which an acceptable skew is searched for.
 const skewStep = 0.05
 
-// plan takes in new counts, the relative speed of each rank and the streams that a rank writes on average,
-// and returns a better map, or nil if none pays.
-func (p *planner) plan(now time.Time, counts []services.RankCounts, speed []float64, writers float64) *expertmap.Map {
-	p.count(now, counts)
-	if !p.enough() || now.Before(p.pauseTo) {
+// watch takes in new counts.
+func (p *planner) watch(now time.Time, counts []services.RankCounts) { p.demand.count(now, counts) }
+
+// plan returns a better map for the relative speed of each rank and the streams that a rank writes on average,
+// or nil if none pays.
+func (p *planner) plan(now time.Time, speed []float64, writers float64) *expertmap.Map {
+	if !p.demand.enough() || now.Before(p.pauseTo) {
 		return nil
 	}
-	popularity := p.smooth()
-	res, err := placement.Decide(p.current, popularity, speed, placement.Policy{
-		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, freshAtOnce), MaxRank: rankAtOnce, Enough: p.enoughFor(writers),
+	res, err := placement.Decide(p.current, p.demand.smooth(), speed, placement.Policy{
+		Price: movePrice, MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, p.loads(layerPart)), MaxRank: p.loads(1), Enough: p.enoughFor(writers),
 	}, nil)
 	if err != nil {
 		return nil
@@ -97,10 +99,26 @@
 	if res.Map == nil || res.Before-res.After < changeGain {
 		return nil
 	}
-	p.pauseTo = now.Add(retryAfter)
+	p.most = 0
+	for r := range speed {
+		p.most = max(p.most, res.Map.Loads(p.current, r))
+	}
+	p.plannedAt, p.pauseTo = now, now.Add(retryAfter)
 	return res.Map
 }
 
+// loads returns how many experts a rank loads in a part of the time of a change, one at least.
+func (p *planner) loads(part float64) int {
+	return max(1, int(math.Round(part*float64(changeTime)/float64(p.load))))
+}
+
+// outdated reports whether demand has shifted since the latest change was planned, and so early that its experts
+// are still to be loaded for longer than a moment.
+func (p *planner) outdated(now time.Time, moment time.Duration) bool {
+	loaded := p.plannedAt.Add(time.Duration(p.most) * p.load)
+	return p.demand.shiftedAt.After(p.plannedAt) && loaded.Sub(now) > moment
+}
+
 // ended notes how a change to a map ended.
 func (p *planner) ended(m *expertmap.Map, done bool) {
 	if done {
@@ -109,61 +127,12 @@
 	}
 }
 
-// count takes the choices since the last look in.
-func (p *planner) count(now time.Time, counts []services.RankCounts) {
-	if !p.at.IsZero() {
-		keep := math.Exp2(-now.Sub(p.at).Seconds() / popularityHalfLife.Seconds())
-		for _, layer := range p.recent {
-			for e := range layer {
-				layer[e] *= keep
-			}
-		}
-	}
-	p.at = now
-	for r := range counts {
-		if p.counts != nil {
-			p.add(p.counts[r], counts[r])
-		}
-	}
-	p.counts = append([]services.RankCounts(nil), counts...)
-}
-
-// add adds what one rank has counted since. A rank that has started anew counts from 0. What a rank counted
-// before it was asked is not recent.
-func (p *planner) add(before, after services.RankCounts) {
-	if len(after.Counts) != p.engine.Layers*p.engine.Experts || len(before.Counts) != len(after.Counts) {
-		return
-	}
-	for i, n := range after.Counts {
-		if before.Counts[i] <= n {
-			n -= before.Counts[i]
-		}
-		p.recent[i/p.engine.Experts][i%p.engine.Experts] += float64(n)
-	}
-}
-
-// enough reports whether enough was counted to plan by.
-func (p *planner) enough() bool {
-	for _, layer := range p.recent {
-		var sum float64
-		for _, n := range layer {
-			sum += n
-		}
-		if sum < fewestChoices*float64(len(layer)) {
-			return false
-		}
-	}
-	return true
-}
+// gaveUp notes that the latest change was given up for a better one.
+func (p *planner) gaveUp() { p.pauseTo = time.Time{} }
 
-// smooth returns the recent demand with a little for every expert, so that none counts as free.
-func (p *planner) smooth() placement.Popularity {
-	out := make(placement.Popularity, len(p.recent))
-	for l, layer := range p.recent {
-		out[l] = make([]float64, len(layer))
-		for e, n := range layer {
-			out[l][e] = n + 0.5
-		}
+// loaded notes how long the loading for the latest change took.
+func (p *planner) loaded(took time.Duration) {
+	if p.most > 0 {
+		p.load = time.Duration(loadKeep*float64(p.load) + (1-loadKeep)*float64(took)/float64(p.most))
 	}
-	return out
 }
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -250,6 +250,7 @@
 		outcome = "failed"
 	}
 	x.r.opts.Metrics.Request(string(x.service), outcome, string(reason), took, x.attempts)
+	x.stream.log(event, x.arrived)
 	event.Str("request", string(x.meta.ID)).Int("status", status).Str("reason", string(reason)).
 		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
 		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/services/balance"
+
+	"github.com/rs/zerolog"
 )
 
 // streamState is how far a stream has got.
@@ -24,6 +26,33 @@
 	// lastEvent is the id of the latest event that was passed on.
 	lastEvent string
 	events    int
+	// first is when the first event was passed on, latest when the latest was; pause is the longest time
+	// between two, and pausedAt when that one ended.
+	first, latest, pausedAt time.Time
+	pause                   time.Duration
+}
+
+// passed notes that an event was passed on.
+func (s *streamState) passed(now time.Time) {
+	if s.events++; s.events == 1 {
+		s.first, s.latest = now, now
+		return
+	}
+	if pause := now.Sub(s.latest); pause > s.pause {
+		s.pause, s.pausedAt = pause, now
+	}
+	s.latest = now
+}
+
+// log adds to a request's line when its stream began, and its longest pause with the time at which that ended.
+func (s *streamState) log(e *zerolog.Event, arrived time.Time) {
+	if s.events == 0 {
+		return
+	}
+	e.Int64("first_ms", s.first.Sub(arrived).Milliseconds()).Int64("pause_ms", s.pause.Milliseconds())
+	if s.pause > 0 {
+		e.Int64("pause_end_ms", s.pausedAt.Sub(arrived).Milliseconds())
+	}
 }
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -84,7 +113,7 @@
 		if err := out.Flush(); err != nil {
 			return fmt.Errorf("write to caller: %w", err)
 		}
-		x.stream.events++
+		x.stream.passed(time.Now())
 		if id, ok := eventID(event); ok {
 			x.stream.lastEvent = id
 		}
