A group goes on although the coordinator's VM is frozen in a hold

Change: the hold is at the next rank, given straight to its engine, so that no agent's VM stands between. The coordinator's own rank, the owner, begins to load first (it refuses older coordinators from then on), and is armed last, after all others have confirmed and the agent beside the holder has noted an announcement. A successor that misses only the owner asks that agent: without the note the owner is not armed and will not be, since the agent has heard of the successor. Versions name their owner. An agent that has started anew takes no order to prepare that was meant for the one before it. A rank that freezes between its own arm and its confirmation still stops the group.

--- a/services/mapswitch/explore_test.go
+++ b/services/mapswitch/explore_test.go
@@ -18,6 +18,13 @@
 	services.RankStatus
 	fence  services.Fence
 	newest expertmap.Version
+	// frozen is the turn up to which the engine answers nobody; passes go on.
+	frozen int
+	// agent is what the agent beside the engine remembers, and heard the highest authority that it has heard of.
+	agent services.RankNotes
+	heard services.Fence
+	// start numbers the starts of the agent.
+	start int
 }
 
 // lateOrder is an order that is carried out when nobody waits for its answer any more.
@@ -25,6 +32,8 @@
 	rank  group.Rank
 	order services.RankOrder
 	at    int
+	// start is that of the agent that it was sent to; another one does not take it.
+	start int
 }
 
 // world is a group with its engines, coordinators and the orders on their way.
@@ -37,6 +46,9 @@
 	// abandon draws whether a coordinator gives its change up; nil if none ever does.
 	abandon *rand.Rand
 	given   int
+	// freeze draws when a VM freezes with its engine; nil if none does. Without counts the settlements without one.
+	freeze  *rand.Rand
+	without int
 	now     time.Time
 	ranks   []*engine
 	late    []lateOrder
@@ -59,13 +71,33 @@
 }
 
 func (w *world) apply(r group.Rank, o services.RankOrder) services.RankAnswer {
-	a := w.ranks[r].apply(o)
+	a := w.ranks[r].give(o)
 	if w.trace {
 		w.t.Logf("turn %d: rank %d: %s fence=%x version=%x step=%d: %s", w.turn, r, o.Kind, o.Fence, o.Version, o.Step, a)
 	}
 	return a
 }
 
+// give carries an order out by the agent.
+func (e *engine) give(o services.RankOrder) services.RankAnswer {
+	authority := o.Fence >> 32
+	if o.Kind != services.RankAnnounce {
+		a := e.apply(o)
+		if o.Kind == services.RankPrepare && a == services.RankDone {
+			e.agent.Prepared = max(e.agent.Prepared, o.Version)
+		}
+		return a
+	}
+	switch {
+	case authority < e.heard:
+		return services.RankFenced
+	case e.agent.Prepared != o.Version:
+		return services.RankConflict
+	}
+	e.agent.Announced = max(e.agent.Announced, o.Version)
+	return services.RankDone
+}
+
 func (e *engine) apply(o services.RankOrder) services.RankAnswer {
 	if o.Epoch != e.Epoch {
 		return services.RankConflict
@@ -106,6 +138,8 @@
 			return services.RankConflict
 		}
 		e.Holds, e.Held = true, o.Step
+	case services.RankAnnounce:
+		panic("an engine was told what is for its agent")
 	case services.RankRelease:
 		if !e.Holds || e.Held != o.Step {
 			return services.RankConflict
@@ -141,16 +175,44 @@
 	}
 }
 
-func (w *world) statuses() []services.RankStatus {
+// silent returns the ranks that answer nobody.
+func (w *world) silent() []group.Rank {
+	var out []group.Rank
+	for r, e := range w.ranks {
+		if e.frozen > w.turn {
+			out = append(out, group.Rank(r))
+		}
+	}
+	return out
+}
+
+// ask returns the status of a rank as its agent tells a coordinator.
+func (w *world) ask(p *player, r int) services.RankStatus {
+	e := w.ranks[r]
+	e.heard = max(e.heard, p.fence>>32)
+	s := e.RankStatus
+	s.Noted = e.agent
+	return s
+}
+
+func (w *world) statuses(p *player) []services.RankStatus {
 	out := make([]services.RankStatus, len(w.ranks))
 	for r, e := range w.ranks {
-		out[r] = e.RankStatus
+		if e.frozen <= w.turn {
+			out[r] = w.ask(p, r)
+		}
 	}
 	return out
 }
 
 // deliver carries an order out: at once, at once without an answer, later, or never.
 func (w *world) deliver(s Send) services.RankAnswer {
+	if until := w.ranks[s.Rank].frozen; until > w.turn {
+		if w.freeze.IntN(2) == 0 {
+			w.late = append(w.late, lateOrder{s.Rank, s.Order, until + w.freeze.IntN(40), w.ranks[s.Rank].start})
+		}
+		return services.RankUnknown
+	}
 	switch n := w.rand.IntN(20); {
 	case n == 0:
 		return services.RankUnknown
@@ -158,7 +220,7 @@
 		w.apply(s.Rank, s.Order)
 		return services.RankUnknown
 	case n <= 4:
-		w.late = append(w.late, lateOrder{s.Rank, s.Order, w.turn + 1 + w.rand.IntN(120)})
+		w.late = append(w.late, lateOrder{s.Rank, s.Order, w.turn + 1 + w.rand.IntN(120), w.ranks[s.Rank].start})
 		return services.RankUnknown
 	default:
 		return w.apply(s.Rank, s.Order)
@@ -173,6 +235,11 @@
 	if w.rand.IntN(60) == 0 {
 		p.frozen = w.turn + w.rand.IntN(80)
 	}
+	if w.freeze != nil && w.freeze.IntN(60) == 0 {
+		p.frozen = max(p.frozen, w.turn+w.freeze.IntN(200))
+		w.ranks[p.self].frozen = p.frozen
+		return
+	}
 	m := p.machine
 	if m == nil || m.Ended() {
 		w.next(p)
@@ -186,8 +253,9 @@
 		m.Answer(w.now, s, w.deliver(s))
 	}
 	if w.rand.IntN(4) == 0 {
-		r := w.rand.IntN(len(w.ranks))
-		m.Observe(w.now, w.now, group.Rank(r), w.ranks[r].RankStatus)
+		if r := w.rand.IntN(len(w.ranks)); w.ranks[r].frozen <= w.turn {
+			m.Observe(w.now, w.now, group.Rank(r), w.ask(p, r))
+		}
 	}
 	if w.abandon != nil && w.abandon.IntN(25) == 0 {
 		m.Abandon()
@@ -212,7 +280,7 @@
 	}
 	p.wire = nil
 	p.fence++
-	status := w.statuses()
+	status := w.statuses(p)
 	if p.pending != 0 {
 		for _, s := range status {
 			if s.Armed == p.pending {
@@ -221,19 +289,32 @@
 		}
 		p.pending = 0
 	}
+	if silent := w.silent(); len(silent) > 0 {
+		p.machine = nil
+		if len(silent) == 1 {
+			if p.machine = SettleWithout(w.now, p.fence, p.self, silent[0], status); p.machine != nil {
+				w.without++
+			}
+		}
+		return
+	}
 	if p.machine = Settle(w.now, p.fence, p.self, status); p.machine != nil {
 		return
 	}
-	p.version++
+	p.version = NextVersion(p.version, p.self)
 	p.machine = Start(w.now, p.fence, p.self, status, p.version, nil)
 }
 
-// explore plays one world and returns it. Abandons says that coordinators give changes up.
-func explore(t *testing.T, seed uint64, turns int, abandons, trace bool) *world {
+// explore plays one world and returns it. Abandons says that coordinators give changes up, and freezes that VMs freeze
+// with their engines.
+func explore(t *testing.T, seed uint64, turns int, abandons, freezes, trace bool) *world {
 	w := &world{t: t, seed: seed, trace: trace, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0)}
 	if abandons {
 		w.abandon = rand.New(rand.NewPCG(seed, 4))
 	}
+	if freezes {
+		w.freeze = rand.New(rand.NewPCG(seed, 5))
+	}
 	for r := range 2 + w.rand.IntN(4) {
 		w.ranks = append(w.ranks, &engine{RankStatus: services.RankStatus{Epoch: 1, Rank: group.Rank(r), Open: true}})
 	}
@@ -250,16 +331,23 @@
 		}
 		kept := w.late[:0]
 		for _, l := range w.late {
-			if l.at > w.turn {
+			if l.at > w.turn || w.ranks[l.rank].frozen > w.turn {
 				kept = append(kept, l)
 				continue
 			}
-			w.apply(l.rank, l.order)
+			if l.start == w.ranks[l.rank].start {
+				w.apply(l.rank, l.order)
+			}
 		}
 		w.late = kept
 		if w.rand.IntN(400) == 0 {
 			w.reform()
 		}
+		if w.freeze != nil && w.freeze.IntN(80) == 0 {
+			// An agent starts anew and remembers nothing.
+			e := w.ranks[w.freeze.IntN(len(w.ranks))]
+			e.agent, e.heard, e.start = services.RankNotes{}, 0, e.start+1
+		}
 		if w.rand.IntN(6) == 0 {
 			w.pass()
 		}
@@ -271,7 +359,7 @@
 func (w *world) reform() {
 	epoch := w.ranks[0].Epoch + 1
 	for r, e := range w.ranks {
-		*e = engine{RankStatus: services.RankStatus{Epoch: epoch, Rank: group.Rank(r), Open: true}}
+		*e = engine{RankStatus: services.RankStatus{Epoch: epoch, Rank: group.Rank(r), Open: true}, agent: e.agent, heard: e.heard, start: e.start, frozen: e.frozen}
 	}
 }
 
@@ -281,9 +369,9 @@
 // TestExplore plays groups whose orders are lost, carried out late and given by several coordinators
 // that freeze and wake: no pass may begin with two maps, maps must change, and the group must go on.
 func TestExplore(t *testing.T) {
-	var passes, changes, abandoned int
-	for seed := range uint64(2 * exploreSeeds) {
-		w := explore(t, seed, 1500, seed >= exploreSeeds, false)
+	var passes, changes, abandoned, without int
+	for seed := range uint64(3 * exploreSeeds) {
+		w := explore(t, seed, 1500, seed >= exploreSeeds, seed >= 2*exploreSeeds, false)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
@@ -291,6 +379,11 @@
 			t.Errorf("seed %d: the group stood still", seed)
 		}
 		passes, changes, abandoned = passes+w.passes, changes+w.changes/len(w.ranks), abandoned+w.given
+		without += w.without
+	}
+	t.Logf("%d settlements without a frozen rank", without)
+	if without < exploreSeeds/10 {
+		t.Errorf("only %d settlements without a frozen rank", without)
 	}
 	t.Logf("%d passes, %d changes of map, %d given up", passes, changes, abandoned)
 	if abandoned < exploreSeeds {
@@ -325,6 +418,6 @@
 // TestExploreFound plays the worlds again in which a fault was found.
 func TestExploreFound(t *testing.T) {
 	for name, seed := range map[string]uint64{"a takeover disarmed a version that no rank was armed with": 0, "a takeover looked before it had raised the fence": 17, "a late release of an earlier change ended the hold of the next": 2969} {
-		t.Run(name, func(t *testing.T) { explore(t, seed, 1500, false, false) })
+		t.Run(name, func(t *testing.T) { explore(t, seed, 1500, false, false, false) })
 	}
 }
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -8,6 +8,11 @@
 // lets go only when every rank has confirmed. If one does not confirm in time, all are disarmed under a
 // higher fence before the group goes on: an order whose answer was lost may be carried out seconds
 // later, and is then refused by its fence, or because the pass has begun.
+//
+// The VM of a coordinator may freeze at any point, with the engine of its own rank, and then nobody can ask that engine
+// whether it is armed. So that a successor can let the group go without it, the hold is at the next rank, and the
+// coordinator's own rank, the owner of the change, begins to load first and is armed last, once all others have
+// confirmed and the agent beside the holder has noted the announcement. Without that note the owner is not armed.
 package mapswitch
 
 import (
@@ -26,12 +31,17 @@
 	// StageSettleHold stops the group before a pass for which an earlier coordinator has armed ranks.
 	StageSettleHold Stage = "settle-hold"
 	// StageFence raises the fence at all ranks after a takeover.
-	StageFence   Stage = "fence"
-	StagePrepare Stage = "prepare"
-	StageHold    Stage = "hold"
-	StageArm     Stage = "arm"
-	StageDisarm  Stage = "disarm"
-	StageRelease Stage = "release"
+	StageFence Stage = "fence"
+	// StagePrepareOwner has the owner begin to load: it refuses older coordinators from then on, and is not armed by one.
+	StagePrepareOwner Stage = "prepare-owner"
+	StagePrepare      Stage = "prepare"
+	StageHold         Stage = "hold"
+	// StageArm arms all ranks but the owner, StageArmOwner the owner, after the agent of the holder was told.
+	StageArm      Stage = "arm"
+	StageAnnounce Stage = "announce"
+	StageArmOwner Stage = "arm-owner"
+	StageDisarm   Stage = "disarm"
+	StageRelease  Stage = "release"
 	// StageDone says that all ranks take the new map, StageFailed that none does.
 	StageDone   Stage = "done"
 	StageFailed Stage = "failed"
@@ -54,21 +64,30 @@
 	maxHolds = 8
 )
 
-// Send is an order to one rank.
+// Send is an order to one rank. Direct says that it goes to the rank's engine and not to its agent: a hold that an
+// agent gave would last for as long as that agent's VM may be frozen. Begin says that a prepare counts as done once
+// the rank has begun to load.
 type Send struct {
-	Rank  group.Rank
-	Order services.RankOrder
+	Rank          group.Rank
+	Order         services.RankOrder
+	Direct, Begin bool
 }
 
+// none is no rank.
+const none group.Rank = -1
+
 // Machine is one change of map. It does no I/O and reads no clock.
 type Machine struct {
 	// Fence is the authority of the coordinator. It rises when a change is taken back.
 	Fence services.Fence
 
-	stage   Stage
-	since   time.Time
-	epoch   services.Epoch
-	self    group.Rank
+	stage Stage
+	since time.Time
+	epoch services.Epoch
+	// self is the coordinator's own rank, holder the one that holds the group, and owner that of the coordinator whose
+	// change it is. Without is a rank that does not answer and whose state follows from that of the others, or none.
+	self, holder, owner, without group.Rank
+
 	status  []services.RankStatus
 	version expertmap.Version
 	layers  []expertmap.Layer
@@ -86,18 +105,25 @@
 	failed bool
 }
 
+// holderOf returns the rank that holds a group of some size for the change of an owner.
+func holderOf(owner group.Rank, size int) group.Rank { return (owner + 1) % group.Rank(size) }
+
 // Start returns the change of a group, as its ranks report it, to a new map. Self is the rank beside the
 // coordinator; it holds the pass. Each machine needs a fence above that of the one before: otherwise a
 // late order of that one could, for example, let go what this one holds.
 func Start(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus, v expertmap.Version, layers []expertmap.Layer) *Machine {
 	m := newMachine(now, f, self, status)
 	m.version, m.layers = v, layers
-	m.enter(now, StagePrepare)
+	m.holder = holderOf(self, len(status))
+	m.enter(now, StagePrepareOwner)
 	return m
 }
 
 func newMachine(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus) *Machine {
-	return &Machine{Fence: f, since: now, epoch: status[0].Epoch, self: self, status: status, release: map[group.Rank]group.Step{}}
+	return &Machine{
+		Fence: f, since: now, epoch: status[self].Epoch, self: self, holder: self, owner: self, without: none,
+		status: status, release: map[group.Rank]group.Step{},
+	}
 }
 
 // Stage returns how far the change has got.
@@ -111,10 +137,18 @@
 	return m.stage == StageDone || m.stage == StageFailed || m.stage == StageAbandoned || m.stage == StageLost
 }
 
+// arming reports whether ranks are being armed while the group is held.
+func (m *Machine) arming() bool {
+	return m.stage == StageArm || m.stage == StageAnnounce || m.stage == StageArmOwner
+}
+
+// Loading reports whether ranks still load experts for the change.
+func (m *Machine) Loading() bool { return m.stage == StagePrepareOwner || m.stage == StagePrepare }
+
 // Abandon gives the change up if experts are still being loaded. Nothing is armed or held for it yet, and a prepare
 // that is still on its way is refused once a later version was prepared.
 func (m *Machine) Abandon() {
-	if m.stage == StagePrepare {
+	if m.Loading() {
 		m.stage = StageAbandoned
 	}
 }
@@ -129,13 +163,10 @@
 	if s == StageHold {
 		m.step = max(m.lastStep()+lead, m.step+1)
 	}
-	if s == StageRelease {
-		for r := range m.done {
-			_, held := m.release[group.Rank(r)]
-			m.done[r] = !held
-		}
-		m.advance(now)
+	for r := range m.done {
+		m.done[r] = !m.concerns(group.Rank(r))
 	}
+	m.advance(now)
 }
 
 // lastStep returns the last pass that any rank is known to have begun.
@@ -147,8 +178,31 @@
 	return last
 }
 
-// alone reports whether the stage concerns the coordinator's own rank only.
-func (m *Machine) alone() bool { return m.stage == StageHold || m.stage == StageSettleHold }
+// concerns reports whether a rank gets an order in the stage.
+func (m *Machine) concerns(r group.Rank) bool {
+	if r == m.without {
+		return false
+	}
+	switch m.stage {
+	case StageHold:
+		return r == m.holder
+	case StageSettleHold:
+		return r == m.self
+	case StageAnnounce:
+		return r == m.holder && r != m.owner
+	case StagePrepareOwner, StageArmOwner:
+		return r == m.owner
+	case StageArm:
+		return r != m.owner
+	case StageRelease:
+		_, held := m.release[r]
+		return held
+	case StageFence, StagePrepare, StageDisarm:
+		return true
+	case StageDone, StageFailed, StageAbandoned, StageLost:
+	}
+	return false
+}
 
 // Sends returns the orders that are to be sent now. Each is answered by Answer before it is sent again.
 func (m *Machine) Sends() []Send {
@@ -158,11 +212,13 @@
 	var out []Send
 	for r := range m.done {
 		rank := group.Rank(r)
-		if m.done[r] || m.sent[r] || (m.alone() && rank != m.self) {
+		if m.done[r] || m.sent[r] {
 			continue
 		}
 		m.sent[r] = true
-		out = append(out, Send{Rank: rank, Order: m.order(rank)})
+		o := m.order(rank)
+		direct := rank != m.self && (o.Kind == services.RankHold || o.Kind == services.RankRelease)
+		out = append(out, Send{Rank: rank, Order: o, Direct: direct, Begin: m.stage == StagePrepareOwner})
 	}
 	return out
 }
@@ -170,12 +226,14 @@
 func (m *Machine) order(r group.Rank) services.RankOrder {
 	o := services.RankOrder{Fence: m.Fence, Epoch: m.epoch, Version: m.version, Step: m.step}
 	switch m.stage {
-	case StagePrepare:
+	case StagePrepareOwner, StagePrepare:
 		o.Kind, o.Layers = services.RankPrepare, m.layers
 	case StageHold, StageSettleHold:
 		o.Kind = services.RankHold
-	case StageArm:
+	case StageArm, StageArmOwner:
 		o.Kind = services.RankArm
+	case StageAnnounce:
+		o.Kind = services.RankAnnounce
 	case StageFence:
 		o.Kind = services.RankDisarm
 	case StageDisarm:
@@ -192,7 +250,7 @@
 
 // Answer takes in what became of an order that Sends returned.
 func (m *Machine) Answer(now time.Time, s Send, a services.RankAnswer) {
-	if m.Ended() || s.Order.Kind != m.order(s.Rank).Kind || s.Order.Fence != m.Fence || (m.stage != StageRelease && s.Order.Step != m.step) {
+	if m.Ended() || !m.concerns(s.Rank) || s.Begin != (m.stage == StagePrepareOwner) || s.Order.Kind != m.order(s.Rank).Kind || s.Order.Fence != m.Fence || (m.stage != StageRelease && s.Order.Step != m.step) {
 		return
 	}
 	m.sent[s.Rank] = false
@@ -212,7 +270,9 @@
 // confirm notes that an order holds at a rank. A rank counts as fenced or disarmed only once its status was
 // asked for after it had taken the fence: an earlier coordinator may have armed it until then.
 func (m *Machine) confirm(now time.Time, r group.Rank) {
-	if m.stage != StageDisarm && m.stage != StageFence {
+	switch m.stage {
+	case StageFence, StageDisarm:
+	default:
 		m.done[r] = true
 		return
 	}
@@ -221,7 +281,7 @@
 
 func (m *Machine) conflict(now time.Time, r group.Rank) {
 	switch m.stage {
-	case StagePrepare:
+	case StagePrepareOwner, StagePrepare:
 		m.stage = StageFailed
 	case StageHold:
 		if m.holds++; m.holds > maxHolds {
@@ -232,7 +292,7 @@
 	case StageSettleHold:
 		// The pass has begun, so nothing is armed for it any more.
 		m.enter(now, StageFence)
-	case StageArm:
+	case StageArm, StageAnnounce, StageArmOwner:
 		m.takeBack(now)
 	case StageFence, StageDisarm, StageRelease:
 		m.confirm(now, r)
@@ -273,9 +333,9 @@
 // Tick notes that time has passed.
 func (m *Machine) Tick(now time.Time) {
 	switch {
-	case m.stage == StagePrepare && now.Sub(m.since) > prepareTime:
+	case m.Loading() && now.Sub(m.since) > prepareTime:
 		m.stage = StageFailed
-	case m.stage == StageArm && now.Sub(m.since) > armTime:
+	case m.arming() && now.Sub(m.since) > armTime:
 		m.takeBack(now)
 	}
 }
@@ -288,15 +348,21 @@
 	switch m.stage {
 	case StageFence:
 		m.decide(now)
+	case StagePrepareOwner:
+		m.enter(now, StagePrepare)
 	case StagePrepare:
 		m.enter(now, StageHold)
 	case StageHold:
-		m.release[m.self], m.heldAt = m.step, now
+		m.release[m.holder], m.heldAt = m.step, now
 		m.enter(now, StageArm)
 	case StageSettleHold:
 		m.release[m.self] = m.step
 		m.enter(now, StageDisarm)
-	case StageArm, StageDisarm:
+	case StageArm:
+		m.enter(now, StageAnnounce)
+	case StageAnnounce:
+		m.enter(now, StageArmOwner)
+	case StageArmOwner, StageDisarm:
 		m.enter(now, StageRelease)
 	case StageRelease:
 		m.stage = StageDone
@@ -308,9 +374,6 @@
 }
 
 func (m *Machine) complete() bool {
-	if m.alone() {
-		return m.done[m.self]
-	}
 	for _, d := range m.done {
 		if !d {
 			return false
--- a/services/rank.go
+++ b/services/rank.go
@@ -36,6 +36,16 @@
 	Running, Waiting int
 	// Pace is how many times longer than usual the rank takes for its work; 1 is usual.
 	Pace float64
+	// Noted is what the agent beside the rank remembers; empty if the engine was asked directly.
+	Noted RankNotes
+}
+
+// RankNotes is what an agent remembers of changes of map since its start.
+type RankNotes struct {
+	// Prepared is the latest version that the rank has begun to load by an order of this agent.
+	Prepared expertmap.Version
+	// Announced is the latest version with which a coordinator has said that it will arm its own rank.
+	Announced expertmap.Version
 }
 
 // RankOrderKind tells what a rank shall do.
@@ -53,6 +63,8 @@
 	RankHold RankOrderKind = "hold"
 	// RankRelease ends a hold.
 	RankRelease RankOrderKind = "release"
+	// RankAnnounce tells an agent that a coordinator is about to arm its own rank. It does not go to an engine.
+	RankAnnounce RankOrderKind = "announce"
 )
 
 // RankOrder is a fenced order to a rank. It holds in one epoch only.
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/sleep"
@@ -54,7 +55,8 @@
 
 // Agent serves the coordinator of its group, or is it itself. It is safe for use by several goroutines.
 type Agent struct {
-	opts Options
+	opts  Options
+	start Start
 
 	mu sync.Mutex
 	// highest is the highest authority heard of, asked the time it was last heard. Led says that one was heard.
@@ -65,13 +67,17 @@
 	group   group.ID
 	tally   tally
 	maps    preparedMaps
+	notes   services.RankNotes
 }
 
 // New returns an agent.
 func New(now time.Time, o Options) *Agent {
-	return &Agent{opts: o, asked: now, tally: newTally(now)}
+	return &Agent{opts: o, start: Start(now.UnixNano()), asked: now, tally: newTally(now)}
 }
 
+// Start numbers the starts of an agent.
+type Start uint64
+
 // Ask is a coordinator's question for a rank's load.
 type Ask struct {
 	// Group is the group that is coordinated. A service may have several.
@@ -90,6 +96,8 @@
 	Authority Authority
 	Status    services.RankStatus
 	Counts    CountsPart
+	// Start is that of the agent.
+	Start Start
 }
 
 const (
@@ -135,6 +143,7 @@
 	if r.Authority != ask.Authority {
 		return nil
 	}
+	r.Start = p.a.start
 	return p.a.status(ask, r)
 }
 
@@ -174,6 +183,7 @@
 	}
 	a.mu.Lock()
 	a.rank, a.group = int(r.Status.Rank), r.Status.Group
+	r.Status.Noted = a.notes
 	a.mu.Unlock()
 	if !ask.Counts {
 		return nil
@@ -191,16 +201,42 @@
 // order gives an order to the engine on the same VM, and again if there is no answer: each order holds
 // once, however often it is given under one fence. Loading is done when its experts are there.
 func (a *Agent) order(o services.RankOrder) services.RankAnswer {
+	answer := a.giveOrder(o)
+	if o.Kind == services.RankPrepare && answer == services.RankDone {
+		return a.awaitLoaded(o)
+	}
+	return answer
+}
+
+// giveOrder is order without the wait for what is loaded.
+func (a *Agent) giveOrder(o services.RankOrder) services.RankAnswer {
 	answer := services.RankUnknown
 	for try, limit := 0, orderTime; try < orderTries && answer == services.RankUnknown; try, limit = try+1, limit*5/4 {
 		answer = a.orderOnce(o, limit)
 	}
 	if o.Kind == services.RankPrepare && answer == services.RankDone {
-		return a.awaitLoaded(o)
+		a.mu.Lock()
+		a.notes.Prepared = max(a.notes.Prepared, o.Version)
+		a.mu.Unlock()
 	}
 	return answer
 }
 
+// announce notes that a coordinator is about to arm its own rank. Only one is heard that no later one has followed, and
+// only of a change that this agent has had a part in: after a start it remembers nothing of what it has told others.
+func (a *Agent) announce(au Authority, v expertmap.Version) services.RankAnswer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case au < a.highest:
+		return services.RankFenced
+	case a.notes.Prepared != v:
+		return services.RankConflict
+	}
+	a.notes.Announced = max(a.notes.Announced, v)
+	return services.RankDone
+}
+
 func (a *Agent) orderOnce(o services.RankOrder, limit time.Duration) services.RankAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
@@ -34,6 +35,8 @@
 type member struct {
 	info   peer.Info
 	status services.RankStatus
+	// start is that of the rank's agent.
+	start Start
 	// heard is the time of the latest status; asked the latest direct question.
 	heard, asked time.Time
 	counts       heldCounts
@@ -107,12 +110,15 @@
 
 // improve changes the expert map if that pays, after it has settled what an earlier coordinator left.
 func (c *coordinator) improve(ctx context.Context, now time.Time) {
+	d := &driver{c: c}
 	status, ok := c.statuses(now)
 	if !ok {
 		c.planner = nil
+		if silent, others, ok := c.statusesBut(now); ok {
+			d.settleWithout(ctx, silent, others)
+		}
 		return
 	}
-	d := &driver{c: c}
 	if c.waits(status) {
 		return
 	}
@@ -135,7 +141,7 @@
 	}
 	next := c.planner.plan(now, speed, writers)
 	if next != nil {
-		c.version++
+		c.version = mapswitch.NextVersion(c.version, d.self())
 		next.Version = c.version
 		d.change(ctx, status, next)
 	}
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -36,19 +36,30 @@
 
 // settle takes back what an earlier coordinator has left behind. It returns false if there was nothing.
 func (d *driver) settle(ctx context.Context, status []services.RankStatus) bool {
-	m := mapswitch.Settle(time.Now(), d.c.fence+1, d.self(status), status)
+	return d.settleBy(ctx, mapswitch.Settle(time.Now(), d.c.fence+1, d.self(), status), -1)
+}
+
+// settleWithout is settle for a group in which one rank does not answer. It reports whether there was something
+// that can be taken back without that rank.
+func (d *driver) settleWithout(ctx context.Context, silent group.Rank, status []services.RankStatus) bool {
+	return d.settleBy(ctx, mapswitch.SettleWithout(time.Now(), d.c.fence+1, d.self(), silent, status), int(silent))
+}
+
+func (d *driver) settleBy(ctx context.Context, m *mapswitch.Machine, silent int) bool {
 	if m == nil {
 		return false
 	}
-	d.c.a.opts.Logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).Msg("map-settle")
-	d.drive(ctx, m)
+	begun := time.Now()
+	stage := d.drive(ctx, m)
+	d.c.a.opts.Logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(d.c.members[d.self()].status.Epoch)).Int("silent_rank", silent).
+		Str("stage", string(stage)).Int64("took_ms", time.Since(begun).Milliseconds()).Msg("map-settle")
 	return true
 }
 
 // change brings a new map into force.
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
 	began := time.Now()
-	m := mapswitch.Start(began, d.c.fence+1, d.self(status), status, next.Version, next.Layers)
+	m := mapswitch.Start(began, d.c.fence+1, d.self(), status, next.Version, next.Layers)
 	d.goOnFrom(d.c.planner.current, next)
 	stage := d.drive(ctx, m)
 	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
@@ -73,8 +84,8 @@
 }
 
 // inChanges returns an order as an agent gets it first: a map as what differs from the one in use.
-func (d *driver) inChanges(o services.RankOrder) Order {
-	out := Order{Authority: d.c.authority, Order: o}
+func (d *driver) inChanges(start Start, o services.RankOrder) Order {
+	out := Order{Authority: d.c.authority, Start: start, Order: o}
 	if o.Kind != services.RankPrepare || d.delta == nil {
 		return out
 	}
@@ -90,9 +101,10 @@
 	return time.Since(m.HeldAt())
 }
 
-func (d *driver) self(status []services.RankStatus) group.Rank {
-	for r := range status {
-		if d.c.members[r].info.Name == d.c.a.opts.Self.Name {
+// self returns the coordinator's own rank.
+func (d *driver) self() group.Rank {
+	for r, m := range d.c.members {
+		if m.info.Name == d.c.a.opts.Self.Name {
 			return group.Rank(r)
 		}
 	}
@@ -107,7 +119,7 @@
 	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
 		for _, s := range m.Sends() {
 			to := d.c.members[s.Rank].info
-			first := d.inChanges(s.Order)
+			first := d.inChanges(d.c.members[s.Rank].start, s.Order)
 			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s, first)} })
 		}
 		select {
@@ -129,7 +141,7 @@
 // observe asks all ranks and tells the machine. Routers go on being told.
 func (d *driver) observe(ctx context.Context, m *mapswitch.Machine) {
 	asked := time.Now()
-	loading := m.Stage() == mapswitch.StagePrepare
+	loading := m.Loading()
 	d.c.look(ctx, loading)
 	now := time.Now()
 	if loading {
@@ -149,8 +161,15 @@
 // send gives an order to a rank: by its agent, or directly if the agent does not answer. First is the order as
 // the agent gets it first; if that goes on from a map that it does not have, it gets the whole order.
 func (d *driver) send(ctx context.Context, to peer.Info, s mapswitch.Send, first Order) services.RankAnswer {
+	if s.Direct {
+		return d.sendDirectly(ctx, to, s.Order)
+	}
 	if to.Name == d.c.a.opts.Self.Name {
-		answer := d.c.a.order(s.Order)
+		give := d.c.a.order
+		if s.Begin {
+			give = d.c.a.giveOrder
+		}
+		answer := give(s.Order)
 		if answer == services.RankUnknown {
 			sleep.For(ctx, resendPause)
 		}
@@ -165,16 +184,40 @@
 	var r OrderReply
 	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", first, &r)
 	if err == nil && r.NoBase {
-		err = d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Order: s.Order}, &r)
+		err = d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Start: first.Start, Order: s.Order}, &r)
 	}
 	if err == nil {
 		return r.Answer
 	}
-	dctx, dcancel := context.WithTimeout(ctx, peerTime)
-	defer dcancel()
-	answer, err := d.c.a.opts.Dial(to.Engine).Order(dctx, s.Order)
+	if s.Order.Kind == services.RankAnnounce {
+		return services.RankUnknown // no engine knows it
+	}
+	return d.orderDirectly(ctx, to, s.Order, peerTime)
+}
+
+const (
+	// directTime bounds the first try of an order to the engine on another VM: two ways between data centres and what the
+	// engine needs. directTries bounds how often it is given without an answer.
+	directTime  = 20 * time.Millisecond
+	directTries = 4
+)
+
+// sendDirectly gives an order to a rank's engine, and again if there is no answer.
+func (d *driver) sendDirectly(ctx context.Context, to peer.Info, o services.RankOrder) services.RankAnswer {
+	answer := services.RankUnknown
+	for try, limit := 0, directTime; try < directTries && answer == services.RankUnknown; try, limit = try+1, limit*5/4 {
+		answer = d.orderDirectly(ctx, to, o, limit)
+	}
+	return answer
+}
+
+func (d *driver) orderDirectly(ctx context.Context, to peer.Info, o services.RankOrder, limit time.Duration) services.RankAnswer {
+	dctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := d.c.a.opts.Dial(to.Engine).Order(dctx, o)
 	if err != nil {
-		d.c.a.opts.Logger.Warn().Int("rank", int(s.Rank)).Str("order", string(s.Order.Kind)).Str("answer", string(answer)).Err(err).Msg("direct-order-failed")
+		d.c.a.opts.Logger.Warn().Str("agent", to.Name).Str("order", string(o.Kind)).Uint64("fence", uint64(o.Fence)).
+			Str("answer", string(answer)).Err(err).Msg("direct-order-failed")
 	}
 	return answer
 }
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
@@ -217,6 +218,9 @@
 	}
 	m := c.members[r.Status.Rank]
 	m.info, m.status, m.heard, m.known = n, r.Status, time.Now(), true
+	if r.Start != 0 {
+		m.start = r.Start
+	}
 	m.counts.add(r.Counts)
 }
 
@@ -231,3 +235,26 @@
 	}
 	return out, true
 }
+
+// statusesBut returns the one rank that has not answered for some looks, and the status of all others; false if it is
+// not one, or the others differ in epoch or have not answered lately.
+func (c *coordinator) statusesBut(now time.Time) (silent group.Rank, out []services.RankStatus, ok bool) {
+	out = make([]services.RankStatus, len(c.members))
+	var epoch services.Epoch
+	count := 0
+	for r, m := range c.members {
+		if !m.known || now.Sub(m.heard) > missingAfter {
+			silent = group.Rank(r)
+			count++
+			continue
+		}
+		if epoch == 0 {
+			epoch = m.status.Epoch
+		}
+		if m.status.Epoch != epoch || !m.status.Open {
+			return 0, nil, false
+		}
+		out[r] = m.status
+	}
+	return silent, out, count == 1 && len(c.members) > 1
+}
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -13,7 +13,10 @@
 // Order is a coordinator's order.
 type Order struct {
 	Authority Authority
-	Order     services.RankOrder
+	// Start is that of the agent that the order is for. One that has started anew takes no order to prepare: it would
+	// take a part in a change that it knows nothing else of.
+	Start Start
+	Order services.RankOrder
 	// Change stands for the map of an order to prepare, for an agent that has the map it goes on from.
 	Change *expertmap.Change
 }
@@ -31,6 +34,14 @@
 		r.Answer = services.RankFenced
 		return nil
 	}
+	switch {
+	case o.Order.Kind == services.RankAnnounce:
+		r.Answer = p.a.announce(o.Authority, o.Order.Version)
+		return nil
+	case o.Order.Kind == services.RankPrepare && o.Start != p.a.start:
+		r.Answer = services.RankUnknown
+		return nil
+	}
 	if r.NoBase = !p.a.whole(&o); r.NoBase {
 		r.Answer = services.RankUnknown
 		return nil
--- a/services/rank/order_test.go
+++ b/services/rank/order_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"reflect"
 	"testing"
+	"time"
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/services"
@@ -38,7 +39,7 @@
 	give := func(m, base *expertmap.Map) OrderReply {
 		t.Helper()
 		d.goOnFrom(base, m)
-		o := d.inChanges(services.RankOrder{Kind: services.RankPrepare, Version: m.Version, Layers: m.Layers})
+		o := d.inChanges(api.a.start, services.RankOrder{Kind: services.RankPrepare, Version: m.Version, Layers: m.Layers})
 		if whole := o.Order.Layers != nil; whole != (base.Version == 0) {
 			t.Errorf("version %d sent whole: %t", m.Version, whole)
 		}
@@ -73,3 +74,57 @@
 		}
 	}
 }
+
+// TestAnnounce checks when an agent notes that a coordinator is about to arm its own rank, and what it tells of it.
+func TestAnnounce(t *testing.T) {
+	const version expertmap.Version = 1 << 20
+	cases := map[string]struct {
+		then func(t *testing.T, api *API) *API
+		want services.RankAnswer
+		// noted is what a later coordinator is told.
+		noted services.RankNotes
+	}{
+		"after the change was prepared": {want: services.RankDone, noted: services.RankNotes{Prepared: version, Announced: version}},
+		"a later coordinator was heard": {
+			then: func(t *testing.T, api *API) *API {
+				t.Helper()
+				var r Reply
+				if err := api.Status(Ask{Authority: 9}, &r); err != nil {
+					t.Fatal(err)
+				}
+				return api
+			},
+			want: services.RankFenced, noted: services.RankNotes{Prepared: version},
+		},
+		"the agent has started anew": {
+			then: func(_ *testing.T, api *API) *API {
+				return NewAPI(New(begin.Add(time.Second), Options{Engine: api.a.opts.Engine, Logger: zerolog.Nop()}))
+			},
+			want: services.RankConflict,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			api := NewAPI(New(begin, Options{Engine: &mapEngine{}, Logger: zerolog.Nop()}))
+			prepare := Order{Authority: 3, Start: api.a.start, Order: services.RankOrder{Kind: services.RankPrepare, Version: version}}
+			var r OrderReply
+			if err := api.Order(prepare, &r); err != nil || r.Answer != services.RankDone {
+				t.Fatalf("prepare: %s, %v", r.Answer, err)
+			}
+			if c.then != nil {
+				api = c.then(t, api)
+			}
+			r = OrderReply{}
+			if err := api.Order(Order{Authority: 3, Order: services.RankOrder{Kind: services.RankAnnounce, Version: version}}, &r); err != nil || r.Answer != c.want {
+				t.Errorf("announce: %s, %v, want %s", r.Answer, err, c.want)
+			}
+			var told Reply
+			if err := api.Status(Ask{Authority: 9}, &told); err != nil || told.Status.Noted != c.noted {
+				t.Errorf("told %+v, %v, want %+v", told.Status.Noted, err, c.noted)
+			}
+			if err := api.Order(prepare, &r); err != nil || r.Answer == services.RankDone {
+				t.Errorf("a late order to prepare: %s, %v", r.Answer, err)
+			}
+		})
+	}
+}
