A group that has just formed is filled by what it can read within the goal

Cause: after a loss of power the group forms on its first map; its skew was not known and counted as 1.6, and all callers came at once.

--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -64,6 +64,9 @@
 const (
 	// passPart is the part of the pause goal that a pass may take by forecast.
 	passPart = 0.92
+	// readPart is the part of the pause goal in which a rank may have prompts to read. With more of them a group that has
+	// just formed, on its first map, begins with passes of twice the goal.
+	readPart = 0.4
 	// guardSkew is the skew that is reckoned with at least: demand may shift in any second, and the map
 	// follows some passes later.
 	guardSkew = 1.6
@@ -80,10 +83,26 @@
 		return all
 	}
 	mean := Limit(e, max(skew, guardSkew), pace, time.Duration(passPart*float64(goal)))
-	if mean < fewStreams || mean >= e.Slots-1 {
+	if mean < fewStreams {
 		return all
 	}
-	return Bounds{Rank: min(mean+unevenness, e.Slots), Mean: mean}
+	all.Unstarted = promptsAtOnce(e, skew, time.Duration(readPart*float64(goal)))
+	if mean >= e.Slots-1 {
+		return all
+	}
+	return Bounds{Rank: min(mean+unevenness, e.Slots), Mean: mean, Unstarted: all.Unstarted}
+}
+
+// promptsAtOnce returns how many usual prompts a rank reads within a time, one at least.
+func promptsAtOnce(e *catalog.Engine, skew float64, within time.Duration) int {
+	none := PassLoad{Skew: max(skew, 1)}
+	one := none
+	one.Reading = e.UsualPrompt
+	each := Pass(e, one) - Pass(e, none)
+	if each <= 0 {
+		return 0
+	}
+	return max(1, int(within/each))
 }
 
 // fewStreams is the least number of streams of a rank for which the goal is kept.
--- a/services/balance/places.go
+++ b/services/balance/places.go
@@ -24,6 +24,8 @@
 type Bounds struct {
 	// Rank is the number that a rank may have, and Mean the number that ranks may have on average.
 	Rank, Mean int
+	// Unstarted is the number of them whose prompts a rank may still have to read; 0 means any number.
+	Unstarted int
 }
 
 // Allotter parts the free places of a group's ranks among the routers. Reports are some passes old when
@@ -59,18 +61,21 @@
 	}
 	a.forget(wishes)
 	loads := make([]float64, len(ranks))
+	unstarted := make([]int, len(ranks))
 	left := float64(b.Mean * len(ranks))
 	for i, r := range ranks {
 		loads[i] = float64(r.requests() + given[r.Address])
+		unstarted[i] = max(r.Waiting, r.Unstarted) + given[r.Address]
 		left -= loads[i]
 	}
 	spare := sparesSlow(ranks)
 	for ; left >= 1; left-- {
-		i := leastLoaded(ranks, loads, b.Rank, spare)
+		i := leastLoaded(ranks, loads, unstarted, b, spare)
 		if i < 0 {
 			break
 		}
 		loads[i]++
+		unstarted[i]++
 		out[a.next(wishes, ranks[i].DataCentre)][ranks[i].Address]++
 	}
 	return out
@@ -104,10 +109,10 @@
 
 // leastLoaded returns the rank that gets the next place, or -1 if there is none. A stream at a slow rank makes the
 // pass longer for all: it counts for more there, and if slow ranks are to be spared they get none.
-func leastLoaded(ranks []RankLoad, loads []float64, most int, spare bool) int {
+func leastLoaded(ranks []RankLoad, loads []float64, unstarted []int, b Bounds, spare bool) int {
 	best, bestLoad := -1, math.Inf(1)
 	for i := range ranks {
-		if loads[i] >= float64(most) || spare && ranks[i].slow() {
+		if loads[i] >= float64(b.Rank) || spare && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
 			continue
 		}
 		load := (loads[i] + readWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
--- a/services/balance/places_test.go
+++ b/services/balance/places_test.go
@@ -26,6 +26,7 @@
 		"places given before may be in use":         {[]RankLoad{{Address: "a"}, {Address: "b"}}, Bounds{Rank: 3, Mean: 3}, Places{"a": 2}, Places{"a": 1, "b": 3}},
 		"a slow rank gets fewer":                    {[]RankLoad{{Address: "a", Running: 2, Pace: 4}, {Address: "b", Running: 2}}, Bounds{Rank: 9, Mean: 4}, nil, Places{"b": 4}},
 		"a rank that reads a prompt is left for it": {[]RankLoad{{Address: "a", Unstarted: 1}, {Address: "b", Running: 2}}, Bounds{Rank: 9, Mean: 2}, nil, Places{"b": 1}},
+		"a rank has prompts enough to read":         {[]RankLoad{{Address: "a", Unstarted: 2}, {Address: "b", Unstarted: 1}, {Address: "c"}}, Bounds{Rank: 9, Mean: 9, Unstarted: 2}, Places{"c": 1}, Places{"b": 1, "c": 1}},
 		"more than the mean is running":             {[]RankLoad{{Address: "a", Running: 9}, {Address: "b", Running: 9}}, Bounds{Rank: 20, Mean: 4}, nil, Places{}},
 	}
 	for name, c := range cases {
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -102,11 +102,13 @@
 	// groups holds the latest report of each group of the service.
 	groups map[group.ID]groupReport
 	turn   int
+	// chance draws a number from 0 to 1.
+	chance func() float64
 }
 
 // NewPool returns the view of a router in a data centre.
 func NewPool(here vm.DataCentre) *Pool {
-	return &Pool{here: here, ups: map[upstream.ID]*state{}, groups: map[group.ID]groupReport{}}
+	return &Pool{here: here, ups: map[upstream.ID]*state{}, groups: map[group.ID]groupReport{}, chance: rand.Float64}
 }
 
 func (p *Pool) state(id upstream.ID) *state {
@@ -215,7 +217,7 @@
 	if c.DataCentre != p.here {
 		score += farRequests
 	}
-	return score + herdSpread*rand.Float64() //nolint:gosec // no secret
+	return score + herdSpread*p.chance()
 }
 
 // readWeight is how many streams a request that has not begun counts for beyond itself: its prompt is being
