--- a/services/mapswitch/settle.go
+++ b/services/mapswitch/settle.go
@@ -16,7 +16,7 @@
 
 // NextVersion returns the version of the next map that a coordinator gives out, whose own rank is given.
 func NextVersion(last expertmap.Version, own group.Rank) expertmap.Version {
-	return (last>>ownerBits+1)<<ownerBits | expertmap.Version(own)
+	return (last>>ownerBits+1)<<ownerBits | expertmap.Version(own) //nolint:gosec // ranks are not negative
 }
 
 // owner returns the rank of the coordinator that gave a version out.
--- a/services/placement/decide.go
+++ b/services/placement/decide.go
@@ -88,7 +88,7 @@
 	next := make([]change, len(d.layers))
 	for i, l := range d.layers {
 		if floors == nil || l.skew() > floors[i]+d.pol.Slack {
-			next[i], _ = l.improve(d.pol, d.pol.MaxMoves)
+			next[i] = l.improve(d.pol, d.pol.MaxMoves)
 		}
 	}
 	moves := 0
@@ -107,7 +107,7 @@
 			d.make(best, c)
 			moves += c.moves
 		}
-		next[best], _ = d.layers[best].improve(d.pol, d.pol.MaxMoves-moves)
+		next[best] = d.layers[best].improve(d.pol, d.pol.MaxMoves-moves)
 	}
 }
 
@@ -144,12 +144,12 @@
 	return true
 }
 
-// improve returns the shortest row of moves that relieves the heaviest rank and pays, or false if there is none
+// improve returns the shortest row of moves that relieves the heaviest rank and pays; its layer is nil if there is none
 // with so many moves at most.
-func (l *layer) improve(pol Policy, most int) (change, bool) {
+func (l *layer) improve(pol Policy, most int) change {
 	before := l.skew()
 	if before <= pol.Enough {
-		return change{}, false
+		return change{}
 	}
 	work := l.clone()
 	for moves := 0; moves < most; {
@@ -161,10 +161,10 @@
 		}
 		work.apply(mv)
 		if saved := before - max(work.skew(), pol.Enough); saved > pol.Price*float64(moves) {
-			return change{layer: work, moves: moves, saved: saved}, true
+			return change{layer: work, moves: moves, saved: saved}
 		}
 	}
-	return change{}, false
+	return change{}
 }
 
 // newFloors keeps the floor of a layer that was not looked at, unless it got better by itself.
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
-	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/sleep"
@@ -198,73 +197,6 @@
 	return nil
 }
 
-// order gives an order to the engine on the same VM, and again if there is no answer: each order holds
-// once, however often it is given under one fence. Loading is done when its experts are there.
-func (a *Agent) order(o services.RankOrder) services.RankAnswer {
-	answer := a.giveOrder(o)
-	if o.Kind == services.RankPrepare && answer == services.RankDone {
-		return a.awaitLoaded(o)
-	}
-	return answer
-}
-
-// giveOrder is order without the wait for what is loaded.
-func (a *Agent) giveOrder(o services.RankOrder) services.RankAnswer {
-	answer := services.RankUnknown
-	for try, limit := 0, orderTime; try < orderTries && answer == services.RankUnknown; try, limit = try+1, limit*5/4 {
-		answer = a.orderOnce(o, limit)
-	}
-	if o.Kind == services.RankPrepare && answer == services.RankDone {
-		a.mu.Lock()
-		a.notes.Prepared = max(a.notes.Prepared, o.Version)
-		a.mu.Unlock()
-	}
-	return answer
-}
-
-// announce notes that a coordinator is about to arm its own rank. Only one is heard that no later one has followed, and
-// only of a change that this agent has had a part in: after a start it remembers nothing of what it has told others.
-func (a *Agent) announce(au Authority, v expertmap.Version) services.RankAnswer {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case au < a.highest:
-		return services.RankFenced
-	case a.notes.Prepared != v:
-		return services.RankConflict
-	}
-	a.notes.Announced = max(a.notes.Announced, v)
-	return services.RankDone
-}
-
-func (a *Agent) orderOnce(o services.RankOrder, limit time.Duration) services.RankAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	answer, err := a.opts.Engine.Order(ctx, o)
-	if err != nil {
-		a.opts.Logger.Warn().Str("order", string(o.Kind)).Uint64("fence", uint64(o.Fence)).Uint64("version", uint64(o.Version)).
-			Uint64("step", uint64(o.Step)).Uint64("epoch", uint64(o.Epoch)).Str("answer", string(answer)).Err(err).Msg("order-failed")
-	}
-	return answer
-}
-
-// awaitLoaded waits until the engine has loaded the experts of a map.
-func (a *Agent) awaitLoaded(o services.RankOrder) services.RankAnswer {
-	for end := time.Now().Add(loadTime); time.Now().Before(end); time.Sleep(loadTick) {
-		var r Reply
-		if err := a.status(Ask{}, &r); err != nil {
-			continue // the engine is asked again until the end
-		}
-		if r.Status.Epoch != o.Epoch || r.Status.Prepared > o.Version {
-			return services.RankConflict
-		}
-		if r.Status.Prepared == o.Version {
-			return services.RankDone
-		}
-	}
-	return services.RankUnknown
-}
-
 // Run looks for a coordinator until ctx ends, and is one when there is none.
 func (a *Agent) Run(ctx context.Context) {
 	var first Reply
