--- a/services/rank/demand.go
+++ b/services/rank/demand.go
@@ -152,6 +152,7 @@
 // enough reports whether enough was counted to plan by.
 func (d *demand) enough() bool { return sufficient(d.recent) }
 
+// sufficient reports whether enough was counted in every layer to tell demand from chance.
 func sufficient(p placement.Popularity) bool {
 	for _, layer := range p {
 		if sum(layer) < fewestChoices*float64(len(layer)) {
@@ -161,6 +162,7 @@
 	return true
 }
 
+// sum returns the choices of a layer.
 func sum(layer []float64) float64 {
 	var s float64
 	for _, n := range layer {
