--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -56,8 +56,11 @@
 	prepareTime = 4 * time.Second
 	// armTime bounds the time in which all ranks must confirm: the group may stand still meanwhile.
 	armTime = 350 * time.Millisecond
-	// lead is the number of passes between the last that has begun and the one that takes the map.
-	lead = 1
+	// lead is the number of passes between the last that has begun and the one that takes the map, and leadRanks the
+	// number of ranks for each of which one more is left: to arm 63 ranks takes a coordinator with a quarter of a core
+	// some 30 ms, in which a group would stand still.
+	lead      = 1
+	leadRanks = 32
 	// unusedVersion is the last of the versions that a coordinator counts up.
 	unusedVersion = 1<<32 - 1
 	// maxHolds bounds how often a pass to hold is chosen anew because it has begun already.
@@ -152,7 +155,7 @@
 	m.done, m.sent = make([]bool, len(m.status)), make([]bool, len(m.status))
 	m.fenced = make([]time.Time, len(m.status))
 	if s == StageHold {
-		m.step = max(m.lastStep()+lead, m.step+1)
+		m.step = max(m.lastStep()+m.lead(), m.step+1)
 	}
 	for r := range m.done {
 		m.done[r] = !m.concerns(group.Rank(r))
@@ -160,6 +163,9 @@
 	m.advance(now)
 }
 
+// lead returns how many passes after the last that has begun the map is taken.
+func (m *Machine) lead() group.Step { return group.Step(lead + len(m.status)/leadRanks) }
+
 // lastStep returns the last pass that any rank is known to have begun.
 func (m *Machine) lastStep() group.Step {
 	var last group.Step
