Routers greet a few neighbours, and what one learns spreads from neighbour to neighbour

Cause: each router greeted each other one every 0.4 s. News of the store went from their reader to all routers directly, whole catalogs each time, and each process read all feeds at its start.

Ruled out: one router of each data centre that greets for the others (its cost grows with the number of routers, and its loss is seen late); greetings with a whole table of heartbeats (bytes grow with the number); heartbeats in the store (paid for); greetings that carry lists whenever digests differ (each start sends all lists to everybody several times).

Change: - services/peer: each router greets as many others as the logarithm of their number, chosen from rings by data centre, and tells each what has changed in its table since. A neighbour that is silent is told of to all; who is called silent takes a new stamp. One that hears hardly anybody tells nobody silent. Up to 12 routers all greet all, as before. - services/entry: a router that learns something greets its neighbours at once; who is behind asks the one that is ahead, gets only what is missing, and counts its age from before the question. Routers wait half a second for the seeds before they read the store at a start; one router registers all that run with one call. - models/catalog: changes between catalogs. - Upstreams that are listed in large numbers are logged in one line.

--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -30,42 +30,42 @@
 	return Extent{Known: true, Next: m.Next, Age: now.Sub(m.AsOf)}
 }
 
+// asOf returns when a feed was known to end there. The question was sent at a time: what is known gets no younger on
+// its way.
+func (e Extent) asOf(asked time.Time) time.Time { return asked.Add(-e.Age) }
+
 // Hello is what routers tell each other.
 type Hello struct {
-	From peer.Info
+	Greeting peer.Greeting
 	// Catalogs and Upstreams tell how far the sender knows the two feeds of the store.
 	Catalogs, Upstreams Extent
-	// Digest tells of the routers that the sender has heard lately, itself among them. Routers lists the others,
-	// in an answer to a router with another digest: as long as all know the same, nobody sends lists.
-	Digest  uint64
-	Routers []peer.Info
-}
-
-// News is a stretch of a feed that a router has just read. It says nothing of its age: it may have been
-// on its way for long.
-type News[T any] struct {
-	From, Next services.Offset
-	Changes    []services.Change[T]
 }
 
-func (n News[T]) part() knowledge.Part[T] {
-	return knowledge.Part[T]{From: n.From, Next: n.Next, Changes: n.Changes}
+// Since is how far the router that asks knows a feed.
+type Since struct {
+	Known bool
+	Next  services.Offset
+	// Version is that of its catalog.
+	Version catalog.Version
 }
 
-// Whole is everything that a router knows of a feed.
-type Whole[T any] struct {
-	Extent  Extent
-	Changes []services.Change[T]
+// CatalogNews is what a router knows of the feed of catalogs beyond what another one does.
+type CatalogNews struct {
+	Extent Extent
+	// Change leads from the version of the router that asks to the newest. Whole is the newest if no change can be told.
+	// Both are nil if the router that asks has it.
+	Change *catalog.Change
+	Whole  *catalog.Catalog
 }
 
-// part returns the knowledge as it was when the router was asked, so that it gets no younger on its way.
-func (w Whole[T]) part(asked time.Time) knowledge.Part[T] {
-	return knowledge.Part[T]{Whole: true, Next: w.Extent.Next, AsOf: asked.Add(-w.Extent.Age), Changes: w.Changes}
+// UpstreamNews is what a router knows of the feed of upstreams beyond what another one does.
+type UpstreamNews struct {
+	Extent Extent
+	// Whole says that the changes are all upstreams there are.
+	Whole   bool
+	Changes []services.Change[upstream.Instance]
 }
 
-// Nothing is the argument or the answer of calls that need none.
-type Nothing struct{ Unused bool }
-
 // API is what a router offers to other processes over rpc.
 type API struct{ r *Router }
 
@@ -74,44 +74,47 @@
 
 // Greet takes in a greeting and answers it.
 func (a *API) Greet(h Hello, reply *Hello) error {
-	a.r.heard(h)
-	var routers []peer.Info
-	if *reply, routers = a.r.hello(time.Now()); reply.Digest != h.Digest {
-		reply.Routers = routers
-	}
-	return nil
-}
-
-// CatalogNews takes in what another router has read of the feed of catalogs.
-func (a *API) CatalogNews(n News[catalog.Catalog], _ *Nothing) error {
-	a.r.catalogs.hear(n.part())
-	return nil
-}
-
-// UpstreamNews takes in what another router has read of the feed of upstreams.
-func (a *API) UpstreamNews(n News[upstream.Instance], _ *Nothing) error {
-	a.r.upstreams.hear(n.part())
+	now := time.Now()
+	from := a.r.heard(now, h)
+	*reply = a.r.hello(now, h.Greeting.From)
+	// How old the sender's knowledge is cannot be told from a greeting, which may have been on its way for long; only
+	// that it goes further.
+	a.r.catalogs.told(from, h.Catalogs)
+	a.r.upstreams.told(from, h.Upstreams)
 	return nil
 }
 
-// Catalogs returns what is known here of the feed of catalogs.
-func (a *API) Catalogs(_ Nothing, reply *Whole[catalog.Catalog]) error {
+// Catalogs tells what is known here of the feed of catalogs.
+func (a *API) Catalogs(since Since, reply *CatalogNews) error {
 	now := time.Now()
 	a.r.opts.Relay.Know(func(s *knowledge.State) {
 		reply.Extent = extent(now, s.Catalogs())
-		if s.Index() != nil {
-			reply.Changes = []services.Change[catalog.Catalog]{{Value: s.Index().Catalog}}
+		if s.Index() == nil || since.Known && since.Version >= s.Index().Version {
+			return
+		}
+		if since.Known {
+			if change, ok := s.CatalogSince(since.Version); ok {
+				reply.Change = &change
+				return
+			}
 		}
+		reply.Whole = s.Index().Catalog
 	})
 	return nil
 }
 
-// Upstreams returns what is known here of the feed of upstreams.
-func (a *API) Upstreams(_ Nothing, reply *Whole[upstream.Instance]) error {
+// Upstreams tells what is known here of the feed of upstreams.
+func (a *API) Upstreams(since Since, reply *UpstreamNews) error {
 	now := time.Now()
 	a.r.opts.Relay.Know(func(s *knowledge.State) {
 		reply.Extent = extent(now, s.Upstreams())
-		reply.Changes = s.All()
+		if since.Known {
+			if changes, ok := s.UpstreamsSince(since.Next); ok {
+				reply.Changes = changes
+				return
+			}
+		}
+		reply.Whole, reply.Changes = true, s.All()
 	})
 	return nil
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
-	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -34,8 +32,8 @@
 	Catalogs() services.Feed[catalog.Catalog]
 	Upstreams() services.Feed[upstream.Instance]
 	Nodes() services.Feed[peer.Info]
-	// PutNode registers this process.
-	PutNode(ctx context.Context, i peer.Info) error
+	// PutNodes registers processes.
+	PutNodes(ctx context.Context, nodes []peer.Info) error
 }
 
 // Options holds what a Router needs.
@@ -55,9 +53,16 @@
 	catalogs  *follower[catalog.Catalog]
 	upstreams *follower[upstream.Instance]
 
+	// news has the neighbours greeted soon.
+	news chan struct{}
+
 	mu    sync.Mutex
-	self  peer.Info
 	table *peer.Table
+	// greeting holds the addresses that are being greeted.
+	greeting map[string]bool
+	// registered holds the addresses of the other routers that are registered in the store, and strangers those of them that
+	// are still to be greeted because nothing was heard of them.
+	registered, strangers []string
 	// outage tells for each feed since when it cannot be read; absent while it can.
 	outage map[string]time.Time
 	// lists holds the list of ranks by which the coordinator of each group tells its load.
@@ -66,18 +71,44 @@
 
 // New returns a router that knows nobody.
 func New(o Options) *Router {
+	now := time.Now()
 	o.Self.State = peer.StateStarting
-	r := &Router{opts: o, self: o.Self, table: peer.NewTable(o.Self.Name), outage: map[string]time.Time{}, lists: map[group.ID]balance.RankList{}}
-	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), calls{news: "Router.CatalogNews", whole: "Router.Catalogs"})
-	r.catalogs.mark = func() knowledge.Mark { return r.mark((*knowledge.State).Catalogs) }
-	r.catalogs.take = r.takeCatalogs
-	r.upstreams = newFollower(r, feedUpstreams, o.Store.Upstreams(), calls{news: "Router.UpstreamNews", whole: "Router.Upstreams"})
-	r.upstreams.mark = func() knowledge.Mark { return r.mark((*knowledge.State).Upstreams) }
-	r.upstreams.take = r.takeUpstreams
+	r := &Router{
+		opts: o, table: peer.NewTable(now, o.Self), news: make(chan struct{}, 1), greeting: map[string]bool{},
+		outage: map[string]time.Time{}, lists: map[group.ID]balance.RankList{},
+	}
+	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), (*knowledge.State).Catalogs)
+	r.catalogs.take, r.catalogs.ask = r.takeCatalogs, r.askCatalogs
+	r.upstreams = newFollower(r, feedUpstreams, o.Store.Upstreams(), (*knowledge.State).Upstreams)
+	r.upstreams.take, r.upstreams.ask = r.takeUpstreams, r.askUpstreams
+	if !r.isSeed() {
+		r.catalogs.wait(now.Add(seedPatience))
+		r.upstreams.wait(now.Add(seedPatience))
+	}
 	r.rebound(o.Bounds)
 	return r
 }
 
+// seedPatience is how long a router that starts waits to be told by the seeds before it reads the store: each read of a
+// start is paid for, and after a loss of power all routers start at once.
+const seedPatience = 500 * time.Millisecond
+
+// isSeed reports whether this router is one that others ask first, or knows of none.
+func (r *Router) isSeed() bool {
+	return len(r.opts.Seeds) == 0 || slices.Contains(r.opts.Seeds, r.opts.Self.Address)
+}
+
+// newFollower returns the follower of one of a router's feeds. Take and ask are still to be set.
+func newFollower[T any](r *Router, name string, feed services.Feed[T], mark func(*knowledge.State) knowledge.Mark) *follower[T] {
+	return &follower[T]{
+		name: name, feed: feed, logger: r.opts.Logger, wake: make(chan struct{}, 1), ahead: make(chan string, 1),
+		mark:   func() knowledge.Mark { return r.mark(mark) },
+		mine:   func(now time.Time) bool { return r.reads(now, name) },
+		spread: r.spread,
+		note:   func(err error) { r.noteOutage(name, err) },
+	}
+}
+
 // rankList returns the list of ranks for a report, and keeps it if the report brings one.
 func (r *Router) rankList(report *balance.Report) balance.RankList {
 	r.mu.Lock()
@@ -94,17 +125,6 @@
 	feedUpstreams = "upstreams"
 )
 
-const (
-	// greetEvery is the time between two greetings of the other routers.
-	greetEvery = 400 * time.Millisecond
-	// greetTime bounds a greeting.
-	greetTime = 350 * time.Millisecond
-	// registerTime bounds a registration.
-	registerTime = 1500 * time.Millisecond
-	// registerPause is the pause after a registration that failed.
-	registerPause = 150 * time.Millisecond
-)
-
 // Run keeps the router up to date until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	var w sync.WaitGroup
@@ -120,15 +140,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var names []string
-	if r.self.State != peer.StateLeaving {
-		names = append(names, r.self.Name)
+	self := r.table.Self()
+	if self.State != peer.StateLeaving {
+		names = append(names, self.Name)
 	}
 	for _, n := range r.table.Live(now, vm.RoleRouter) {
 		if n.State != peer.StateLeaving && !n.StoreLost {
 			names = append(names, n.Name)
 		}
 	}
-	return watch.Reader(feed, names) == r.self.Name
+	return watch.Reader(feed, names) == self.Name
 }
 
 func (r *Router) mark(of func(*knowledge.State) knowledge.Mark) knowledge.Mark {
@@ -137,43 +158,6 @@
 	return m
 }
 
-func (r *Router) takeCatalogs(p knowledge.Part[catalog.Catalog]) knowledge.Fit {
-	var fit knowledge.Fit
-	var before, after *catalog.Index
-	r.opts.Relay.Know(func(s *knowledge.State) {
-		before = s.Index()
-		fit = s.TakeCatalogs(p)
-		after = s.Index()
-	})
-	if before != after {
-		r.opts.Logger.Info().Uint64("version", uint64(after.Version)).Int("routes", len(after.Routes)).Uint64("offset", uint64(p.Next)).
-			Bool("told", p.AsOf.IsZero()).Msg("catalog-taken")
-	}
-	r.becomeReady()
-	return fit
-}
-
-func (r *Router) takeUpstreams(p knowledge.Part[upstream.Instance]) knowledge.Fit {
-	var fit knowledge.Fit
-	r.opts.Relay.Know(func(s *knowledge.State) { fit = s.TakeUpstreams(time.Now(), p) })
-	if fit == knowledge.FitNews {
-		r.noteUpstreams(p)
-	}
-	r.becomeReady()
-	return fit
-}
-
-func (r *Router) noteUpstreams(p knowledge.Part[upstream.Instance]) {
-	for _, c := range p.Changes {
-		state := "gone"
-		if c.Value != nil {
-			state = string(c.Value.State)
-		}
-		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", state).Bool("whole", p.Whole).Bool("told", p.AsOf.IsZero()).
-			Uint64("offset", uint64(p.Next)).Str("address", addressOf(c.Value)).Msg("upstream-listed")
-	}
-}
-
 // noteOutage logs the begin and the end of a feed's outage.
 func (r *Router) noteOutage(name string, err error) {
 	now := time.Now()
@@ -198,39 +182,19 @@
 func (r *Router) becomeReady() {
 	complete := false
 	r.opts.Relay.Know(func(s *knowledge.State) { complete = s.Complete() })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if complete && r.self.State == peer.StateStarting {
-		r.self.State = peer.StateReady
+	if complete && r.Self().State == peer.StateStarting {
+		r.enter(peer.StateReady)
 		r.opts.Logger.Info().Msg("ready")
 	}
 }
 
-// register registers the process and learns of the others.
-func (r *Router) register(ctx context.Context) {
-	for registered := false; ctx.Err() == nil; sleep.For(ctx, registerPause) {
-		cctx, cancel := context.WithTimeout(ctx, registerTime)
-		var failed error
-		if !registered {
-			failed = r.opts.Store.PutNode(cctx, r.Self())
-			registered = failed == nil
-		}
-		nodes, _, err := r.opts.Store.Nodes().Snapshot(cctx)
-		cancel()
-		if err = errors.Join(failed, err); err != nil {
-			r.opts.Logger.Warn().Err(err).Msg("registration-failed")
-			continue
-		}
-		now := time.Now()
-		r.mu.Lock()
-		for _, n := range nodes {
-			if n.Value != nil {
-				r.table.Told(now, *n.Value)
-			}
-		}
-		r.mu.Unlock()
-		return
-	}
+// enter changes the state of this process, and has the neighbours told.
+func (r *Router) enter(s peer.State) {
+	r.learn(func(now time.Time) {
+		self := r.table.Self()
+		self.State = s
+		r.table.Tell(now, self)
+	})
 }
 
 // Reload takes over new settings: the addresses of routers to begin with, and bounds.
@@ -251,16 +215,14 @@
 func (r *Router) Self() peer.Info {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.self
+	return r.table.Self()
 }
 
 // Leave tells the others that this process stops.
 func (r *Router) Leave(ctx context.Context) {
-	r.mu.Lock()
-	r.self.State = peer.StateLeaving
-	r.mu.Unlock()
+	r.enter(peer.StateLeaving)
 	var w sync.WaitGroup
-	r.greet(ctx, &w, func(peer.Info, int) bool { return true })
+	r.greet(ctx, &w)
 	w.Wait()
 }
 
@@ -272,8 +234,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
-	if r.self.State == peer.StateReady {
-		out = append(out, r.self.Callers)
+	if self := r.table.Self(); self.State == peer.StateReady {
+		out = append(out, self.Callers)
 	}
 	for _, n := range r.table.Live(now, vm.RoleRouter) {
 		if n.State == peer.StateReady {
@@ -283,10 +245,3 @@
 	slices.Sort(out)
 	return out
 }
-
-func addressOf(i *upstream.Instance) string {
-	if i == nil {
-		return ""
-	}
-	return i.Address
-}
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -14,55 +14,59 @@
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/watch"
+
+	"github.com/rs/zerolog"
 )
 
-// restMost bounds a rest between two looks at whether a feed is to be read: the choice of the reader
-// changes as routers come and go.
-const restMost = 200 * time.Millisecond
+const (
+	// restMost bounds a rest between two looks at whether a feed is to be read: the choice of the reader
+	// changes as routers come and go.
+	restMost = 200 * time.Millisecond
+	// askTime bounds a question for what another router knows. Whole catalogs are large, and links slow.
+	askTime = 1200 * time.Millisecond
+	// behindMost is how long a router that knows less than others asks them, before it reads the store itself.
+	behindMost = 600 * time.Millisecond
+)
 
-// follower keeps what is known of one feed up to date. It reads the store when that is this router's turn.
+// follower keeps what is known of one feed up to date. It reads the store when that is this router's turn, and asks
+// other routers that know more.
 type follower[T any] struct {
 	// name is what the feed is called in logs and in the choice of its reader.
-	name  string
-	feed  services.Feed[T]
-	calls calls
+	name string
+	feed services.Feed[T]
 	// mark returns how far the feed is known, and take takes in more of it.
 	mark func() knowledge.Mark
 	take func(p knowledge.Part[T]) knowledge.Fit
+	// ask asks the router at an address for what is not known here.
+	ask func(ctx context.Context, address string) (knowledge.Part[T], error)
 	// mine reports whether this router reads the feed for all.
 	mine func(now time.Time) bool
-	// tell passes on to the other routers what was read.
-	tell func(p knowledge.Part[T])
+	// spread has the other routers told that more is known here.
+	spread func()
 	// note gets the outcome of each read.
-	note func(err error)
-	wake chan struct{}
+	note   func(err error)
+	logger zerolog.Logger
+	wake   chan struct{}
+	// ahead takes the address of a router that knows more.
+	ahead chan string
 
-	mu       sync.Mutex
-	times    watch.Times
-	behind   bool
+	mu      sync.Mutex
+	times   watch.Times
+	patient time.Time
+	// most is the furthest that another router is known to know the feed, and behind since when that is further than here;
+	// zero if it is not.
+	most     services.Offset
+	behind   time.Time
 	trimmed  bool
 	failures int
 	tried    time.Time
 }
 
-// calls holds the methods by which routers tell each other of a feed.
-type calls struct {
-	// news takes in a stretch that another router has read, and whole returns all that is known.
-	news, whole string
-}
-
-// newFollower returns the follower of one of a router's feeds. Mark and take are still to be set.
-func newFollower[T any](r *Router, name string, feed services.Feed[T], c calls) *follower[T] {
-	return &follower[T]{
-		name: name, feed: feed, calls: c, wake: make(chan struct{}, 1),
-		mine: func(now time.Time) bool { return r.reads(now, name) },
-		tell: func(p knowledge.Part[T]) { tell(r, c.news, p) },
-		note: func(err error) { r.noteOutage(name, err) },
-	}
-}
-
 // run follows the feed until ctx ends.
 func (f *follower[T]) run(ctx context.Context) {
+	var w sync.WaitGroup
+	defer w.Wait()
+	w.Go(func() { f.askAhead(ctx) })
 	for ctx.Err() == nil {
 		now := time.Now()
 		reading, times := f.reading(now)
@@ -85,12 +89,22 @@
 	f.times = t
 }
 
+// wait has the first read put off until a time, so that other routers can be asked instead.
+func (f *follower[T]) wait(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.patient = until
+}
+
 func (f *follower[T]) reading(now time.Time) (watch.Reading, watch.Times) {
 	mark := f.mark()
 	mine := f.mine(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return watch.Reading{Known: mark.Known(), AsOf: mark.AsOf, Mine: mine, Behind: f.behind || f.trimmed, Failures: f.failures, Tried: f.tried}, f.times
+	behind := !f.behind.IsZero() && now.Sub(f.behind) > behindMost
+	return watch.Reading{
+		Known: mark.Known(), AsOf: mark.AsOf, Mine: mine, Behind: behind || f.trimmed, Patient: f.patient, Failures: f.failures, Tried: f.tried,
+	}, f.times
 }
 
 func (f *follower[T]) rest(ctx context.Context, d time.Duration) {
@@ -127,9 +141,7 @@
 		sleep.For(ctx, time.Duration(rand.Int64N(int64(failureSpread)))) //nolint:gosec // no secret
 		return
 	}
-	if f.take(p) == knowledge.FitNews && len(p.Changes) > 0 && !whole {
-		f.tell(p)
-	}
+	f.learn(p)
 }
 
 // failureSpread bounds the pause by chance after a read that failed.
@@ -144,21 +156,95 @@
 		f.tried = time.Now()
 		return
 	}
-	f.failures, f.trimmed, f.behind = 0, trimmed, false
+	f.failures, f.trimmed = 0, trimmed
+}
+
+// learn takes in a part of the feed, and has others told if it is news.
+func (f *follower[T]) learn(p knowledge.Part[T]) knowledge.Fit {
+	before := f.mark()
+	fit := f.take(p)
+	after := f.mark()
+	f.mu.Lock()
+	if after.Next >= f.most {
+		f.behind = time.Time{}
+	}
+	f.mu.Unlock()
+	if after.Next != before.Next || !before.Known() {
+		f.spread()
+	}
+	return fit
+}
+
+// confirmed takes in how far a router knows the feed that has answered a greeting sent at a time.
+func (f *follower[T]) confirmed(sent time.Time, address string, theirs Extent) {
+	if !theirs.Known {
+		return
+	}
+	f.take(knowledge.Part[T]{From: theirs.Next, Next: theirs.Next, AsOf: theirs.asOf(sent)})
+	f.told(address, theirs)
 }
 
-// hear takes in what another router has read.
-func (f *follower[T]) hear(p knowledge.Part[T]) {
-	if f.take(p) == knowledge.FitGap {
-		f.miss()
+// told notes how far a router knows the feed, and asks it if that is further than here.
+func (f *follower[T]) told(address string, theirs Extent) {
+	if !theirs.Known || !f.fallBehind(theirs.Next) || address == "" {
+		return
+	}
+	select {
+	case f.ahead <- address:
+	default: // another one is about to be asked
 	}
 }
 
-// miss notes that another router knows more than what is known here.
-func (f *follower[T]) miss() {
+// fallBehind notes that the feed goes on up to an offset, and reports whether it is not known here so far.
+func (f *follower[T]) fallBehind(next services.Offset) bool {
 	f.mu.Lock()
-	f.behind = true
+	defer f.mu.Unlock()
+	if mark := f.mark(); mark.Known() && next <= mark.Next {
+		return false
+	}
+	f.most = max(f.most, next)
+	if f.behind.IsZero() {
+		f.behind = time.Now()
+	}
+	return true
+}
+
+// askAhead asks routers that know more, one after the other, until ctx ends.
+func (f *follower[T]) askAhead(ctx context.Context) {
+	for {
+		select {
+		case address := <-f.ahead:
+			f.askOne(ctx, address)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askOne asks a router for what is not known here.
+func (f *follower[T]) askOne(ctx context.Context, address string) {
+	f.mu.Lock()
+	behind := !f.behind.IsZero()
 	f.mu.Unlock()
+	if !behind {
+		return // it has become known meanwhile
+	}
+	cctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	asked := time.Now()
+	p, err := f.ask(cctx, address)
+	if err != nil {
+		f.logger.Warn().Str("feed", f.name).Str("from", address).Err(err).Msg("feed-not-told")
+		return
+	}
+	fit := f.learn(p)
+	f.logger.Info().Str("feed", f.name).Str("from", address).Uint64("next", uint64(p.Next)).Int64("age_ms", asked.Sub(p.AsOf).Milliseconds()).
+		Bool("whole", p.Whole).Int("records", len(p.Changes)).Str("fit", string(fit)).Msg("feed-told")
+	f.stir()
+}
+
+// stir has the feed looked at now.
+func (f *follower[T]) stir() {
 	select {
 	case f.wake <- struct{}{}:
 	default: // it is awake
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -5,153 +5,194 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
-	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
-// greetAll greets the other routers again and again. One that does not answer holds up nobody: a greeting
-// ends before the next is due.
+const (
+	// greetEvery is the time between two greetings of a neighbour.
+	greetEvery = 400 * time.Millisecond
+	// seekEvery is the same while no other router is heard: a router that starts knows no addresses but the seeds', which
+	// may be starting too.
+	seekEvery = 100 * time.Millisecond
+	// greetGap is the time between two rounds of greetings that something new has set off: news that come in quick
+	// succession travel together.
+	greetGap = 50 * time.Millisecond
+	// greetTime bounds a greeting.
+	greetTime = 350 * time.Millisecond
+)
+
+// greetAll greets the neighbours again and again, and as soon as there is something new to tell.
 func (r *Router) greetAll(ctx context.Context) {
 	var w sync.WaitGroup
 	defer w.Wait()
-	for round := 0; ctx.Err() == nil; round++ {
-		r.greet(ctx, &w, func(n peer.Info, known int) bool { return greets(r.opts.Self, n, known, round) })
-		r.opts.Relay.Sweep(time.Now())
-		sleep.For(ctx, greetEvery)
+	for ctx.Err() == nil {
+		begun := time.Now()
+		r.greet(ctx, &w)
+		r.opts.Relay.Sweep(begun)
+		r.rest(ctx, begun)
 	}
 }
 
-// manyRouters is the number of routers from which on those in different data centres greet each other in turn, in every
-// second round only. Greetings grow with the square of their number: of 32 routers they were two thirds of all
-// bytes between data centres, which are paid for.
-const manyRouters = 12
+// rest waits until the next round of greetings is due.
+func (r *Router) rest(ctx context.Context, begun time.Time) {
+	r.mu.Lock()
+	pause := greetEvery
+	if r.table.Alone(begun) {
+		pause = seekEvery
+	}
+	r.mu.Unlock()
+	due := time.NewTimer(pause)
+	defer due.Stop()
+	select {
+	case <-r.news:
+	case <-due.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	gap := time.NewTimer(greetGap - time.Since(begun))
+	defer gap.Stop()
+	select {
+	case <-gap.C:
+	case <-ctx.Done():
+	}
+}
 
-// greets reports whether a router greets another one in a round. A greeting tells both sides that the other lives, so two that
-// greet in turn hear of each other as often as before.
-func greets(self, other peer.Info, known, round int) bool {
-	if known < manyRouters || self.DataCentre == other.DataCentre {
-		return true
+// spread has the neighbours greeted soon, because something is new here.
+func (r *Router) spread() {
+	select {
+	case r.news <- struct{}{}:
+	default: // a round is due already
 	}
-	return (round%2 == 0) == (self.Name < other.Name)
 }
 
-// greet begins to greet the other routers that are chosen.
-func (r *Router) greet(ctx context.Context, w *sync.WaitGroup, chosen func(n peer.Info, known int) bool) {
+// greet begins to greet the neighbours. A router that hears nobody greets the seeds and those that are registered.
+func (r *Router) greet(ctx context.Context, w *sync.WaitGroup) {
 	now := time.Now()
 	r.mu.Lock()
-	known := r.table.Known(now, vm.RoleRouter)
-	r.opts.Relay.Routers(1 + len(r.table.Live(now, vm.RoleRouter)))
-	seeds := r.opts.Seeds
+	r.tell(now)
+	r.table.Sweep(now)
+	targets := r.table.Targets(now, rand.IntN)
+	targets = append(targets, r.contacts(r.table.Alone(now))...)
+	live := len(r.table.Live(now, vm.RoleRouter))
 	r.mu.Unlock()
-	to := map[string]bool{}
-	for _, n := range known {
-		if chosen(n, len(known)) {
-			to[n.Address] = true
+	r.opts.Relay.Routers(1 + live)
+	for _, to := range targets {
+		if to.Address != r.opts.Self.Address && r.begin(to.Address) {
+			w.Go(func() {
+				defer r.end(to.Address)
+				r.greetOne(ctx, to)
+			})
 		}
 	}
-	if len(known) == 0 {
-		for _, s := range seeds {
-			to[s] = true
+}
+
+// tell notes what is new about this process itself. The caller holds the lock.
+func (r *Router) tell(now time.Time) {
+	self := r.table.Self()
+	self.StoreLost = r.catalogs.failing() || r.upstreams.failing()
+	r.table.Tell(now, self)
+}
+
+// contactsAtOnce bounds the registered routers that are greeted in a round although nothing was heard of them.
+const contactsAtOnce = 4
+
+// contacts returns some routers that are registered and of which nothing was heard. A router that is alone greets all that
+// are registered, some at a time, and the seeds. The caller holds the lock.
+func (r *Router) contacts(alone bool) []peer.Target {
+	if alone && len(r.strangers) == 0 {
+		r.strangers = slices.Clone(r.registered)
+	}
+	var out []peer.Target
+	n := min(contactsAtOnce, len(r.strangers))
+	for _, address := range r.strangers[:n] {
+		out = append(out, peer.Target{Address: address})
+	}
+	r.strangers = r.strangers[n:]
+	if alone {
+		for _, address := range r.opts.Seeds {
+			out = append(out, peer.Target{Address: address})
 		}
 	}
-	delete(to, r.opts.Self.Address)
-	hello, _ := r.hello(now)
-	for address := range to {
-		w.Go(func() { r.greetOne(ctx, address, hello) })
+	return out
+}
+
+// begin notes that an address is being greeted, unless it is already: one that does not answer is not greeted twice at a time.
+func (r *Router) begin(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.greeting[address] {
+		return false
 	}
+	r.greeting[address] = true
+	return true
 }
 
-func (r *Router) greetOne(ctx context.Context, address string, hello Hello) {
+func (r *Router) end(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.greeting, address)
+}
+
+func (r *Router) greetOne(ctx context.Context, to peer.Target) {
 	cctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
 	sent := time.Now()
 	var reply Hello
-	if err := r.opts.Pool.Call(cctx, address, "Router.Greet", hello, &reply); err != nil {
-		r.opts.Logger.Debug().Str("address", address).Err(err).Msg("router-silent")
+	if err := r.opts.Pool.Call(cctx, to.Address, "Router.Greet", r.hello(sent, to.Name), &reply); err != nil {
+		r.silent(to, err)
 		return
 	}
-	r.heard(reply)
-	compare(ctx, r, r.catalogs, sent, address, reply.Catalogs)
-	compare(ctx, r, r.upstreams, sent, address, reply.Upstreams)
+	r.heard(time.Now(), reply)
+	r.catalogs.confirmed(sent, to.Address, reply.Catalogs)
+	r.upstreams.confirmed(sent, to.Address, reply.Upstreams)
+}
+
+// silent notes that a router has not answered.
+func (r *Router) silent(to peer.Target, err error) {
+	r.opts.Logger.Debug().Str("address", to.Address).Err(err).Msg("router-silent")
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.learn(func(now time.Time) { r.table.Failed(now, to.Name) })
+	}
 }
 
-// hello returns what this process says when it greets, and the other routers that it has heard lately.
-func (r *Router) hello(now time.Time) (Hello, []peer.Info) {
-	h := Hello{From: r.Self()}
-	h.From.StoreLost = r.catalogs.failing() || r.upstreams.failing()
+// hello returns what this process says to a router, whose name is empty if only its address is known.
+func (r *Router) hello(now time.Time, to string) Hello {
+	var h Hello
 	r.opts.Relay.Know(func(s *knowledge.State) {
 		h.Catalogs, h.Upstreams = extent(now, s.Catalogs()), extent(now, s.Upstreams())
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	routers := r.table.Live(now, vm.RoleRouter)
-	h.Digest = peer.Digest(append(routers[:len(routers):len(routers)], h.From))
-	return h, routers
+	h.Greeting = r.table.Greeting(to)
+	return h
 }
 
-// heard takes in what another router says.
-func (r *Router) heard(h Hello) {
-	now := time.Now()
+// heard takes in what another router says, and returns its address; empty if that is not known yet.
+func (r *Router) heard(now time.Time, h Hello) string {
+	r.learn(func(time.Time) { r.table.Take(now, h.Greeting) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Heard(now, h.From)
-	for _, n := range h.Routers {
-		r.table.Told(now, n)
-	}
-}
-
-// compare compares what is known of a feed with what another router knows. If that is more, it takes care that
-// it is soon known here: from the store, or from that router while the store cannot be read. Ages count from
-// before the question was sent.
-func compare[T any](ctx context.Context, r *Router, f *follower[T], sent time.Time, address string, theirs Extent) {
-	if !theirs.Known {
-		return
-	}
-	end := knowledge.Part[T]{From: theirs.Next, Next: theirs.Next, AsOf: sent.Add(-theirs.Age)}
-	if f.take(end) != knowledge.FitGap {
-		return
-	}
-	if f.mark().Known() && !f.failing() {
-		f.miss()
-		return
-	}
-	cctx, cancel := context.WithTimeout(ctx, greetTime)
-	defer cancel()
-	asked := time.Now()
-	var w Whole[T]
-	if err := r.opts.Pool.Call(cctx, address, f.calls.whole, Nothing{}, &w); err != nil {
-		r.opts.Logger.Warn().Str("from", address).Str("feed", f.name).Err(err).Msg("borrow-failed")
-		return
-	}
-	if !w.Extent.Known {
-		return
-	}
-	fit := f.take(w.part(asked))
-	r.opts.Logger.Info().Str("from", address).Str("feed", f.name).Uint64("next", uint64(w.Extent.Next)).Int64("age_ms", w.Extent.Age.Milliseconds()).
-		Int("records", len(w.Changes)).Str("fit", string(fit)).Msg("borrowed")
+	return r.table.Address(h.Greeting.From)
 }
 
-// tell tells the other routers what was read of a feed.
-func tell[T any](r *Router, method string, p knowledge.Part[T]) {
-	now := time.Now()
+// learn changes what is known of the other routers, and has the neighbours told what is new.
+func (r *Router) learn(change func(now time.Time)) {
 	r.mu.Lock()
-	live := r.table.Live(now, vm.RoleRouter)
+	before := r.table.Position()
+	change(time.Now())
+	changed := r.table.Position() != before
 	r.mu.Unlock()
-	news := News[T]{From: p.From, Next: p.Next, Changes: p.Changes}
-	for _, n := range live {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), greetTime)
-			defer cancel()
-			var reply Nothing
-			if err := r.opts.Pool.Call(ctx, n.Address, method, news, &reply); err != nil {
-				// The next greeting shows the other router that it has missed something.
-				r.opts.Logger.Debug().Str("address", n.Address).Str("call", method).Err(err).Msg("router-silent")
-			}
-		}()
+	if changed {
+		r.spread()
 	}
 }
--- /dev/null
+++ b/services/entry/news.go
@@ -0,0 +1,121 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/knowledge"
+)
+
+// askCatalogs asks another router for the newest catalog.
+func (r *Router) askCatalogs(ctx context.Context, address string) (knowledge.Part[catalog.Catalog], error) {
+	var base *catalog.Catalog
+	since := Since{}
+	r.opts.Relay.Know(func(s *knowledge.State) {
+		if s.Index() != nil {
+			base = s.Index().Catalog
+			since = Since{Known: s.Catalogs().Known(), Next: s.Catalogs().Next, Version: base.Version}
+		}
+	})
+	asked := time.Now()
+	var n CatalogNews
+	p := knowledge.Part[catalog.Catalog]{Whole: true}
+	if err := r.opts.Pool.Call(ctx, address, "Router.Catalogs", since, &n); err != nil {
+		return p, fmt.Errorf("ask for catalogs: %w", err)
+	}
+	p.Next, p.AsOf = n.Extent.Next, n.Extent.asOf(asked)
+	newest := n.Whole
+	if n.Change != nil {
+		changed, ok := base.Changed(n.Change)
+		if !ok {
+			return p, fmt.Errorf("change of catalog %d was told, catalog %d is known", n.Change.Base, base.Version)
+		}
+		newest = changed
+	}
+	if newest != nil {
+		p.Changes = []services.Change[catalog.Catalog]{{Value: newest}}
+	}
+	return p, nil
+}
+
+// askUpstreams asks another router for the upstreams.
+func (r *Router) askUpstreams(ctx context.Context, address string) (knowledge.Part[upstream.Instance], error) {
+	mark := r.upstreams.mark()
+	asked := time.Now()
+	var n UpstreamNews
+	if err := r.opts.Pool.Call(ctx, address, "Router.Upstreams", Since{Known: mark.Known(), Next: mark.Next}, &n); err != nil {
+		return knowledge.Part[upstream.Instance]{}, fmt.Errorf("ask for upstreams: %w", err)
+	}
+	return knowledge.Part[upstream.Instance]{Whole: n.Whole, From: mark.Next, Next: n.Extent.Next, AsOf: n.Extent.asOf(asked), Changes: n.Changes}, nil
+}
+
+func (r *Router) takeCatalogs(p knowledge.Part[catalog.Catalog]) knowledge.Fit {
+	var fit knowledge.Fit
+	var before, after *catalog.Index
+	r.opts.Relay.Know(func(s *knowledge.State) {
+		before = s.Index()
+		fit = s.TakeCatalogs(p)
+		after = s.Index()
+	})
+	if before != after {
+		r.opts.Logger.Info().Uint64("version", uint64(after.Version)).Int("routes", len(after.Routes)).Uint64("offset", uint64(p.Next)).
+			Int64("age_ms", time.Since(p.AsOf).Milliseconds()).Msg("catalog-taken")
+	}
+	r.becomeReady()
+	return fit
+}
+
+func (r *Router) takeUpstreams(p knowledge.Part[upstream.Instance]) knowledge.Fit {
+	var fit knowledge.Fit
+	r.opts.Relay.Know(func(s *knowledge.State) { fit = s.TakeUpstreams(time.Now(), p) })
+	if fit == knowledge.FitNews {
+		r.noteUpstreams(p)
+	}
+	r.becomeReady()
+	return fit
+}
+
+// fewListed is the number of changes of upstreams up to which each has a line of its own.
+const fewListed = 8
+
+// noteUpstreams logs what has become known of upstreams: each, or how many if there are many.
+func (r *Router) noteUpstreams(p knowledge.Part[upstream.Instance]) {
+	age := time.Since(p.AsOf).Milliseconds()
+	if len(p.Changes) > fewListed {
+		counts := map[upstream.State]int{}
+		for _, c := range p.Changes {
+			counts[stateOf(c.Value)]++
+		}
+		r.opts.Logger.Info().Bool("whole", p.Whole).Uint64("offset", uint64(p.Next)).Int64("age_ms", age).Int("ready", counts[upstream.StateReady]).
+			Int("leaving", counts[upstream.StateLeaving]).Int("gone", counts[stateGone]).Msg("upstreams-listed")
+		return
+	}
+	for _, c := range p.Changes {
+		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", string(stateOf(c.Value))).Bool("whole", p.Whole).
+			Uint64("offset", uint64(p.Next)).Int64("age_ms", age).Str("address", addressOf(c.Value)).Msg("upstream-listed")
+	}
+}
+
+// stateGone stands in logs for an upstream whose entry has gone.
+const stateGone upstream.State = "gone"
+
+func stateOf(i *upstream.Instance) upstream.State {
+	if i == nil {
+		return stateGone
+	}
+	return i.State
+}
+
+func addressOf(i *upstream.Instance) string {
+	if i == nil {
+		return ""
+	}
+	return i.Address
+}
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -22,6 +22,12 @@
 	lapseMost = 1500 * time.Millisecond
 	// lapsePart is the part of the time in which a leaving upstream still serves that is used at most.
 	lapsePart = 0.75
+	// keptCatalogs is the number of catalogs that are kept to tell others what has changed: the one in force, and those
+	// that routers some hops behind may have while operators make changes in quick succession.
+	keptCatalogs = 4
+	// keptChanges is the number of changes of upstreams that are kept for the same purpose. One of 129 ranks that start
+	// anew makes two.
+	keptChanges = 512
 )
 
 type entry struct {
@@ -35,6 +41,11 @@
 // State is a router's knowledge. It does no I/O and reads no clock.
 type State struct {
 	index *catalog.Index
+	// past holds the latest catalogs, the one in force last.
+	past []*catalog.Catalog
+	// recent holds the latest changes of upstreams without a gap: those from offset recentFrom on.
+	recent     []services.Change[upstream.Instance]
+	recentFrom services.Offset
 	// catalogs and upstreams tell how far the two feeds are known.
 	catalogs, upstreams Mark
 	ups                 map[upstream.ID]*entry
@@ -68,11 +79,22 @@
 	for _, c := range p.Changes {
 		if c.Value != nil && (s.index == nil || c.Value.Version > s.index.Version) {
 			s.index = catalog.NewIndex(c.Value)
+			s.past = append(s.past[max(0, len(s.past)+1-keptCatalogs):], c.Value)
 		}
 	}
 	return fit
 }
 
+// CatalogSince returns how the catalog in force differs from an earlier version; false if that is not kept.
+func (s *State) CatalogSince(v catalog.Version) (catalog.Change, bool) {
+	for _, c := range s.past {
+		if c.Version == v {
+			return s.index.ChangeFrom(c)
+		}
+	}
+	return catalog.Change{}, false
+}
+
 // Index returns the catalog in force, or nil.
 func (s *State) Index() *catalog.Index { return s.index }
 
@@ -88,6 +110,7 @@
 	if fit != FitNews {
 		return fit
 	}
+	s.remember(p)
 	listed := map[upstream.ID]bool{}
 	for _, c := range p.Changes {
 		id := upstream.ID(c.Key)
@@ -109,6 +132,28 @@
 	return fit
 }
 
+// remember keeps a part of the feed of upstreams, so that others can be told what has changed.
+func (s *State) remember(p Part[upstream.Instance]) {
+	if p.Whole || len(p.Changes) > keptChanges {
+		s.recent, s.recentFrom = nil, p.Next
+		return
+	}
+	s.recent = append(s.recent, p.Changes...)
+	if over := len(s.recent) - keptChanges; over > 0 {
+		s.recent = s.recent[over:]
+		s.recentFrom = s.recent[0].At
+	}
+}
+
+// UpstreamsSince returns the changes of upstreams from an offset on, which lead to the mark; false if they are not kept.
+func (s *State) UpstreamsSince(from services.Offset) ([]services.Change[upstream.Instance], bool) {
+	if !s.upstreams.Known() || from < s.recentFrom || from > s.upstreams.Next {
+		return nil, false
+	}
+	i, _ := slices.BinarySearchFunc(s.recent, from, func(c services.Change[upstream.Instance], at services.Offset) int { return cmp.Compare(c.At, at) })
+	return slices.Clone(s.recent[i:]), true
+}
+
 // Upstreams tells how far the feed of upstreams is known.
 func (s *State) Upstreams() Mark { return s.upstreams }
 
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -1,16 +1,14 @@
 // Copyright 2026 The Fawnwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package peer keeps track of the other fawnwinch processes of a deployment: each registers once in
-// the platform's store, and after that the processes tell each other.
+// Package peer keeps track of the other routers of a deployment. Each router greets a few others, and what one of
+// them learns spreads from neighbour to neighbour: greetings, connections and processor time of a router grow with
+// the logarithm of the number of routers, and not with the number.
 package peer
 
 import (
+	"cmp"
 	"fmt"
-	"slices"
-	"strconv"
-	"strings"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
 
@@ -48,76 +46,31 @@
 	StoreLost bool `json:"store_lost,omitempty"`
 }
 
-const (
-	// silentAfter is how long a process may be silent before others act as if it were gone. One greeting in
-	// either direction may be lost, two may not.
-	silentAfter = 1050 * time.Millisecond
-	// forgetAfter is how long a silent process is still greeted.
-	forgetAfter = 60 * time.Second
-)
-
-type entry struct {
-	info  Info
-	heard time.Time
-	// told is the time at which anyone last named the process.
-	told time.Time
-}
-
-// Table holds the processes that one process knows. It does no I/O and reads no clock.
-type Table struct {
-	self  string
-	nodes map[string]*entry
-}
-
-// NewTable returns the table of a process, which is not in it itself.
-func NewTable(self string) *Table { return &Table{self: self, nodes: map[string]*entry{}} }
-
-// Heard takes in what a process says of itself.
-func (t *Table) Heard(now time.Time, i Info) {
-	if i.Name == t.self {
-		return
-	}
-	t.nodes[i.Name] = &entry{info: i, heard: now, told: now}
-}
-
-// Told takes in what the store or another process says about a process. Its own word goes before.
-func (t *Table) Told(now time.Time, i Info) {
-	if i.Name == t.self {
-		return
-	}
-	e, ok := t.nodes[i.Name]
-	if ok && (now.Sub(e.heard) < silentAfter || e.info.Address == i.Address) {
-		return
-	}
-	t.nodes[i.Name] = &entry{info: i, told: now}
-}
-
-// Live returns the processes of a role that were heard lately, sorted by name.
-func (t *Table) Live(now time.Time, role vm.Role) []Info {
-	return t.list(func(e *entry) bool { return e.info.Role == role && now.Sub(e.heard) < silentAfter })
+// Stamp orders what is said of a process: a later start goes before an earlier one, and a later revision of the same
+// start before an earlier. Only the process itself takes a new stamp.
+type Stamp struct {
+	// Start is the time of the start, in nanoseconds by the process's own clock. A process that finds a later one
+	// under its name, as its clock was set back, goes on from that.
+	Start uint64
+	// Revision counts what the process has told of itself since.
+	Revision uint64
 }
 
-// Known returns all processes of a role that may still be there, sorted by name.
-func (t *Table) Known(now time.Time, role vm.Role) []Info {
-	return t.list(func(e *entry) bool { return e.info.Role == role && now.Sub(e.told) < forgetAfter })
+// Compare returns -1, 0 or 1 as s is older than o, the same or newer.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Start, o.Start), cmp.Compare(s.Revision, o.Revision))
 }
 
-// Digest returns a number that differs when the processes do; their order does not matter.
-func Digest(infos []Info) uint64 {
-	var sum uint64
-	for _, i := range infos {
-		sum += xxhash.Sum64String(fmt.Sprintf("%q", []string{i.Name, string(i.Role), i.Address, i.Callers, string(i.State), strconv.FormatBool(i.StoreLost)}))
-	}
-	return sum
+// Word is what is said of a process.
+type Word struct {
+	Info  Info
+	Stamp Stamp
+	// Silent says that a neighbour of the process has not heard it for a while. The process takes a new stamp if it
+	// learns of that.
+	Silent bool
 }
 
-func (t *Table) list(keep func(*entry) bool) []Info {
-	var out []Info
-	for _, e := range t.nodes {
-		if keep(e) {
-			out = append(out, e.info)
-		}
-	}
-	slices.SortFunc(out, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
-	return out
+// hash returns a number for the name and the stamp of a process. Words with the same number are the same.
+func (w *Word) hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %d %d", w.Info.Name, w.Stamp.Start, w.Stamp.Revision))
 }
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -33,8 +33,8 @@
 type Store interface {
 	// Claim adds a record to the log of coordinators and returns its place, which no other claim has.
 	Claim(ctx context.Context, group, name string) (services.Offset, error)
-	// PutNode registers this process.
-	PutNode(ctx context.Context, i peer.Info) error
+	// PutNodes registers processes.
+	PutNodes(ctx context.Context, nodes []peer.Info) error
 	// Nodes lists the processes that have registered.
 	Nodes() services.Feed[peer.Info]
 	// Catalogs gives the figures of the engines.
@@ -228,7 +228,7 @@
 func (a *Agent) register(ctx context.Context) bool {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	if err := a.opts.Store.PutNode(cctx, a.opts.Self); err != nil {
+	if err := a.opts.Store.PutNodes(cctx, []peer.Info{a.opts.Self}); err != nil {
 		a.opts.Logger.Warn().Err(err).Msg("registration-failed")
 		return false
 	}
--- a/services/watch/watch.go
+++ b/services/watch/watch.go
@@ -59,8 +59,10 @@
 	AsOf time.Time
 	// Mine says that this router reads the feed for the others.
 	Mine bool
-	// Behind says that another router knows more.
+	// Behind says that other routers have known more for a while.
 	Behind bool
+	// Patient is the time up to which a router that has just started waits to be told by others.
+	Patient time.Time
 	// Failures counts the reads that failed since the last that did not, and Tried is the end of the latest.
 	Failures int
 	Tried    time.Time
@@ -72,6 +74,8 @@
 	switch {
 	case r.Failures > 0:
 		return r.Tried.Add(pause(r.Failures))
+	case now.Before(r.Patient) && !r.Known:
+		return r.Patient
 	case !r.Known, r.Mine, r.Behind:
 		return now
 	default:
