One coordinator at any size: claims follow on the latest, and agents ask others first

Cause: on the full size of the large deployment 78 claims were made in the 11 s before traffic. Agents stood up 120 ms a rank after 700 ms of silence, whatever the time of a look, and each claim deposed whoever led; a look at 128 agents from a quarter of a core took 0.6 to 2 s.

Ruled out: longer constants (a dead coordinator of a small group is then missed for as long); a lease in the store (calls are paid for); agents that vote (what is agreed belongs into the log, and one append is enough).

Change: - services/election: when an agent stands up. A coordinator tells its lease, six times the time of its looks; the three ranks after the latest coordinator stand up first. platform: a claim is added only at the end of the log that the claimer knows. - services/rank: an agent asks three others before it claims, does not claim when it reaches nobody, and asks the one that claimed before it. Of more than 32 agents a coordinator speaks to one in each of about sqrt(n) parts, for loads and for orders; an agent that does not answer for its part is replaced at the next look. A look waits only for parts that answered in time before, and the group is not looked at while it is held. - Agents that a coordinator asks do not register; at the first start of a deployment all do at once.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -154,7 +154,7 @@
 		return e
 	}
 	self := n.self(vm.RoleAgent)
-	a := rank.New(time.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Dial: dial, Logger: logger})
+	a := rank.New(time.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Bootstrap: n.set.Bootstrap, Dial: dial, Logger: logger})
 	server := rpc.NewServer(l)
 	if err := server.Register("Rank", rank.NewAPI(a)); err != nil {
 		return wrap(err, "agent")
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -23,6 +23,8 @@
 	Peers string
 	// Seeds are Peers addresses of a few routers. They may be stale.
 	Seeds []string
+	// Bootstrap says that the whole deployment starts for the first time.
+	Bootstrap bool
 	// Engine is the address of the model engine beside an agent, and EngineService its service.
 	Engine, EngineService string
 	// Store is the address of the metadata store; StoreReads and StoreWrites are the calls a second that it
--- /dev/null
+++ b/services/election/election.go
@@ -0,0 +1,141 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package election decides when an agent of a model group stands up to coordinate it.
+//
+// Who coordinates claims that in the platform's log, with a record that is added only if no other was added since the
+// latest claim that the agent knows of: of several that stand up at once one gets through. It tells all agents that it
+// leads, and for how long it may be silent, which follows from how long it takes to ask them all. An agent that hears
+// nobody for longer asks others first; only if they hear nobody either does it claim.
+package election
+
+import (
+	"time"
+)
+
+// Authority numbers the claims to coordinate a group, from 1. It is the end of the stream of claims after the claim.
+type Authority uint64
+
+// Lead is what a coordinator tells the agents of its group.
+type Lead struct {
+	Authority Authority
+	// Rank is that beside the coordinator.
+	Rank int
+	// Lease is how long the coordinator may be silent before another agent stands up.
+	Lease time.Duration
+}
+
+const (
+	// firstSilence is how long an agent that has just started waits to be told of a coordinator. One that leads asks it
+	// within a few looks; after a loss of power nobody does, and the group must be led within a second.
+	firstSilence = 300 * time.Millisecond
+	// turn is what each of the first ranks waits longer than the one before: about the time in which one that has claimed
+	// is heard by others, so that these need not ask for themselves.
+	turn = 150 * time.Millisecond
+	// firstTurns is the number of ranks that have a turn of their own. All others follow after lateTurn each: more than the
+	// first are missing then, or cut off from the store, and many that ask at once would cost calls of the store.
+	firstTurns = 3
+	lateTurn   = 30 * time.Millisecond
+	// firstPause is the pause after a try that failed, and longestPause the one that it doubles up to. Calls of a store
+	// that is away are paid for too.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// Candidate is an agent's part in the election of its group's coordinator. It does no I/O and reads no clock.
+type Candidate struct {
+	rank, size int
+	// lead is the highest that was heard, and claimed the highest authority that is known to be claimed.
+	lead    Lead
+	claimed Authority
+	// heard is when lead was last heard; at first the start of the agent.
+	heard time.Time
+	// pause is that after the latest try that failed, and resting its end.
+	pause   time.Duration
+	resting time.Time
+}
+
+// New returns the part of an agent that has just started.
+func New(now time.Time) *Candidate { return &Candidate{heard: now} }
+
+// Place notes the rank beside the agent and the size of its group.
+func (c *Candidate) Place(rank, size int) { c.rank, c.size = rank, size }
+
+// Hear takes in what a coordinator tells, and returns the highest authority that was heard.
+func (c *Candidate) Hear(now time.Time, l Lead) Authority {
+	if l.Authority >= c.lead.Authority {
+		c.lead, c.heard, c.pause = l, now, 0
+		c.claimed = max(c.claimed, l.Authority)
+	}
+	return c.lead.Authority
+}
+
+// Led returns the coordinator that was heard within its lease.
+func (c *Candidate) Led(now time.Time) (Lead, bool) {
+	return c.lead, c.lead.Authority > 0 && now.Sub(c.heard) <= c.lead.Lease
+}
+
+// Highest returns the highest authority that was heard.
+func (c *Candidate) Highest() Authority { return c.lead.Authority }
+
+// Claimed returns the highest authority that is known to be claimed: the next claim must follow on it.
+func (c *Candidate) Claimed() Authority { return c.claimed }
+
+// Beaten notes that another agent has claimed an authority.
+func (c *Candidate) Beaten(a Authority) { c.claimed = max(c.claimed, a) }
+
+// Due reports whether the agent should stand up: nobody was heard for long enough, and it is its turn.
+func (c *Candidate) Due(now time.Time) bool {
+	if c.size == 0 || now.Before(c.resting) {
+		return false
+	}
+	silence := firstSilence
+	if c.lead.Authority > 0 {
+		silence = c.lead.Lease
+	}
+	return now.Sub(c.heard) > silence+c.wait()
+}
+
+// wait returns what the agent waits longer than the first. The ranks that follow that of the latest coordinator are first.
+func (c *Candidate) wait() time.Duration {
+	place := c.rank
+	if c.lead.Authority > 0 {
+		place = (c.rank - c.lead.Rank - 1 + c.size) % c.size
+	}
+	if place < firstTurns {
+		return time.Duration(place) * turn
+	}
+	return firstTurns*turn + time.Duration(place-firstTurns)*lateTurn
+}
+
+// Failed notes a try that failed, because the store or the engine did not answer.
+func (c *Candidate) Failed(now time.Time) {
+	c.pause = min(max(2*c.pause, firstPause), longestPause)
+	c.resting = now.Add(c.pause)
+}
+
+// Wait notes that another agent is about to begin.
+func (c *Candidate) Wait(now time.Time) { c.resting = now.Add(turn) }
+
+// Ended notes that the agent coordinates no longer: others stand up first.
+func (c *Candidate) Ended(now time.Time) { c.heard = now }
+
+const (
+	// leaseLooks is the number of looks at all ranks that a coordinator may miss, and leastLease and mostLease bound its
+	// lease: a small group is led again within a second when its coordinator dies, and of a slow coordinator the
+	// group has more than of one that is deposed in turn.
+	leaseLooks = 6
+	leastLease = 700 * time.Millisecond
+	mostLease  = 3 * time.Second
+	// firstLease is the lease of a coordinator that has not looked at all ranks yet.
+	firstLease = time.Second
+)
+
+// Lease returns how long a coordinator may be silent that takes so long from one look at all ranks to the next; 0 if it
+// has not looked yet.
+func Lease(look time.Duration) time.Duration {
+	if look == 0 {
+		return firstLease
+	}
+	return min(max(leaseLooks*look, leastLease), mostLease)
+}
--- /dev/null
+++ b/services/election/election_test.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package election
+
+import (
+	"testing"
+	"time"
+)
+
+var begin = time.Unix(1000, 0)
+
+// TestDue checks when an agent that hears no coordinator stands up.
+func TestDue(t *testing.T) {
+	const size = 12
+	slow := Lead{Authority: 4, Rank: 5, Lease: 2 * time.Second}
+	cases := map[string]struct {
+		rank  int
+		heard *Lead
+		then  func(c *Candidate)
+		after time.Duration
+		want  bool
+	}{
+		"just started":                          {rank: 0, after: firstSilence, want: false},
+		"nobody asked since the start":          {rank: 0, after: firstSilence + 1, want: true},
+		"a later rank waits longer":             {rank: 2, after: firstSilence + 2*turn, want: false},
+		"but not for ever":                      {rank: 2, after: firstSilence + 2*turn + 1, want: true},
+		"the last waits the longest":            {rank: 11, after: firstSilence + 3*turn + 8*lateTurn, want: false},
+		"but not much longer":                   {rank: 11, after: firstSilence + 3*turn + 8*lateTurn + 1, want: true},
+		"a coordinator was heard":               {rank: 6, heard: &slow, after: slow.Lease, want: false},
+		"it was silent for more than its lease": {rank: 6, heard: &slow, after: slow.Lease + 1, want: true},
+		"the rank before it waits longer":       {rank: 4, heard: &slow, after: slow.Lease + turn, want: false},
+		"an older one is not heard":             {rank: 6, heard: &slow, then: func(c *Candidate) { c.Hear(begin.Add(time.Second), Lead{Authority: 3, Lease: time.Hour}) }, after: slow.Lease + 1, want: true},
+		"a try has failed":                      {rank: 0, then: func(c *Candidate) { c.Failed(begin) }, after: firstPause, want: false},
+		"another agent is claiming":             {rank: 0, then: func(c *Candidate) { c.Wait(begin.Add(firstSilence)) }, after: firstSilence + 1, want: false},
+		"it has coordinated until now":          {rank: 6, heard: &slow, then: func(c *Candidate) { c.Ended(begin.Add(time.Second)) }, after: slow.Lease + 1, want: false},
+		"its engine has not told the rank":      {rank: 0, then: func(c *Candidate) { c.Place(0, 0) }, after: time.Hour, want: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			candidate := New(begin)
+			candidate.Place(c.rank, size)
+			if c.heard != nil {
+				candidate.Hear(begin, *c.heard)
+			}
+			if c.then != nil {
+				c.then(candidate)
+			}
+			if got := candidate.Due(begin.Add(c.after)); got != c.want {
+				t.Errorf("stands up: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// TestClaimed checks what the next claim follows on.
+func TestClaimed(t *testing.T) {
+	c := New(begin)
+	c.Hear(begin, Lead{Authority: 3, Lease: time.Second})
+	c.Beaten(7)
+	c.Beaten(5)
+	if c.Claimed() != 7 || c.Highest() != 3 {
+		t.Errorf("claimed %d, heard %d, want 7 and 3", c.Claimed(), c.Highest())
+	}
+	if lead, led := c.Led(begin.Add(time.Second)); !led || lead.Authority != 3 {
+		t.Errorf("led by %d: %t", lead.Authority, led)
+	}
+	if _, led := c.Led(begin.Add(time.Second + 1)); led {
+		t.Error("led after the lease has run out")
+	}
+	if got := c.Hear(begin, Lead{Authority: 2}); got != 3 {
+		t.Errorf("an older coordinator is told %d, want 3", got)
+	}
+}
+
+// TestLease checks that a lease follows from how long looks take.
+func TestLease(t *testing.T) {
+	cases := map[string]struct{ look, want time.Duration }{
+		"no look yet":              {0, firstLease},
+		"a small group":            {70 * time.Millisecond, leastLease},
+		"a large group":            {200 * time.Millisecond, 1200 * time.Millisecond},
+		"a coordinator that drags": {5 * time.Second, mostLease},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := Lease(c.look); got != c.want {
+				t.Errorf("lease %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -136,6 +136,11 @@
 	return m.stage == StageArm || m.stage == StageAnnounce || m.stage == StageArmOwner
 }
 
+// Holding reports whether the group is held, or about to be, for the change.
+func (m *Machine) Holding() bool {
+	return m.stage == StageHold || m.arming() || m.stage == StageRelease
+}
+
 // Loading reports whether ranks still load experts for the change.
 func (m *Machine) Loading() bool { return m.stage == StagePrepareOwner || m.stage == StagePrepare }
 
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -12,27 +12,26 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
-	"fawnwinch.org/fawnwinch/modules/rpc"
-	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
 
 	"github.com/rs/zerolog"
 )
 
-// Authority numbers coordinators: each takes a higher one from the platform's log.
-type Authority uint64
-
 // fenceBits is the part of a fence, and of a version, that a coordinator counts up by itself.
 const fenceBits = 32
 
-// fence returns the first fence of an authority.
-func (a Authority) fence() services.Fence { return services.Fence(a) << fenceBits }
+// fenceOf returns the first fence of an authority.
+func fenceOf(a election.Authority) services.Fence { return services.Fence(a) << fenceBits }
 
 // Store is what an agent needs of the platform's store.
 type Store interface {
-	// Claim adds a record to the log of coordinators and returns its place, which no other claim has.
-	Claim(ctx context.Context, group, name string) (services.Offset, error)
+	// Claim adds a record to a group's log of coordinators if that ends at an offset. It returns where the log ends then, and
+	// whether the record was added.
+	Claim(ctx context.Context, group, name string, end services.Offset) (services.Offset, bool, error)
+	// Claimer returns the name in the last record of a log that ends at an offset; empty if it is no longer kept.
+	Claimer(ctx context.Context, group string, end services.Offset) (string, error)
 	// PutNodes registers processes.
 	PutNodes(ctx context.Context, nodes []peer.Info) error
 	// Nodes lists the processes that have registered.
@@ -41,12 +40,20 @@
 	Catalogs() services.Feed[catalog.Catalog]
 }
 
+// Caller calls methods of other processes.
+type Caller interface {
+	// Call sets reply, a pointer, to the answer of a method at an address, unless it returns an error.
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
 // Options holds what an Agent needs.
 type Options struct {
 	Self   peer.Info
 	Engine services.RankEngine
 	Store  Store
-	Pool   *rpc.Pool
+	Pool   Caller
+	// Bootstrap says that the whole deployment starts for the first time: nobody knows this process yet.
+	Bootstrap bool
 	// Dial returns a client of another rank's engine, for when its agent does not answer.
 	Dial   func(address string) services.RankEngine
 	Logger zerolog.Logger
@@ -56,22 +63,26 @@
 type Agent struct {
 	opts  Options
 	start Start
-
-	mu sync.Mutex
-	// highest is the highest authority heard of, asked the time it was last heard. Led says that one was heard.
-	highest Authority
-	asked   time.Time
-	led     bool
-	rank    int
-	group   group.ID
-	tally   tally
-	maps    preparedMaps
-	notes   services.RankNotes
+	// around is what was last read of the other processes; only Run uses it.
+	around surroundings
+
+	mu        sync.Mutex
+	candidate *election.Candidate
+	// group is that of the rank, once its engine has told.
+	group group.ID
+	// asked says that a coordinator has found this process.
+	asked bool
+	// claiming says that the agent waits for the answer to a claim, and leading is its part as coordinator; nil if it has none.
+	claiming bool
+	leading  *coordinator
+	tally    tally
+	maps     preparedMaps
+	notes    services.RankNotes
 }
 
 // New returns an agent.
 func New(now time.Time, o Options) *Agent {
-	return &Agent{opts: o, start: Start(now.UnixNano()), asked: now, tally: newTally(now)}
+	return &Agent{opts: o, start: Start(now.UnixNano()), candidate: election.New(now), tally: newTally(now)}
 }
 
 // Start numbers the starts of an agent.
@@ -80,8 +91,8 @@
 // Ask is a coordinator's question for a rank's load.
 type Ask struct {
 	// Group is the group that is coordinated. A service may have several.
-	Group     group.ID
-	Authority Authority
+	Group group.ID
+	Lead  election.Lead
 	// Counts asks for the experts' counts too, and Since numbers those that the asker has, 0 for none.
 	Counts bool
 	Since  uint64
@@ -92,7 +103,7 @@
 	// Foreign says that the rank belongs to another group; the rest is empty.
 	Foreign bool
 	// Authority is the highest that the agent has heard of. If it is not the asker's, the rest is empty.
-	Authority Authority
+	Authority election.Authority
 	Status    services.RankStatus
 	Counts    CountsPart
 	// Start is that of the agent.
@@ -112,18 +123,9 @@
 	loadTick = 10 * time.Millisecond
 	// peerTime bounds a call of another agent: two ways between data centres and the calls of its engine.
 	peerTime = 90 * time.Millisecond
-	// silence is how long no coordinator may be heard before an agent stands up, and rankStep what each
-	// rank waits longer, so that one of them is first.
-	silence  = 700 * time.Millisecond
-	rankStep = 120 * time.Millisecond
-	// firstSilence is the same for an agent that has just started: a coordinator that lives asks it within a look
-	// or two, and after a loss of power nobody does.
-	firstSilence = 300 * time.Millisecond
-	// electTick is the time between two looks at whether there is a coordinator.
-	electTick = 100 * time.Millisecond
 	// claimTime bounds a call of the store.
 	claimTime = 1500 * time.Millisecond
-	// claimPause is the pause after a claim that failed.
+	// claimPause is the pause after a failure to read the list of processes.
 	claimPause = 500 * time.Millisecond
 )
 
@@ -138,11 +140,14 @@
 	if r.Foreign = p.a.foreign(ask.Group); r.Foreign {
 		return nil
 	}
-	r.Authority = p.a.hear(time.Now(), ask.Authority)
-	if r.Authority != ask.Authority {
+	r.Authority = p.a.hear(time.Now(), ask.Lead)
+	if r.Authority != ask.Lead.Authority {
 		return nil
 	}
 	r.Start = p.a.start
+	p.a.mu.Lock()
+	p.a.asked = true
+	p.a.mu.Unlock()
 	return p.a.status(ask, r)
 }
 
@@ -163,13 +168,10 @@
 }
 
 // hear notes that a coordinator is alive and returns the highest authority.
-func (a *Agent) hear(now time.Time, au Authority) Authority {
+func (a *Agent) hear(now time.Time, l election.Lead) election.Authority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if au >= a.highest {
-		a.highest, a.asked, a.led = au, now, true
-	}
-	return a.highest
+	return a.candidate.Hear(now, l)
 }
 
 // status reads the status of the engine, and its counts if they are asked for.
@@ -181,7 +183,8 @@
 		return err
 	}
 	a.mu.Lock()
-	a.rank, a.group = int(r.Status.Rank), r.Status.Group
+	a.group = r.Status.Group
+	a.candidate.Place(int(r.Status.Rank), r.Status.Size)
 	r.Status.Noted = a.notes
 	a.mu.Unlock()
 	if !ask.Counts {
@@ -196,68 +199,3 @@
 	r.Counts = a.tally.tell(ask.Since, counts)
 	return nil
 }
-
-// Run looks for a coordinator until ctx ends, and is one when there is none.
-func (a *Agent) Run(ctx context.Context) {
-	var first Reply
-	if err := a.status(Ask{}, &first); err != nil {
-		a.opts.Logger.Warn().Err(err).Msg("engine-unreachable")
-	}
-	registered := false
-	for ctx.Err() == nil {
-		registered = registered || a.register(ctx)
-		sleep.For(ctx, electTick)
-		if a.stands(time.Now()) {
-			a.stand(ctx)
-		}
-	}
-}
-
-// stands reports whether no coordinator was heard for so long that this agent should stand up.
-func (a *Agent) stands(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	wait := silence
-	if !a.led {
-		wait = firstSilence
-	}
-	return now.Sub(a.asked) > wait+time.Duration(a.rank)*rankStep
-}
-
-// register registers this process, so that a coordinator finds it.
-func (a *Agent) register(ctx context.Context) bool {
-	cctx, cancel := context.WithTimeout(ctx, claimTime)
-	defer cancel()
-	if err := a.opts.Store.PutNodes(cctx, []peer.Info{a.opts.Self}); err != nil {
-		a.opts.Logger.Warn().Err(err).Msg("registration-failed")
-		return false
-	}
-	return true
-}
-
-// stand claims the authority to coordinate and coordinates until it is lost.
-func (a *Agent) stand(ctx context.Context) {
-	var r Reply
-	if err := a.status(Ask{}, &r); err != nil {
-		sleep.For(ctx, claimPause)
-		return
-	}
-	cctx, cancel := context.WithTimeout(ctx, claimTime)
-	offset, err := a.opts.Store.Claim(cctx, string(r.Status.Group), a.opts.Self.Name)
-	cancel()
-	if err != nil {
-		a.opts.Logger.Warn().Err(err).Msg("claim-failed")
-		sleep.For(ctx, claimPause)
-		return
-	}
-	au := Authority(offset) + 1
-	if a.hear(time.Now(), au) != au {
-		return
-	}
-	a.opts.Logger.Info().Uint64("authority", uint64(au)).Int("rank", int(r.Status.Rank)).Msg("coordinator-begins")
-	why := newCoordinator(a, au, r.Status).run(ctx)
-	a.opts.Logger.Info().Uint64("authority", uint64(au)).Str("reason", why).Msg("coordinator-ends")
-	a.mu.Lock()
-	a.asked = time.Now()
-	a.mu.Unlock()
-}
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -25,8 +26,14 @@
 	nodesEvery = 4 * time.Second
 	// alone is how long a coordinator goes on that reaches less than half of the ranks.
 	alone = 1500 * time.Millisecond
-	// directEvery is the time between two direct questions to an engine whose agent is silent: they are paid for.
-	directEvery = time.Second
+	// directEvery is the time between two direct questions to an engine whose agent is silent: they are paid for. No more
+	// than directAtOnce are under way: where many agents are silent it is the coordinator that is slow.
+	directEvery  = time.Second
+	directAtOnce = 4
+	// relayTime bounds a question that an agent relays to others, and lateAfter is the time from which the next look
+	// does not wait for who takes so long.
+	relayTime = 2 * peerTime
+	lateAfter = 60 * time.Millisecond
 	// reportTime bounds telling a router.
 	reportTime = 300 * time.Millisecond
 )
@@ -37,19 +44,19 @@
 	status services.RankStatus
 	// start is that of the rank's agent.
 	start Start
-	// heard is the time of the latest status; asked the latest direct question.
-	heard, asked time.Time
-	counts       heldCounts
-	known        bool
+	// heard is the time of the latest status, and sent that of the question for it; asked that of the latest direct question.
+	heard, sent, asked time.Time
+	counts             heldCounts
+	known              bool
 }
 
 // coordinator is one agent's time as coordinator.
 type coordinator struct {
-	a         *Agent
-	authority Authority
-	service   string
-	fence     services.Fence
-	first     services.RankStatus
+	a       *Agent
+	own     election.Lead
+	service string
+	fence   services.Fence
+	first   services.RankStatus
 	// surroundings is what was last found; found holds what followNodes has found since.
 	surroundings
 	found atomic.Pointer[surroundings]
@@ -70,10 +77,27 @@
 	foreign map[string]time.Time
 	sending sync.WaitGroup
 	book    *routerBook
+	// parts are those of the agents, and partOf tells the part of each agent by its name. Inbox holds what they have answered. Outstanding holds the parts that are being asked, late those
+	// whose answers took long; both by the name of the first agent.
+	parts             []part
+	partOf            map[string]int
+	inbox             chan answers
+	outstanding, late map[string]bool
+	// failedRelays holds when an agent has failed to relay, and asking counts the engines that are being asked directly.
+	failedRelays map[string]time.Time
+	asking       atomic.Int32
+	// looked is the mean time from one look to the next, longer ones counted at once; lookedAt is the begin of the latest.
+	looked   time.Duration
+	lookedAt time.Time
 }
 
-func newCoordinator(a *Agent, au Authority, s services.RankStatus) *coordinator {
-	c := &coordinator{a: a, authority: au, fence: au.fence(), version: expertmap.Version(au.fence()), service: a.opts.Self.Service, first: s, reached: time.Now(), book: newRouterBook(uint64(au.fence())), foreign: map[string]time.Time{}}
+func newCoordinator(a *Agent, lead election.Lead, s services.RankStatus) *coordinator {
+	fence := fenceOf(lead.Authority)
+	c := &coordinator{
+		a: a, own: lead, fence: fence, version: expertmap.Version(fence), service: a.opts.Self.Service, first: s, reached: time.Now(),
+		book: newRouterBook(uint64(fence)), foreign: map[string]time.Time{}, inbox: make(chan answers, inboxSize),
+		outstanding: map[string]bool{}, late: map[string]bool{}, failedRelays: map[string]time.Time{},
+	}
 	c.members = make([]*member, s.Size)
 	for i := range c.members {
 		c.members[i] = &member{}
@@ -81,6 +105,28 @@
 	return c
 }
 
+// inboxSize is the number of answers that wait for a coordinator without holding up who brings them.
+const inboxSize = 64
+
+// lead returns what the coordinator tells of itself.
+func (c *coordinator) lead() election.Lead {
+	l := c.own
+	l.Lease = election.Lease(c.looked)
+	return l
+}
+
+// lookKeep is the weight of the past in the mean time from one look to the next.
+const lookKeep = 0.7
+
+// noteLook notes the begin of a look.
+func (c *coordinator) noteLook(now time.Time) {
+	if !c.lookedAt.IsZero() {
+		took := now.Sub(c.lookedAt)
+		c.looked = max(took, time.Duration(lookKeep*float64(c.looked)+(1-lookKeep)*float64(took)))
+	}
+	c.lookedAt = now
+}
+
 // run coordinates until the authority is lost, and says why.
 func (c *coordinator) run(ctx context.Context) string {
 	defer c.sending.Wait()
@@ -89,9 +135,7 @@
 	c.sending.Go(func() { c.followNodes(cctx, nodesEvery, claimPause) })
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if found := c.found.Load(); found != nil {
-			c.surroundings = *found
-		}
+		c.lookAround()
 		c.look(ctx, true)
 		now := time.Now()
 		switch {
@@ -108,6 +152,21 @@
 	return "process stops"
 }
 
+// lookAround takes over what was found of the other processes.
+func (c *coordinator) lookAround() {
+	found := c.found.Load()
+	if found == nil || found.at.Equal(c.at) && found.engine == c.engine {
+		return
+	}
+	c.surroundings = *found
+	c.parts, c.partOf = split(c.agents), map[string]int{}
+	for i, p := range c.parts {
+		for _, n := range p {
+			c.partOf[n.Name] = i
+		}
+	}
+}
+
 // improve changes the expert map if that pays, after it has settled what an earlier coordinator left.
 func (c *coordinator) improve(ctx context.Context, now time.Time) {
 	d := &driver{c: c}
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -25,6 +25,9 @@
 const (
 	// driveTick is the time between two looks at the ranks during a change.
 	driveTick = 80 * time.Millisecond
+	// holdLook is the time between two looks while the group is held. Nothing is told by them that the answers to orders
+	// do not, and they hold up the orders.
+	holdLook = 300 * time.Millisecond
 	// resendPause is the pause before an order that had no answer is sent again.
 	resendPause = 5 * time.Millisecond
 )
@@ -85,7 +88,7 @@
 
 // inChanges returns an order as an agent gets it first: a map as what differs from the one in use.
 func (d *driver) inChanges(start Start, o services.RankOrder) Order {
-	out := Order{Authority: d.c.authority, Start: start, Order: o}
+	out := Order{Lead: d.c.lead(), Start: start, Order: o}
 	if o.Kind != services.RankPrepare || d.delta == nil {
 		return out
 	}
@@ -117,16 +120,14 @@
 	tick := time.NewTicker(driveTick)
 	defer tick.Stop()
 	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
-		for _, s := range m.Sends() {
-			to := d.c.members[s.Rank].info
-			first := d.inChanges(d.c.members[s.Rank].start, s.Order)
-			d.c.sending.Go(func() { answers <- answered{s, d.send(ctx, to, s, first)} })
-		}
+		d.dispatch(ctx, m.Sends(), answers)
 		select {
 		case a := <-answers:
 			m.Answer(time.Now(), a.send, a.answer)
 		case <-tick.C:
-			d.observe(ctx, m)
+			if now := time.Now(); !m.Holding() || now.Sub(d.c.lookedAt) > holdLook {
+				d.observe(ctx, m)
+			}
 			m.Tick(time.Now())
 		case <-ctx.Done():
 		}
@@ -152,7 +153,7 @@
 	}
 	for r, mb := range d.c.members {
 		if mb.known && mb.heard.After(asked) {
-			m.Observe(now, asked, group.Rank(r), mb.status)
+			m.Observe(now, mb.sent, group.Rank(r), mb.status)
 		}
 	}
 	d.c.tellRouters(ctx, now)
@@ -175,16 +176,9 @@
 		}
 		return answer
 	}
-	patience := peerTime
-	if s.Order.Kind == services.RankPrepare {
-		patience += loadTime
-	}
-	cctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	var r OrderReply
-	err := d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", first, &r)
+	r, err := d.c.a.orderAgent(ctx, to.Address, first)
 	if err == nil && r.NoBase {
-		err = d.c.a.opts.Pool.Call(cctx, to.Address, "Rank.Order", Order{Authority: d.c.authority, Start: first.Start, Order: s.Order}, &r)
+		r, err = d.c.a.orderAgent(ctx, to.Address, Order{Lead: first.Lead, Start: first.Start, Order: s.Order})
 	}
 	if err == nil {
 		return r.Answer
--- a/services/rank/map.go
+++ b/services/rank/map.go
@@ -55,7 +55,7 @@
 		return c.a.opts.Engine.Map(cctx)
 	}
 	var held services.RankMap
-	if err := c.a.opts.Pool.Call(cctx, m.info.Address, "Rank.Map", Ask{Authority: c.authority}, &held); err == nil {
+	if err := c.a.opts.Pool.Call(cctx, m.info.Address, "Rank.Map", Ask{Lead: c.lead()}, &held); err == nil {
 		return held, nil
 	}
 	dctx, dcancel := context.WithTimeout(ctx, peerTime)
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"sync"
+	"fmt"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
@@ -25,20 +25,29 @@
 	// at is when the processes were read.
 	at              time.Time
 	routers, agents []peer.Info
-	engine          *catalog.Engine
+	// listed says that this process is among them.
+	listed bool
+	engine *catalog.Engine
 	// goal is the shortest pause goal of the routes to the service; 0 if there is none.
 	goal time.Duration
 }
 
-// followNodes reads the processes in an interval until ctx ends, after a failure sooner, and hands over what it
-// finds. The store may be slow or away for long, so nothing else waits for it.
+// followNodes reads the processes in an interval until ctx ends, after a failure and while agents of ranks are missing
+// sooner, and hands over what it finds. The store may be slow or away for long, so nothing else waits for it.
 func (c *coordinator) followNodes(ctx context.Context, every, afterFailure time.Duration) {
 	var s surroundings
+	if found := c.found.Load(); found != nil {
+		s = *found
+	}
+	pause := afterFailure
 	for ctx.Err() == nil {
-		pause := every
 		if c.read(ctx, &s) {
 			found := s
 			c.found.Store(&found)
+			pause = min(2*pause, every)
+			if len(s.agents)+1 >= c.first.Size {
+				pause = every
+			}
 		} else {
 			pause = afterFailure
 		}
@@ -46,24 +55,15 @@
 	}
 }
 
-// read reads the list of processes and, once, the figures of the engine. It reports whether the list was read.
+// read reads the list of processes, unless that was done lately, and, once, the figures of the engine. It reports whether
+// the list is known.
 func (c *coordinator) read(ctx context.Context, s *surroundings) bool {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	now := time.Now()
-	nodes, _, err := c.a.opts.Store.Nodes().Snapshot(cctx)
-	if err != nil {
-		c.a.opts.Logger.Warn().Err(err).Msg("nodes-unread")
-		return false
-	}
-	s.at, s.routers, s.agents = now, nil, nil
-	for _, n := range nodes {
-		switch {
-		case n.Value == nil:
-		case n.Value.Role == vm.RoleRouter:
-			s.routers = append(s.routers, *n.Value)
-		case n.Value.Service == c.service && n.Key != c.a.opts.Self.Name:
-			s.agents = append(s.agents, *n.Value)
+	if now := time.Now(); now.Sub(s.at) >= claimPause {
+		if err := s.readNodes(cctx, now, c.a.opts); err != nil {
+			c.a.opts.Logger.Warn().Err(err).Msg("nodes-unread")
+			return false
 		}
 	}
 	if s.engine != nil {
@@ -82,6 +82,27 @@
 	return true
 }
 
+// readNodes reads the list of processes.
+func (s *surroundings) readNodes(ctx context.Context, now time.Time, o Options) error {
+	nodes, _, err := o.Store.Nodes().Snapshot(ctx)
+	if err != nil {
+		return fmt.Errorf("read processes: %w", err)
+	}
+	s.at, s.routers, s.agents, s.listed = now, nil, nil, false
+	for _, n := range nodes {
+		switch {
+		case n.Value == nil:
+		case n.Key == o.Self.Name:
+			s.listed = n.Value.Address == o.Self.Address
+		case n.Value.Role == vm.RoleRouter:
+			s.routers = append(s.routers, *n.Value)
+		case n.Value.Service == o.Self.Service:
+			s.agents = append(s.agents, *n.Value)
+		}
+	}
+	return nil
+}
+
 // take keeps what the catalog says of a service.
 func (s *surroundings) take(k *catalog.Catalog, service string) {
 	for i := range k.Services {
@@ -99,44 +120,142 @@
 	}
 }
 
-// look asks all ranks for their load.
+// answers is what the agents of a part have answered to a question that was sent at a time; a reply is nil for one that
+// did not.
+type answers struct {
+	part    part
+	sent    time.Time
+	replies []*Reply
+	// failed names a relay that did not answer. Direct says that an engine was asked, and not the agents.
+	failed string
+	direct bool
+}
+
+// look asks all ranks for their load. It waits for the parts whose answers came in time before; others are taken in
+// when they come.
 func (c *coordinator) look(ctx context.Context, counts bool) {
+	now := time.Now()
+	c.noteLook(now)
 	counted := map[string]bool{}
 	if counts {
-		counted = c.counted(time.Now())
+		counted = c.counted(now)
 		c.dropCounts(counted)
 	}
+	c.lookAtSelf(counted)
+	waited := map[string]bool{}
+	for _, p := range c.parts {
+		key := p[0].Name
+		if c.outstanding[key] || len(p) == 1 && c.skips(now, p[0]) {
+			continue
+		}
+		c.outstanding[key] = true
+		if !c.late[key] {
+			waited[key] = true
+		}
+		c.askPart(ctx, now, p, counted)
+	}
+	c.collect(ctx, waited)
+	c.askDirectly(ctx)
+	c.judge(time.Now())
+}
+
+// lookAtSelf takes in the load of the own rank.
+func (c *coordinator) lookAtSelf(counted map[string]bool) {
+	sent := time.Now()
 	var own Reply
 	if err := c.a.status(c.ask(c.a.opts.Self, counted), &own); err == nil {
-		c.take(c.a.opts.Self, own)
+		c.take(sent, c.a.opts.Self, own)
 	}
-	c.lost = c.lost || c.a.hear(time.Now(), c.authority) != c.authority
-	replies := make([]*Reply, len(c.agents))
-	var w sync.WaitGroup
-	for i, n := range c.agents {
-		if c.skips(time.Now(), n) {
-			continue
-		}
+	c.lost = c.lost || c.a.hear(time.Now(), c.lead()) != c.own.Authority
+}
+
+// askPart asks the agents of a part. What they answer comes in the inbox.
+func (c *coordinator) askPart(ctx context.Context, now time.Time, p part, counted map[string]bool) {
+	if len(p) == 1 {
+		ask := c.ask(p[0], counted)
+		c.sending.Go(func() { c.inbox <- answers{part: p, sent: now, replies: []*Reply{c.a.askAgent(ctx, p[0], ask)}} })
+		return
+	}
+	relay, ok := p.relay(now, c.failedRelays)
+	if !ok {
+		relay = p[0]
+	}
+	g := GatherAsk{Ask: c.ask(peer.Info{}, nil), Members: make([]GatherMember, len(p))}
+	for i, n := range p {
 		ask := c.ask(n, counted)
-		w.Go(func() { replies[i] = c.askAgent(ctx, n, ask) })
+		g.Members[i] = GatherMember{Address: n.Address, Counts: ask.Counts, Since: ask.Since}
 	}
-	w.Wait()
-	for i, r := range replies {
-		if r == nil {
-			continue
+	c.sending.Go(func() { c.inbox <- c.gather(ctx, now, p, relay, g) })
+}
+
+// gather has a relay ask the agents of its part.
+func (c *coordinator) gather(ctx context.Context, sent time.Time, p part, relay peer.Info, g GatherAsk) answers {
+	cctx, cancel := context.WithTimeout(ctx, relayTime)
+	defer cancel()
+	out := answers{part: p, sent: sent, replies: make([]*Reply, len(p))}
+	var r GatherReply
+	err := c.a.opts.Pool.Call(cctx, relay.Address, "Rank.Gather", g, &r)
+	if err != nil || len(r.Replies) != len(p) || len(r.Silent) != len(p) {
+		c.a.opts.Logger.Info().Str("relay", relay.Name).Int("agents", len(p)).Err(err).Msg("relay-silent")
+		out.failed = relay.Name
+		return out
+	}
+	for i := range r.Replies {
+		if !r.Silent[i] {
+			out.replies[i] = &r.Replies[i]
 		}
-		if r.Foreign {
-			c.foreign[c.agents[i].Name] = time.Now()
-			continue
+	}
+	return out
+}
+
+// collect takes in answers until all parts that are waited for have answered, and all that have come by then.
+func (c *coordinator) collect(ctx context.Context, waited map[string]bool) {
+	for {
+		var a answers
+		if len(waited) > 0 {
+			select {
+			case a = <-c.inbox:
+			case <-ctx.Done():
+				return
+			}
+		} else {
+			select {
+			case a = <-c.inbox:
+			default:
+				return
+			}
 		}
-		if r.Authority != c.authority {
-			c.lost = true
-			continue
+		c.takeAll(a)
+		if !a.direct {
+			delete(waited, a.part[0].Name)
 		}
-		c.take(c.agents[i], *r)
 	}
-	c.askDirectly(ctx)
+}
+
+// takeAll takes in the answers of a part.
+func (c *coordinator) takeAll(a answers) {
 	now := time.Now()
+	if key := a.part[0].Name; !a.direct {
+		c.outstanding[key], c.late[key] = false, now.Sub(a.sent) > lateAfter
+	}
+	if a.failed != "" {
+		c.failedRelays[a.failed] = now
+	}
+	for i, r := range a.replies {
+		switch {
+		case r == nil:
+		case r.Foreign:
+			c.foreign[a.part[i].Name] = now
+		case r.Authority != c.own.Authority:
+			c.lost = c.lost || r.Authority > c.own.Authority
+		default:
+			c.take(a.sent, a.part[i], *r)
+		}
+	}
+}
+
+// judge notes whether most ranks are in reach.
+func (c *coordinator) judge(now time.Time) {
 	heard := 0
 	for _, m := range c.members {
 		if m.known && now.Sub(m.heard) < time.Second {
@@ -156,29 +275,20 @@
 
 // ask returns the question for the agent of a rank. Counted holds the engines whose counts are wanted.
 func (c *coordinator) ask(n peer.Info, counted map[string]bool) Ask {
-	a := Ask{Group: c.first.Group, Authority: c.authority, Counts: counted[n.Engine]}
-	if m := c.memberOf(n); m != nil && a.Counts {
-		a.Since = m.counts.number
+	a := Ask{Group: c.first.Group, Lead: c.lead(), Counts: counted[n.Engine]}
+	if a.Counts {
+		if m := c.memberOf(n); m != nil {
+			a.Since = m.counts.number
+		}
 	}
 	return a
 }
 
-func (c *coordinator) askAgent(ctx context.Context, n peer.Info, ask Ask) *Reply {
-	cctx, cancel := context.WithTimeout(ctx, peerTime)
-	defer cancel()
-	var r Reply
-	if err := c.a.opts.Pool.Call(cctx, n.Address, "Rank.Status", ask, &r); err != nil {
-		c.a.opts.Logger.Debug().Str("agent", n.Name).Err(err).Msg("agent-silent")
-		return nil
-	}
-	return &r
-}
-
-// askDirectly asks the engines of known ranks whose agents have been silent for a while.
+// askDirectly asks the engines of ranks whose agents have been silent for a while, a few at a time.
 func (c *coordinator) askDirectly(ctx context.Context) {
 	now := time.Now()
 	for _, n := range c.agents {
-		if c.skips(now, n) {
+		if c.asking.Load() >= directAtOnce || c.skips(now, n) {
 			continue
 		}
 		m := c.memberOf(n)
@@ -188,20 +298,32 @@
 		if m == nil && now.Sub(c.at) > directEvery {
 			continue
 		}
-		cctx, cancel := context.WithTimeout(ctx, peerTime)
-		s, err := c.a.opts.Dial(n.Engine).Status(cctx)
-		cancel()
 		if m != nil {
 			m.asked = now
 		}
-		c.a.opts.Logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(s.Rank)).Uint64("step", uint64(s.Step)).
-			Bool("holds", s.Holds).Err(err).Msg("engine-asked-directly")
-		if err == nil {
-			c.take(n, Reply{Status: s})
-		}
+		c.asking.Add(1)
+		c.sending.Go(func() {
+			defer c.asking.Add(-1)
+			c.inbox <- c.askEngine(ctx, n)
+		})
 	}
 }
 
+// askEngine asks a rank's engine directly.
+func (c *coordinator) askEngine(ctx context.Context, n peer.Info) answers {
+	sent := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	s, err := c.a.opts.Dial(n.Engine).Status(cctx)
+	c.a.opts.Logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(s.Rank)).Uint64("step", uint64(s.Step)).
+		Bool("holds", s.Holds).Err(err).Msg("engine-asked-directly")
+	out := answers{part: part{n}, sent: sent, replies: []*Reply{nil}, direct: true}
+	if err == nil {
+		out.replies[0] = &Reply{Authority: c.own.Authority, Status: s}
+	}
+	return out
+}
+
 func (c *coordinator) memberOf(n peer.Info) *member {
 	for _, m := range c.members {
 		if m.known && m.info.Engine == n.Engine {
@@ -211,13 +333,16 @@
 	return nil
 }
 
-// take notes a rank's reply.
-func (c *coordinator) take(n peer.Info, r Reply) {
+// take notes a rank's reply to a question that was sent at a time. One that was overtaken by a later one is dropped.
+func (c *coordinator) take(sent time.Time, n peer.Info, r Reply) {
 	if int(r.Status.Rank) >= len(c.members) || r.Status.Size != len(c.members) || r.Status.Group != c.first.Group {
 		return
 	}
 	m := c.members[r.Status.Rank]
-	m.info, m.status, m.heard, m.known = n, r.Status, time.Now(), true
+	if m.known && sent.Before(m.sent) {
+		return
+	}
+	m.info, m.status, m.sent, m.heard, m.known = n, r.Status, sent, time.Now(), true
 	if r.Start != 0 {
 		m.start = r.Start
 	}
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -70,7 +70,11 @@
 	return outFeed[catalog.Catalog]{s: s, values: []services.Change[catalog.Catalog]{{Value: &s.catalog}}}
 }
 
-func (s *outStore) Claim(context.Context, string, string) (services.Offset, error) { return 0, nil }
+func (s *outStore) Claim(context.Context, string, string, services.Offset) (services.Offset, bool, error) {
+	return 0, false, nil
+}
+
+func (s *outStore) Claimer(context.Context, string, services.Offset) (string, error) { return "", nil }
 
 func (s *outStore) PutNodes(context.Context, []peer.Info) error { return nil }
 
@@ -96,7 +100,7 @@
 		},
 	}
 	a := New(begin, Options{Self: peer.Info{Name: "side-1", Service: "m"}, Store: s, Logger: zerolog.Nop()})
-	c := newCoordinator(a, 1, services.RankStatus{Size: 2})
+	c := newCoordinator(a, lead(1), services.RankStatus{Size: 2})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -9,11 +9,12 @@
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/election"
 )
 
 // Order is a coordinator's order.
 type Order struct {
-	Authority Authority
+	Lead election.Lead
 	// Start is that of the agent that the order is for. One that has started anew takes no order to prepare: it would
 	// take a part in a change that it knows nothing else of.
 	Start Start
@@ -31,13 +32,13 @@
 
 // Order carries out an order of a coordinator.
 func (p *API) Order(o Order, r *OrderReply) error {
-	if p.a.hear(time.Now(), o.Authority) != o.Authority {
+	if p.a.hear(time.Now(), o.Lead) != o.Lead.Authority {
 		r.Answer = services.RankFenced
 		return nil
 	}
 	switch {
 	case o.Order.Kind == services.RankAnnounce:
-		r.Answer = p.a.announce(o.Authority, o.Order.Version)
+		r.Answer = p.a.announce(o.Lead.Authority, o.Order.Version)
 		return nil
 	case o.Order.Kind == services.RankPrepare && o.Start != p.a.start:
 		r.Answer = services.RankUnknown
@@ -84,11 +85,11 @@
 
 // announce notes that a coordinator is about to arm its own rank. Only one is heard that no later one has followed, and
 // only of a change that this agent has had a part in: after a start it remembers nothing of what it has told others.
-func (a *Agent) announce(au Authority, v expertmap.Version) services.RankAnswer {
+func (a *Agent) announce(au election.Authority, v expertmap.Version) services.RankAnswer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case au < a.highest:
+	case au < a.candidate.Highest():
 		return services.RankFenced
 	case a.notes.Prepared != v:
 		return services.RankConflict
--- a/services/rank/order_test.go
+++ b/services/rank/order_test.go
@@ -35,7 +35,7 @@
 	version := func(v expertmap.Version, first expertmap.Expert) *expertmap.Map {
 		return &expertmap.Map{Version: v, Layers: []expertmap.Layer{{Slots: [][]expertmap.Expert{{first, 1}, {2, expertmap.Free}}}}}
 	}
-	d := &driver{c: &coordinator{authority: 1}}
+	d := &driver{c: &coordinator{own: lead(1)}}
 	give := func(m, base *expertmap.Map) OrderReply {
 		t.Helper()
 		d.goOnFrom(base, m)
@@ -89,7 +89,7 @@
 			then: func(t *testing.T, api *API) *API {
 				t.Helper()
 				var r Reply
-				if err := api.Status(Ask{Authority: 9}, &r); err != nil {
+				if err := api.Status(Ask{Lead: lead(9)}, &r); err != nil {
 					t.Fatal(err)
 				}
 				return api
@@ -106,7 +106,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			api := NewAPI(New(begin, Options{Engine: &mapEngine{}, Logger: zerolog.Nop()}))
-			prepare := Order{Authority: 3, Start: api.a.start, Order: services.RankOrder{Kind: services.RankPrepare, Version: version}}
+			prepare := Order{Lead: lead(3), Start: api.a.start, Order: services.RankOrder{Kind: services.RankPrepare, Version: version}}
 			var r OrderReply
 			if err := api.Order(prepare, &r); err != nil || r.Answer != services.RankDone {
 				t.Fatalf("prepare: %s, %v", r.Answer, err)
@@ -115,11 +115,11 @@
 				api = c.then(t, api)
 			}
 			r = OrderReply{}
-			if err := api.Order(Order{Authority: 3, Order: services.RankOrder{Kind: services.RankAnnounce, Version: version}}, &r); err != nil || r.Answer != c.want {
+			if err := api.Order(Order{Lead: lead(3), Order: services.RankOrder{Kind: services.RankAnnounce, Version: version}}, &r); err != nil || r.Answer != c.want {
 				t.Errorf("announce: %s, %v, want %s", r.Answer, err, c.want)
 			}
 			var told Reply
-			if err := api.Status(Ask{Authority: 9}, &told); err != nil || told.Status.Noted != c.noted {
+			if err := api.Status(Ask{Lead: lead(9)}, &told); err != nil || told.Status.Noted != c.noted {
 				t.Errorf("told %+v, %v, want %+v", told.Status.Noted, err, c.noted)
 			}
 			if err := api.Order(prepare, &r); err != nil || r.Answer == services.RankDone {
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -15,12 +15,16 @@
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/election"
 
 	"github.com/rs/zerolog"
 )
 
 var begin = time.Unix(1000, 0)
 
+// lead returns what a coordinator of an authority tells.
+func lead(a election.Authority) election.Lead { return election.Lead{Authority: a, Lease: time.Second} }
+
 // engine is a rank's engine that leaves the first orders of each kind without an answer.
 type engine struct {
 	mu     sync.Mutex
@@ -87,10 +91,10 @@
 	api := NewAPI(New(begin, Options{Engine: e, Logger: zerolog.Nop()}))
 	var r OrderReply
 	for _, step := range []struct {
-		authority Authority
+		authority election.Authority
 		want      services.RankAnswer
 	}{{3, services.RankDone}, {2, services.RankFenced}, {4, services.RankDone}, {3, services.RankFenced}} {
-		if err := api.Order(Order{Authority: step.authority, Order: services.RankOrder{Kind: services.RankDisarm}}, &r); err != nil || r.Answer != step.want {
+		if err := api.Order(Order{Lead: lead(step.authority), Order: services.RankOrder{Kind: services.RankDisarm}}, &r); err != nil || r.Answer != step.want {
 			t.Errorf("authority %d: %s, %v", step.authority, r.Answer, err)
 		}
 	}
@@ -99,47 +103,18 @@
 	}
 	other := New(begin, Options{Engine: &engine{status: services.RankStatus{Group: "b"}}, Logger: zerolog.Nop()})
 	var own, foreign Reply
-	if err := NewAPI(other).Status(Ask{Group: "b", Authority: 1}, &own); err != nil || own.Foreign {
+	if err := NewAPI(other).Status(Ask{Group: "b", Lead: lead(1)}, &own); err != nil || own.Foreign {
 		t.Errorf("the own coordinator was refused: %v", err)
 	}
-	if err := NewAPI(other).Status(Ask{Group: "a", Authority: 9}, &foreign); err != nil || !foreign.Foreign || other.highest != 1 {
-		t.Errorf("the coordinator of another group was heard: authority %d", other.highest)
+	if err := NewAPI(other).Status(Ask{Group: "a", Lead: lead(9)}, &foreign); err != nil || !foreign.Foreign || other.candidate.Highest() != 1 {
+		t.Errorf("the coordinator of another group was heard: authority %d", other.candidate.Highest())
 	}
 	var reply Reply
-	if err := api.Status(Ask{Authority: 3}, &reply); err != nil || reply.Authority != 4 {
+	if err := api.Status(Ask{Lead: lead(3)}, &reply); err != nil || reply.Authority != 4 {
 		t.Errorf("an old coordinator is told authority %d, %v", reply.Authority, err)
 	}
 }
 
-// TestStands checks when an agent that hears no coordinator stands up.
-func TestStands(t *testing.T) {
-	cases := map[string]struct {
-		rank  int
-		heard bool
-		after time.Duration
-		want  bool
-	}{
-		"just started":                  {0, false, firstSilence, false},
-		"nobody asked since the start":  {0, false, firstSilence + 1, true},
-		"a later rank waits longer":     {2, false, firstSilence + 2*rankStep, false},
-		"but not for ever":              {2, false, firstSilence + 2*rankStep + 1, true},
-		"a coordinator was heard":       {0, true, silence, false},
-		"it has been silent since then": {0, true, silence + 1, true},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			a := New(begin, Options{Engine: &engine{}, Logger: zerolog.Nop()})
-			a.rank = c.rank
-			if c.heard {
-				a.hear(begin, 1)
-			}
-			if got := a.stands(begin.Add(c.after)); got != c.want {
-				t.Errorf("stands up: %t, want %t", got, c.want)
-			}
-		})
-	}
-}
-
 const goal = 120 * time.Millisecond
 
 var figures = &catalog.Engine{
