Callers are named a few routers of their data centre, and loads go to routers with requests

Cause: the load of a group was told to all 149 routers in each look, with its places parted among them: routers with 2.5 requests a second refused because their share was a second old. Callers were named the first 64 addresses, so each pair of router and rank saw a request in a minute, and no connection was used twice.

Change: - services/entry: of more than 12 routers callers are named three of their data centre, those with the most processor cores first, and one more for each that uses more than a quarter of its share. A router whose catalog is too old to let keys in names the others. - services/rank: of more than 32 routers those with requests are told in each look, the others by turns; a router that gets a request for a group that nobody has told it of asks the coordinator, which other routers name it.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -124,7 +124,7 @@
 func (n node) self(role vm.Role) peer.Info {
 	return peer.Info{
 		Name: n.set.Name, Role: role, DataCentre: n.set.DataCentre, Address: n.set.Peers, Callers: n.set.Callers,
-		Engine: n.set.Engine, Service: n.set.EngineService, State: peer.StateReady,
+		Engine: n.set.Engine, Service: n.set.EngineService, State: peer.StateReady, Cores: n.set.Cores,
 	}
 }
 
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -84,7 +84,7 @@
 		return wrap(err, "router")
 	}
 	directory := routers.NewDirectory(r, routers.Words{
-		ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady, Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
+		ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady, DataCentre: platform.ParamZone, Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
 	})
 	for _, address := range []string{n.set.Ready, n.set.Directory} {
 		if err := serveHTTP(lc, address, directory); err != nil {
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -31,6 +31,8 @@
 	// takes from all processes together.
 	Store                   string
 	StoreReads, StoreWrites float64
+	// Cores is the share of processor cores that the process has; 0 if it is not told.
+	Cores float64
 	// Grace is the time between the order to stop and the kill.
 	Grace  time.Duration
 	Bounds Bounds
--- a/routers/directory.go
+++ b/routers/directory.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/vm"
+
 	"github.com/gin-gonic/gin"
 )
 
@@ -14,14 +16,16 @@
 type Entry interface {
 	// Ready reports whether the process takes callers.
 	Ready() bool
-	// Addresses returns the addresses that callers should use.
-	Addresses(now time.Time) []string
+	// Addresses returns the addresses that callers of a data centre should use.
+	Addresses(now time.Time, dc vm.DataCentre) []string
 }
 
 // Words holds the names under which the platform asks.
 type Words struct {
 	// ResolvePath and ReadyPath are the paths of the two questions.
 	ResolvePath, ReadyPath string
+	// DataCentre is the parameter that names the caller's data centre.
+	DataCentre string
 	// Addresses and TTL are the names of the fields of the answer.
 	Addresses, TTL string
 }
@@ -45,7 +49,7 @@
 		c.Status(http.StatusOK)
 	})
 	g.GET(w.ResolvePath, func(c *gin.Context) {
-		list := e.Addresses(time.Now())
+		list := e.Addresses(time.Now(), vm.DataCentre(c.Query(w.DataCentre)))
 		if len(list) == 0 {
 			c.Status(http.StatusServiceUnavailable)
 			return
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -94,6 +94,9 @@
 	return out
 }
 
+// Reported reports whether the load of a group was told lately.
+func (p *Pool) Reported(now time.Time) bool { return len(p.recent(now)) > 0 }
+
 // Closed reports whether all groups that were reported lately are broken.
 func (p *Pool) Closed(now time.Time) bool {
 	groups := p.recent(now)
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -7,11 +7,15 @@
 	"slices"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/services/peer"
 )
 
 // Report is a Group as it travels. Ranks are numbered by a list of addresses that a router is sent once, so that
 // a report takes some bytes for each rank.
 type Report struct {
+	// Authority and Coordinator are those of the sender: its authority, and the address at which it takes calls.
+	Authority   uint64
+	Coordinator string
 	Service     string
 	ID          group.ID
 	Open, Whole bool
@@ -45,6 +49,17 @@
 	Unstarted []uint
 	// Wanted is how many requests the router would like to send until the next report.
 	Wanted int
+	// Idle says that the router has had no request for the group's service for a while: it need not be told soon.
+	Idle bool
+}
+
+// Want is a router's question for the load of a group. It is told from then on, until it is idle.
+type Want struct {
+	Router peer.Info
+	// List numbers the list of ranks that the router has, and Unstarted and Wanted are those of a reply.
+	List      uint64
+	Unstarted []uint
+	Wanted    int
 }
 
 // RankList is a numbered list of the addresses of a group's ranks.
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
@@ -121,12 +122,12 @@
 
 // Report takes in the load of a model group.
 func (a *API) Report(report balance.Report, reply *balance.ReportReply) error {
-	list := a.r.rankList(&report)
-	g, ok := list.Unpack(report)
-	if !ok {
-		return nil
-	}
-	unstarted, wanted := a.r.opts.Relay.Report(time.Now(), g)
-	*reply = balance.ReportReply{List: list.Number, Unstarted: list.PackUnstarted(unstarted), Wanted: wanted}
+	*reply = a.r.takeReport(time.Now(), report)
+	return nil
+}
+
+// Coordinators tells who coordinates the groups of a service.
+func (a *API) Coordinators(id service.ID, reply *[]Coordinator) error {
+	*reply = a.r.coordinatorsOf(id)
 	return nil
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -13,12 +13,13 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/modules/usage"
 	"fawnwinch.org/fawnwinch/services"
-	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/relay"
@@ -58,6 +59,8 @@
 
 	mu    sync.Mutex
 	table *peer.Table
+	// meter tells how much processor time this process uses.
+	meter usage.Meter
 	// greeting holds the addresses that are being greeted.
 	greeting map[string]bool
 	// registered holds the addresses of the other routers that are registered in the store, and strangers those of them that
@@ -65,8 +68,10 @@
 	registered, strangers []string
 	// outage tells for each feed since when it cannot be read; absent while it can.
 	outage map[string]time.Time
-	// lists holds the list of ranks by which the coordinator of each group tells its load.
-	lists map[group.ID]balance.RankList
+	// groups holds what is known of the model groups.
+	groups map[group.ID]led
+	// sought takes the services whose loads nobody tells.
+	sought chan service.ID
 }
 
 // New returns a router that knows nobody.
@@ -75,7 +80,7 @@
 	o.Self.State = peer.StateStarting
 	r := &Router{
 		opts: o, table: peer.NewTable(now, o.Self), news: make(chan struct{}, 1), greeting: map[string]bool{},
-		outage: map[string]time.Time{}, lists: map[group.ID]balance.RankList{},
+		outage: map[string]time.Time{}, groups: map[group.ID]led{}, sought: make(chan service.ID, 1),
 	}
 	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), (*knowledge.State).Catalogs)
 	r.catalogs.take, r.catalogs.ask = r.takeCatalogs, r.askCatalogs
@@ -86,6 +91,7 @@
 		r.upstreams.wait(now.Add(seedPatience))
 	}
 	r.rebound(o.Bounds)
+	o.Relay.OnUnreported(r.seek)
 	return r
 }
 
@@ -109,16 +115,6 @@
 	}
 }
 
-// rankList returns the list of ranks for a report, and keeps it if the report brings one.
-func (r *Router) rankList(report *balance.Report) balance.RankList {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if list, ok := report.Carried(); ok {
-		r.lists[report.ID] = list
-	}
-	return r.lists[report.ID]
-}
-
 // The feeds that routers follow, as they are called in logs.
 const (
 	feedCatalogs  = "catalogs"
@@ -132,6 +128,7 @@
 	w.Go(func() { r.upstreams.run(ctx) })
 	w.Go(func() { r.register(ctx) })
 	w.Go(func() { r.greetAll(ctx) })
+	w.Go(func() { r.seekAll(ctx) })
 	w.Wait()
 }
 
@@ -229,19 +226,29 @@
 // Ready reports whether the process takes callers.
 func (r *Router) Ready() bool { return r.Self().State == peer.StateReady }
 
-// Addresses returns the addresses that callers should use.
-func (r *Router) Addresses(now time.Time) []string {
+// Addresses returns the addresses that callers of a data centre should use.
+func (r *Router) Addresses(now time.Time, dc vm.DataCentre) []string {
+	var out []string
+	for _, n := range namedTo(r.taking(now), dc) {
+		out = append(out, n.Callers)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// taking returns the routers that take callers. This one is not among them while its catalog is too old to let keys in.
+func (r *Router) taking(now time.Time) []peer.Info {
+	fresh := r.opts.Relay.LetsIn(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
-	if self := r.table.Self(); self.State == peer.StateReady {
-		out = append(out, self.Callers)
+	var out []peer.Info
+	if self := r.table.Self(); self.State == peer.StateReady && fresh {
+		out = append(out, self)
 	}
 	for _, n := range r.table.Live(now, vm.RoleRouter) {
 		if n.State == peer.StateReady {
-			out = append(out, n.Callers)
+			out = append(out, n)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/usage"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -83,9 +83,8 @@
 	r.table.Sweep(now)
 	targets := r.table.Targets(now, rand.IntN)
 	targets = append(targets, r.contacts(r.table.Alone(now))...)
-	live := len(r.table.Live(now, vm.RoleRouter))
 	r.mu.Unlock()
-	r.opts.Relay.Routers(1 + live)
+	r.opts.Relay.Routers(max(1, len(namedAnywhere(r.taking(now)))))
 	for _, to := range targets {
 		if to.Address != r.opts.Self.Address && r.begin(to.Address) {
 			w.Go(func() {
@@ -100,9 +99,20 @@
 func (r *Router) tell(now time.Time) {
 	self := r.table.Self()
 	self.StoreLost = r.catalogs.failing() || r.upstreams.failing()
+	self.Busy = r.busy(now, self)
 	r.table.Tell(now, self)
 }
 
+// busy reports whether this process uses much of its processor time. The caller holds the lock.
+func (r *Router) busy(now time.Time, self peer.Info) bool {
+	used, err := usage.CPUTime()
+	if err != nil || self.Cores <= 0 {
+		return false // without figures nothing is known to be too much
+	}
+	part := r.meter.Note(now, used) / self.Cores
+	return part > busyAbove || self.Busy && part > calmBelow
+}
+
 // contactsAtOnce bounds the registered routers that are greeted in a round although nothing was heard of them.
 const contactsAtOnce = 4
 
--- /dev/null
+++ b/services/entry/report.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/peer"
+)
+
+// Coordinator is the agent that coordinates a model group.
+type Coordinator struct {
+	Group     group.ID
+	Service   service.ID
+	Authority uint64
+	// Address takes calls of other processes.
+	Address string
+}
+
+// led is what a router holds of a group: its coordinator, and the list of ranks by which that tells the load.
+type led struct {
+	Coordinator
+	list balance.RankList
+}
+
+// takeReport takes in the load of a group and returns what this router adds to it.
+func (r *Router) takeReport(now time.Time, report balance.Report) balance.ReportReply {
+	list := r.noteCoordinator(&report)
+	g, ok := list.Unpack(report)
+	if !ok {
+		return balance.ReportReply{}
+	}
+	told := r.opts.Relay.Report(now, g)
+	return balance.ReportReply{List: list.Number, Unstarted: list.PackUnstarted(told.Unstarted), Wanted: told.Wanted, Idle: told.Idle}
+}
+
+// noteCoordinator notes who has sent a report, and returns the list of ranks that it goes by.
+func (r *Router) noteCoordinator(report *balance.Report) balance.RankList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.groups[report.ID]
+	if report.Authority >= l.Authority {
+		l.Coordinator = Coordinator{Group: report.ID, Service: service.ID(report.Service), Authority: report.Authority, Address: report.Coordinator}
+	}
+	if list, ok := report.Carried(); ok {
+		l.list = list
+	}
+	r.groups[report.ID] = l
+	return l.list
+}
+
+// coordinatorsOf returns who coordinates the groups of a service.
+func (r *Router) coordinatorsOf(id service.ID) []Coordinator {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Coordinator
+	for _, l := range r.groups {
+		if l.Service == id && l.Address != "" {
+			out = append(out, l.Coordinator)
+		}
+	}
+	return out
+}
+
+const (
+	// seekGap is the time between two questions for the load of the groups of a service.
+	seekGap = 100 * time.Millisecond
+	// seekTime bounds such a question.
+	seekTime = 200 * time.Millisecond
+	// seekRouters is the number of other routers that are asked who coordinates.
+	seekRouters = 2
+)
+
+// seek notes that requests for a service have come although no coordinator tells its load. It does not wait.
+func (r *Router) seek(id service.ID) {
+	select {
+	case r.sought <- id:
+	default: // one is being sought already
+	}
+}
+
+// seekAll asks for the loads of groups that nobody tells until ctx ends.
+func (r *Router) seekAll(ctx context.Context) {
+	for {
+		select {
+		case id := <-r.sought:
+			r.seekOne(ctx, id)
+		case <-ctx.Done():
+			return
+		}
+		pause := time.NewTimer(seekGap)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+		}
+		pause.Stop()
+	}
+}
+
+// seekOne asks the coordinators of a service for loads, and other routers who that is if those that are known do not answer.
+func (r *Router) seekOne(ctx context.Context, id service.ID) {
+	if r.askCoordinators(ctx, id) {
+		return
+	}
+	for _, n := range r.someRouters(seekRouters) {
+		var found []Coordinator
+		if err := r.callSoon(ctx, n.Address, "Router.Coordinators", id, &found); err != nil {
+			continue // it is noted that the router is silent when it is greeted
+		}
+		if r.learnCoordinators(found) && r.askCoordinators(ctx, id) {
+			return
+		}
+	}
+	r.opts.Logger.Info().Str("service", string(id)).Int("known", len(r.coordinatorsOf(id))).Msg("no-coordinator-answers")
+}
+
+// askCoordinators asks the coordinators that are known, and reports whether any has told a load.
+func (r *Router) askCoordinators(ctx context.Context, id service.ID) bool {
+	told := false
+	for _, c := range r.coordinatorsOf(id) {
+		r.mu.Lock()
+		list := r.groups[c.Group].list
+		want := balance.Want{Router: r.table.Self(), List: list.Number}
+		r.mu.Unlock()
+		var report balance.Report
+		if err := r.callSoon(ctx, c.Address, "Rank.Report", want, &report); err != nil {
+			r.opts.Logger.Debug().Str("coordinator", c.Address).Err(err).Msg("coordinator-silent")
+			continue
+		}
+		if report.ID != "" {
+			r.takeReport(time.Now(), report)
+			told = true
+		}
+	}
+	return told
+}
+
+func (r *Router) callSoon(ctx context.Context, address, method string, args, reply any) error {
+	cctx, cancel := context.WithTimeout(ctx, seekTime)
+	defer cancel()
+	return r.opts.Pool.Call(cctx, address, method, args, reply)
+}
+
+// learnCoordinators takes in what another router knows, and reports whether that is new.
+func (r *Router) learnCoordinators(found []Coordinator) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := false
+	for _, c := range found {
+		if l := r.groups[c.Group]; c.Authority > l.Authority {
+			l.Coordinator = c
+			r.groups[c.Group] = l
+			news = true
+		}
+	}
+	return news
+}
+
+// someRouters returns some routers that seem to run, chosen by chance.
+func (r *Router) someRouters(most int) []peer.Info {
+	r.mu.Lock()
+	live := r.table.Live(time.Now(), vm.RoleRouter)
+	r.mu.Unlock()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] }) //nolint:gosec // no secret
+	return live[:min(most, len(live))]
+}
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -42,6 +42,10 @@
 	// Service is the service of that engine.
 	Service string `json:"service,omitempty"`
 	State   State  `json:"state"`
+	// Cores is the share of processor cores that the process has.
+	Cores float64 `json:"cores,omitempty"`
+	// Busy says that the process uses much of that.
+	Busy bool `json:"busy,omitempty"`
 	// StoreLost says that the process could not read the platform's store when it last tried.
 	StoreLost bool `json:"store_lost,omitempty"`
 }
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -77,6 +78,8 @@
 	foreign map[string]time.Time
 	sending sync.WaitGroup
 	book    *routerBook
+	// latest is the load that routers were told last.
+	latest atomic.Pointer[balance.Group]
 	// parts are those of the agents, and partOf tells the part of each agent by its name. Inbox holds what they have answered. Outstanding holds the parts that are being asked, late those
 	// whose answers took long; both by the name of the first agent.
 	parts             []part
--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -198,7 +198,7 @@
 	var w sync.WaitGroup
 	replies := make([]LeadReply, min(askedFirst, len(agents)))
 	errs := make([]error, len(replies))
-	for i, at := range rand.Perm(len(agents))[:len(replies)] {
+	for i, at := range rand.Perm(len(agents))[:len(replies)] { //nolint:gosec // no secret
 		w.Go(func() { replies[i], errs[i] = a.askLead(ctx, agents[at].Address, g, peerTime) })
 	}
 	w.Wait()
--- a/services/rank/router_book.go
+++ b/services/rank/router_book.go
@@ -4,6 +4,8 @@
 package rank
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,11 +23,16 @@
 	reports uint64
 	// list is the list of ranks that the latest report went by.
 	list balance.RankList
+	// turn counts the routers that have had their turn to be told although they are idle.
+	turn int
 }
 
 // routerEntry is what is known of one router.
 type routerEntry struct {
+	info       peer.Info
 	answeredAt time.Time
+	// activeAt is when the router last said that it has requests for the group.
+	activeAt time.Time
 	// report is the number of the latest report that was answered.
 	report    uint64
 	unstarted balance.Unstarted
@@ -36,6 +43,68 @@
 	given map[uint64]balance.Places
 }
 
+const (
+	// fewRouters is the number of routers up to which all are told the load of the group in each look. Of more, those
+	// without requests are told by turns, each once in turnLooks looks, and in firstLooks looks of a new coordinator.
+	fewRouters = 32
+	turnLooks  = 16
+	firstLooks = 4
+	// activeFor is how long a router is told in each look after it has said that it has requests.
+	activeFor = 3 * time.Second
+)
+
+// targets returns the routers that are told the load of the group in a look.
+func (b *routerBook) targets(now time.Time, routers []peer.Info) []peer.Info {
+	if len(routers) <= fewRouters {
+		return routers
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []peer.Info
+	active := map[string]bool{}
+	for name, e := range b.routers {
+		if now.Sub(e.activeAt) < activeFor {
+			active[name] = true
+			out = append(out, e.info)
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.Info) int { return cmp.Compare(a.Name, b.Name) })
+	looks := turnLooks
+	if b.turn < len(routers) {
+		looks = firstLooks
+	}
+	for range (len(routers) + looks - 1) / looks {
+		if r := routers[b.turn%len(routers)]; !active[r.Name] {
+			out = append(out, r)
+		}
+		b.turn++
+	}
+	return out
+}
+
+// want notes that a router has requests for the group, and returns the load as it can read it.
+func (b *routerBook) want(now time.Time, w balance.Want, g balance.Group) balance.Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entry(w.Router)
+	e.activeAt, e.list = now, w.List
+	if w.List == b.list.Number {
+		e.answeredAt, e.unstarted, e.wanted = now, b.list.UnpackUnstarted(w.Unstarted), w.Wanted
+	}
+	return b.list.Pack(g, w.List)
+}
+
+// entry returns what is known of a router. The caller holds the lock.
+func (b *routerBook) entry(r peer.Info) *routerEntry {
+	e, ok := b.routers[r.Name]
+	if !ok {
+		e = &routerEntry{given: map[uint64]balance.Places{}}
+		b.routers[r.Name] = e
+	}
+	e.info = r
+	return e
+}
+
 // answerValid is how long an answer of a router counts. Reports come several times a second.
 const answerValid = time.Second
 
@@ -89,13 +158,12 @@
 
 // answered takes in a router's answer to a report that went by a list. It tells what the router had sent before
 // it got the report, so the places of earlier ones are settled.
-func (b *routerBook) answered(now time.Time, name string, report uint64, list balance.RankList, reply balance.ReportReply) {
+func (b *routerBook) answered(now time.Time, router peer.Info, report uint64, list balance.RankList, reply balance.ReportReply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e, ok := b.routers[name]
-	if !ok {
-		e = &routerEntry{given: map[uint64]balance.Places{}}
-		b.routers[name] = e
+	e := b.entry(router)
+	if !reply.Idle {
+		e.activeAt = now
 	}
 	if report < e.report {
 		return // answers may pass each other
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -49,14 +49,17 @@
 	return balance.Pass(c.engine, l).Seconds() * 1000
 }
 
-// tellRouters tells all routers the load of the group, and each of them what it may send.
+// tellRouters tells routers the load of the group, and each of them what it may send.
 func (c *coordinator) tellRouters(ctx context.Context, now time.Time) {
 	g := c.load(now)
-	number, places := c.book.report(now, c.routers, g.Ranks, c.bounds(g))
-	for _, n := range c.routers {
+	c.latest.Store(&g)
+	targets := c.book.targets(now, c.routers)
+	number, places := c.book.report(now, targets, g.Ranks, c.bounds(g))
+	for _, n := range targets {
 		told := g
 		told.Places = places[n.Name]
 		report, list := c.book.pack(n.Name, told)
+		report.Authority, report.Coordinator = uint64(c.own.Authority), c.a.opts.Self.Address
 		c.sending.Go(func() {
 			cctx, cancel := context.WithTimeout(ctx, reportTime)
 			defer cancel()
@@ -65,11 +68,29 @@
 				c.a.opts.Logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
 				return
 			}
-			c.book.answered(time.Now(), n.Name, number, list, r)
+			c.book.answered(time.Now(), n, number, list, r)
 		})
 	}
 }
 
+// Report tells a router the load of the group that this agent coordinates; the answer is empty if it coordinates none.
+// The router may judge by itself what to send until the next report, which tells it.
+func (p *API) Report(w balance.Want, r *balance.Report) error {
+	p.a.mu.Lock()
+	c := p.a.leading
+	p.a.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	g := c.latest.Load()
+	if g == nil {
+		return nil
+	}
+	*r = c.book.want(time.Now(), w, *g)
+	r.Authority, r.Coordinator = uint64(c.own.Authority), p.a.opts.Self.Address
+	return nil
+}
+
 // load returns the load of the group as it was last heard of.
 func (c *coordinator) load(now time.Time) balance.Group {
 	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true}
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -173,7 +173,7 @@
 		if a == nil {
 			return x.deny(http.StatusUnauthorized, ReasonNoKey)
 		}
-		if x.keyMayBeGone() {
+		if x.r.keyMayBeGone(x.age) {
 			return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, after: retryStarting}
 		}
 		x.account = a.ID
@@ -195,10 +195,10 @@
 	return nil
 }
 
-// keyMayBeGone reports whether the key of the request may have been taken away so long ago that it must not be let in.
-func (x *exchange) keyMayBeGone() bool {
-	b := x.r.opts.Bounds
-	return !b.KeepKeys && x.age > b.KeyFreshness-freshnessMargin
+// keyMayBeGone reports whether a key that a catalog of some age holds may have been taken away so long ago that it must not
+// be let in. The caller holds the lock.
+func (r *Relay) keyMayBeGone(age time.Duration) bool {
+	return !r.opts.Bounds.KeepKeys && age > r.opts.Bounds.KeyFreshness-freshnessMargin
 }
 
 // deny refuses for good if the catalog is fresh enough to know, or else for now.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -43,7 +43,9 @@
 	pools   map[service.ID]*lane
 	routers int
 	leaving time.Time
-	active  int
+	// unreported is called when a request comes for a service with groups whose load nobody tells.
+	unreported func(service.ID)
+	active     int
 }
 
 // lane is the way to the upstreams of one service.
@@ -53,6 +55,8 @@
 	budget  *balance.Budget
 	// waiters lists the requests that wait for room; the one whose caller leaves first is the first.
 	waiters []*waiter
+	// askedAt is when the latest request came.
+	askedAt time.Time
 	// granted holds the times of the latest choices, oldest first.
 	granted []time.Time
 	// patience holds the longest patience seen of the callers of each route.
@@ -61,7 +65,7 @@
 
 // New returns a relay that knows nothing yet.
 func New(o Options) *Relay {
-	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1}
+	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {}}
 }
 
 // Know calls f with the router's knowledge, under the relay's lock.
@@ -71,7 +75,14 @@
 	f(r.know)
 }
 
-// Routers notes how many routers there are, this one included.
+// LetsIn reports whether the catalog is fresh enough to let callers with keys in.
+func (r *Relay) LetsIn(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.know.Complete() && !r.keyMayBeGone(r.know.CatalogAge(now))
+}
+
+// Routers notes how many routers callers use, this one included.
 func (r *Relay) Routers(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -103,9 +114,28 @@
 	return r.active
 }
 
-// Report takes in the load of a model group, and returns what this router has to add to it and how many
-// requests it would like to send until the next report.
-func (r *Relay) Report(now time.Time, g balance.Group) (balance.Unstarted, int) {
+// Told is what a router adds to the load of a group.
+type Told struct {
+	// Unstarted counts the requests at each rank that have not begun.
+	Unstarted balance.Unstarted
+	// Wanted is how many requests the router would like to send until the next report.
+	Wanted int
+	// Idle says that there has been no request for a while.
+	Idle bool
+}
+
+// OnUnreported has a function called when a request comes for a service with groups whose load nobody tells.
+func (r *Relay) OnUnreported(f func(service.ID)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreported = f
+}
+
+// idleAfter is how long a lane has had no request when its router counts as idle.
+const idleAfter = 2 * time.Second
+
+// Report takes in the load of a model group, and returns what this router adds to it.
+func (r *Relay) Report(now time.Time, g balance.Group) Told {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := service.ID(g.Service)
@@ -116,7 +146,7 @@
 	l := r.lane(now, id)
 	mine := l.pool.Report(now, g, ids)
 	r.wake(now, l)
-	return mine, l.wanted(now)
+	return Told{Unstarted: mine, Wanted: l.wanted(now), Idle: len(mine) == 0 && len(l.waiters) == 0 && now.Sub(l.askedAt) > idleAfter}
 }
 
 // Sweep drops what is no longer needed.
--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -164,6 +164,10 @@
 	now := time.Now()
 	l := r.lane(now, x.service)
 	a := r.ask(now, l, x)
+	l.askedAt = now
+	if a.Engine != nil && !l.pool.Reported(now) {
+		r.unreported(x.service)
+	}
 	hold := l.hold(now, x, len(r.know.Usable(now, x.service)) == 0)
 	if len(l.waiters) == 0 {
 		if u, ok := r.pick(now, l, a); ok {
