What becomes of a request that asks for an upstream is decided in a package without I/O

Cause: who waits, in which order, who is rejected and when callers come back was decided in services/relay between locks and channels, where no load could be replayed against it. Ruled out: an interface around the relay for a model (the model would then test the shell too). Change: services/admission holds these decisions with the present time as an argument; services/relay carries them out. The tests moved with them. No change of behaviour.

--- /dev/null
+++ b/services/admission/admission.go
@@ -0,0 +1,276 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package admission decides what becomes of a request that asks a router for an upstream: whether it is sent on at once,
+// waits for room and where in the queue, or is rejected, and when its caller may come back. It does no I/O and reads no
+// clock. Which upstream is chosen is decided by package balance.
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services/balance"
+)
+
+// Request is a request that asks for an upstream.
+type Request struct {
+	// Route names the route, and Goal is the time in which its answers, or their first events, earn full credit.
+	Route string
+	Goal  time.Duration
+	// Arrived is when the request came, and Deadline when its caller leaves. Patience is what the caller said of that; 0 if
+	// it said nothing.
+	Arrived, Deadline time.Time
+	Patience          time.Duration
+	// Ask is what the request wants of the upstreams.
+	Ask balance.Ask
+}
+
+// Outcome tells what becomes of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeGranted sends the request to an upstream now.
+	OutcomeGranted Outcome = "granted"
+	// OutcomeWaits has the request wait in the queue.
+	OutcomeWaits Outcome = "waits"
+	// OutcomeRejected rejects the request.
+	OutcomeRejected Outcome = "rejected"
+)
+
+// Verdict is what becomes of a request.
+type Verdict struct {
+	Outcome Outcome
+	// Upstream is the one that gets a granted request.
+	Upstream upstream.Instance
+	// Wait bounds the wait of a request that waits. RetryAfter is when a request that is rejected, also after its wait, would
+	// find room by forecast.
+	Wait, RetryAfter time.Duration
+}
+
+// Grant is a request whose wait has ended with an upstream.
+type Grant struct {
+	Request  *Request
+	Upstream upstream.Instance
+}
+
+const (
+	// inTimePart is the part of a route's goal that a request may wait for room and still be answered in
+	// time. The rest is needed for the pass under way and for reading the prompt.
+	inTimePart = 0.55
+	// waitMost and waitMostPart bound the wait for room. The rest of the time is needed for the answer, and
+	// callers leave a stream that says nothing for two seconds.
+	waitMost     = 1200 * time.Millisecond
+	waitMostPart = 0.4
+	// triedPart tells callers that come again: they have less patience left than this part of the longest
+	// that callers of the route had.
+	triedPart = 0.97
+	// maxWaiting bounds the requests that wait for one service at a router.
+	maxWaiting = 64
+	// plainRoom is the number of requests for each slot of a plain upstream that are sent to it at most.
+	plainRoom = 2
+	// rateWindow is the time over which the rate of grants is taken.
+	rateWindow = time.Second
+	// reportTime is about the time between two reports of a group's load.
+	reportTime = 100 * time.Millisecond
+	// retryMost bounds when a caller may come back that found all upstreams busy.
+	retryMost = 1500 * time.Millisecond
+	// idleAfter is how long no request has come when a queue is idle.
+	idleAfter = 2 * time.Second
+	// obeyPart is the part of the time that a caller has left for which it is told to stay away at most. The
+	// users' callers obey up to a third.
+	obeyPart = 0.3
+	// listTime is the time that a rank of a new group needs until routers know it.
+	listTime = 400 * time.Millisecond
+	// retryPlain is when a caller may come back whose request plain upstreams did not run.
+	retryPlain = 250 * time.Millisecond
+)
+
+// Queue holds the requests that wait for the upstreams of one service.
+type Queue struct {
+	pool    *balance.Pool
+	waiting []*Request
+	// granted holds the times of the latest grants, oldest first.
+	granted []time.Time
+	// patience holds the longest patience seen of the callers of each route.
+	patience map[string]time.Duration
+	// askedAt is when the latest request came.
+	askedAt time.Time
+}
+
+// NewQueue returns an empty queue for the upstreams of a pool.
+func NewQueue(p *balance.Pool) *Queue { return &Queue{pool: p, patience: map[string]time.Duration{}} }
+
+// Arrive decides what becomes of a request that has just come, given the upstreams that may take work.
+func (q *Queue) Arrive(now time.Time, x *Request, usable []upstream.Instance) Verdict {
+	q.askedAt = now
+	wait := q.wait(now, x, len(usable) == 0)
+	if len(q.waiting) == 0 {
+		if u, ok := q.pick(now, x, usable); ok {
+			return Verdict{Outcome: OutcomeGranted, Upstream: u}
+		}
+	}
+	v := Verdict{Outcome: OutcomeRejected, RetryAfter: q.room(now, x)}
+	if len(q.waiting) < maxWaiting && wait > 0 {
+		q.waiting = append(q.waiting, x)
+		v.Outcome, v.Wait = OutcomeWaits, wait
+	}
+	return v
+}
+
+// Leave notes that a request waits no longer.
+func (q *Queue) Leave(x *Request) {
+	if i := slices.Index(q.waiting, x); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+}
+
+// Wake returns the waiting requests that there is room for now. One that has tried the only upstream with room does not
+// keep the others from it.
+func (q *Queue) Wake(now time.Time, usable []upstream.Instance) []Grant {
+	var out []Grant
+	var passed []*Request
+	for x := q.first(now, passed); x != nil; x = q.first(now, passed) {
+		u, ok := q.pick(now, x, usable)
+		switch {
+		case ok:
+			q.Leave(x)
+			out = append(out, Grant{Request: x, Upstream: u})
+		case len(x.Ask.Exclude) > 0:
+			passed = append(passed, x)
+		default:
+			return out
+		}
+	}
+	return out
+}
+
+// Wanted forecasts how many requests could be sent until the next report of a group's load.
+func (q *Queue) Wanted(now time.Time) int {
+	return len(q.waiting) + int(math.Ceil(q.rate(now)*reportTime.Seconds()))
+}
+
+// Idle reports whether nobody waits and no request has come for a while.
+func (q *Queue) Idle(now time.Time) bool {
+	return len(q.waiting) == 0 && now.Sub(q.askedAt) > idleAfter
+}
+
+// Waiting returns the number of requests that wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// AfterNotRun forecasts when a request finds room that upstreams did not run.
+func (q *Queue) AfterNotRun(now time.Time, x *Request) time.Duration {
+	if x.Ask.Engine != nil {
+		// Ranks refuse what they get while their group is broken.
+		return q.back(now, x, x.Ask.Engine)
+	}
+	return retryPlain
+}
+
+// pick chooses an upstream and notes the attempt.
+func (q *Queue) pick(now time.Time, x *Request, usable []upstream.Instance) (upstream.Instance, bool) {
+	if len(usable) == 0 || q.pool.Closed(now) {
+		return upstream.Instance{}, false
+	}
+	ask := x.Ask
+	if ask.Engine == nil {
+		ask.Bounds.Rank = plainRoom * usable[0].Slots
+	}
+	u, ok := q.pool.Pick(now, usable, ask)
+	if ok {
+		q.pool.Sent(u.ID)
+		q.granted = append(q.granted, now)
+	}
+	return u, ok
+}
+
+// rate returns the grants of the last second, and forgets earlier ones.
+func (q *Queue) rate(now time.Time) float64 {
+	old := 0
+	for old < len(q.granted) && now.Sub(q.granted[old]) > rateWindow {
+		old++
+	}
+	q.granted = q.granted[old:]
+	return float64(len(q.granted)) / rateWindow.Seconds()
+}
+
+// queueWait forecasts how long it takes until all that wait are let in, and one more.
+func (q *Queue) queueWait(now time.Time) time.Duration {
+	rate := max(q.rate(now), 1/rateWindow.Seconds())
+	return time.Duration(float64(len(q.waiting)+1) / rate * float64(time.Second))
+}
+
+// wait returns how long a request may wait for room; 0 if it should be rejected at once and come back
+// when there is some. Nobody says that no upstream is listed.
+func (q *Queue) wait(now time.Time, x *Request, nobody bool) time.Duration {
+	most := min(waitMost, time.Duration(waitMostPart*float64(x.Deadline.Sub(now))))
+	if q.triedBefore(x) {
+		return most
+	}
+	if nobody || q.pool.Closed(now) || q.queueWait(now) > most {
+		return 0
+	}
+	return most
+}
+
+// triedBefore reports whether the caller has less patience left than others of its route had: it was
+// rejected before and comes again.
+func (q *Queue) triedBefore(x *Request) bool {
+	full := max(q.patience[x.Route], x.Patience)
+	q.patience[x.Route] = full
+	return x.Patience < time.Duration(triedPart*float64(full))
+}
+
+// room forecasts when a request that is rejected now would find room.
+func (q *Queue) room(now time.Time, x *Request) time.Duration {
+	wait := min(q.queueWait(now), retryMost)
+	if x.Ask.Engine != nil && (q.pool.Closed(now) || len(q.granted) == 0) {
+		return max(wait, q.back(now, x, x.Ask.Engine))
+	}
+	return wait
+}
+
+// back forecasts when a broken group is back. It needs the time in which it forms anew, and its ranks a
+// moment to be listed. Nobody knows when a rank that is missing comes back, so a caller is told to come as
+// late as callers are willing to: it comes again only once or twice.
+func (q *Queue) back(now time.Time, x *Request, e *catalog.Engine) time.Duration {
+	forms := e.FormTime + listTime
+	if q.pool.Missing(now) {
+		return max(forms, time.Duration(obeyPart*float64(x.Deadline.Sub(now))))
+	}
+	return forms
+}
+
+// first returns the waiting request that is let in next, or nil: of those that can still be answered in time
+// the one with the least time for that, or else the one whose caller leaves first. Requests that were passed
+// over are left out.
+func (q *Queue) first(now time.Time, passed []*Request) *Request {
+	var best *Request
+	for _, x := range q.waiting {
+		if !slices.Contains(passed, x) && (best == nil || x.before(now, best)) {
+			best = x
+		}
+	}
+	return best
+}
+
+// inTime returns the time up to which a request may wait and still be answered within its goal.
+func (x *Request) inTime() time.Time {
+	return x.Arrived.Add(time.Duration(inTimePart * float64(x.Goal)))
+}
+
+// before reports whether a waiting request is let in before another one.
+func (x *Request) before(now time.Time, o *Request) bool {
+	inTime := now.Before(x.inTime())
+	if inTime != now.Before(o.inTime()) {
+		return inTime
+	}
+	if inTime {
+		return x.inTime().Before(o.inTime())
+	}
+	return x.Deadline.Before(o.Deadline)
+}
--- /dev/null
+++ b/services/admission/admission_test.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/services/balance"
+)
+
+// TestWait checks which requests wait for room, and when those that are refused are told to come again.
+func TestWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engine := &catalog.Engine{Slots: 12, FormTime: 600 * time.Millisecond}
+	cases := map[string]struct {
+		patience time.Duration
+		waiting  int
+		granted  int
+		broken   bool
+		nobody   bool
+		want     time.Duration
+	}{
+		"new, a short queue":                   {8 * time.Second, 0, 10, false, false, waitMost},
+		"new, a queue that is let in in time":  {8 * time.Second, 9, 10, false, false, waitMost},
+		"new, a long queue":                    {8 * time.Second, 12, 10, false, false, 0},
+		"new, little time is left":             {time.Second, 3, 10, false, false, 400 * time.Millisecond},
+		"comes again, a long queue":            {7 * time.Second, 12, 10, false, false, waitMost},
+		"comes again, little time is left":     {time.Second, 12, 10, false, false, 400 * time.Millisecond},
+		"new, the group is broken":             {8 * time.Second, 0, 10, true, false, 0},
+		"comes again, the group is broken":     {7 * time.Second, 0, 10, true, false, waitMost},
+		"new, no upstream is listed":           {8 * time.Second, 0, 10, false, true, 0},
+		"comes again, no upstream is listed":   {7 * time.Second, 0, 10, false, true, waitMost},
+		"new, nothing was let in for a second": {8 * time.Second, 1, 0, false, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			full := 8 * time.Second
+			if strings.HasPrefix(name, "new") {
+				full = c.patience
+			}
+			q := &Queue{pool: balance.NewPool(""), patience: map[string]time.Duration{"r": full}, waiting: make([]*Request, c.waiting)}
+			for range c.granted {
+				q.granted = append(q.granted, now)
+			}
+			if c.broken {
+				q.pool.Report(now, balance.Group{}, nil)
+			}
+			x := &Request{Route: "r", Goal: 500 * time.Millisecond, Arrived: now, Deadline: now.Add(c.patience), Patience: c.patience, Ask: balance.Ask{Engine: engine}}
+			if got := q.wait(now, x, c.nobody); got != c.want {
+				t.Errorf("waits %s, want %s", got, c.want)
+			}
+			if room := q.room(now, x); c.broken && room < engine.FormTime+listTime {
+				t.Errorf("told to come back after %s, before the group has formed", room)
+			}
+		})
+	}
+}
+
+// TestBack checks when callers of a broken group are told to come again.
+func TestBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engine := &catalog.Engine{FormTime: 600 * time.Millisecond}
+	forms := engine.FormTime + listTime
+	cases := map[string]struct {
+		groups []balance.Group
+		left   time.Duration
+		want   time.Duration
+	}{
+		"nothing is known of the group":       {nil, 8 * time.Second, forms},
+		"it forms anew":                       {[]balance.Group{{Whole: true}}, 8 * time.Second, forms},
+		"a rank is missing":                   {[]balance.Group{{}}, 8 * time.Second, 2400 * time.Millisecond},
+		"a rank is missing, little time left": {[]balance.Group{{}}, 2 * time.Second, forms},
+		"another group works":                 {[]balance.Group{{ID: "a"}, {ID: "b", Open: true}}, 8 * time.Second, forms},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue(balance.NewPool(""))
+			for _, g := range c.groups {
+				q.pool.Report(now, g, nil)
+			}
+			if got := q.back(now, &Request{Deadline: now.Add(c.left)}, engine); got != c.want {
+				t.Errorf("told %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// TestFirst checks who is let in first: those that can still be answered in time, and of the others the one
+// whose caller leaves first.
+func TestFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const goal = time.Second
+	wait := func(inTime, deadline int) *Request {
+		arrived := now.Add(time.Duration(inTime)*time.Millisecond - time.Duration(inTimePart*float64(goal)))
+		return &Request{Arrived: arrived, Goal: goal, Deadline: now.Add(time.Duration(deadline) * time.Millisecond)}
+	}
+	cases := map[string]struct {
+		waiting []*Request
+		want    int
+	}{
+		"one alone":                          {[]*Request{wait(-100, 3000)}, 0},
+		"in time before late":                {[]*Request{wait(-100, 500), wait(200, 8000)}, 1},
+		"in time, the one with less for it":  {[]*Request{wait(200, 8000), wait(100, 8000), wait(150, 300)}, 1},
+		"all late: the caller that is going": {[]*Request{wait(-100, 5000), wait(-200, 6000), wait(-50, 4000)}, 2},
+		"the end of its time counts as late": {[]*Request{wait(0, 100), wait(1, 8000)}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := &Queue{waiting: c.waiting}
+			got := q.first(now, nil)
+			if got != c.waiting[c.want] {
+				t.Errorf("%d is let in, want %d", slices.Index(c.waiting, got), c.want)
+			}
+			if next := q.first(now, []*Request{got}); next == got {
+				t.Error("a request that was passed over is let in")
+			}
+		})
+	}
+	if got := (&Queue{}).first(now, nil); got != nil {
+		t.Error("somebody is let in although nobody waits")
+	}
+}
+
+// TestWake checks that a request which has tried the only upstream with room does not keep others from it.
+func TestWake(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := upstream.Instance{ID: "u0", Service: "s", Address: "a0", Slots: 1, State: upstream.StateReady}
+	tried := &Request{Ask: balance.Ask{Exclude: map[upstream.ID]bool{"u0": true}}, Arrived: now, Goal: time.Second}
+	fresh := &Request{Arrived: now, Goal: 2 * time.Second}
+	q := NewQueue(balance.NewPool(""))
+	q.waiting = []*Request{tried, fresh}
+	grants := q.Wake(now, []upstream.Instance{u})
+	if len(grants) != 1 || grants[0].Request != fresh || !slices.Equal(q.waiting, []*Request{tried}) {
+		t.Errorf("let in: %+v; %d wait", grants, len(q.waiting))
+	}
+}
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -49,10 +49,9 @@
 	freshnessMargin = 300 * time.Millisecond
 	// retryStarting is when a caller may come back to a process that does not know enough yet.
 	retryStarting = 300 * time.Millisecond
-	// retryBusy and retryBusyMax bound when a caller may come back that found all upstreams busy; up to
+	// retryBusy is the least time after which a caller may come back that found all upstreams busy; up to
 	// retryBusySpread is added by chance, so that callers do not come back together.
 	retryBusy       = 250 * time.Millisecond
-	retryBusyMax    = 1500 * time.Millisecond
 	retryBusySpread = 250 * time.Millisecond
 	// defaultPatience bounds requests whose route and caller give no time.
 	defaultPatience = 30 * time.Second
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -18,6 +18,7 @@
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 
@@ -53,14 +54,9 @@
 	service service.ID
 	pool    *balance.Pool
 	budget  *balance.Budget
-	// waiters lists the requests that wait for room; the one whose caller leaves first is the first.
-	waiters []*waiter
-	// askedAt is when the latest request came.
-	askedAt time.Time
-	// granted holds the times of the latest choices, oldest first.
-	granted []time.Time
-	// patience holds the longest patience seen of the callers of each route.
-	patience map[string]time.Duration
+	queue   *admission.Queue
+	// ready takes the upstream of each request that waits.
+	ready map[*admission.Request]chan upstream.Instance
 }
 
 // New returns a relay that knows nothing yet.
@@ -131,9 +127,6 @@
 	r.unreported = f
 }
 
-// idleAfter is how long a lane has had no request when its router counts as idle.
-const idleAfter = 2 * time.Second
-
 // Report takes in the load of a model group, and returns what this router adds to it.
 func (r *Relay) Report(now time.Time, g balance.Group) Told {
 	r.mu.Lock()
@@ -146,7 +139,7 @@
 	l := r.lane(now, id)
 	mine := l.pool.Report(now, g, ids)
 	r.wake(now, l)
-	return Told{Unstarted: mine, Wanted: l.wanted(now), Idle: len(mine) == 0 && len(l.waiters) == 0 && now.Sub(l.askedAt) > idleAfter}
+	return Told{Unstarted: mine, Wanted: l.queue.Wanted(now), Idle: len(mine) == 0 && l.queue.Idle(now)}
 }
 
 // Sweep drops what is no longer needed.
@@ -174,9 +167,9 @@
 func (r *Relay) lane(now time.Time, id service.ID) *lane {
 	l, ok := r.pools[id]
 	if !ok {
+		pool := balance.NewPool(r.opts.DataCentre)
 		l = &lane{
-			service: id, patience: map[string]time.Duration{},
-			pool:   balance.NewPool(r.opts.DataCentre),
+			service: id, pool: pool, queue: admission.NewQueue(pool), ready: map[*admission.Request]chan upstream.Instance{},
 			budget: balance.NewBudget(now, r.opts.Bounds.RetryRatio, r.opts.Bounds.RetrySlack, r.opts.Bounds.RetryWindow, r.routers),
 		}
 		r.pools[id] = l
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -11,9 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,7 +23,6 @@
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
-	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 
 	"github.com/rs/zerolog"
@@ -399,135 +396,3 @@
 		}
 	}
 }
-
-// TestHold checks which requests wait for room, and when those that are refused are told to come again.
-func TestHold(t *testing.T) {
-	now := time.Unix(1000, 0)
-	engine := &catalog.Engine{Slots: 12, FormTime: 600 * time.Millisecond}
-	route := &catalog.Route{Name: "r", Goal: 500 * time.Millisecond}
-	cases := map[string]struct {
-		patience time.Duration
-		waiters  int
-		granted  int
-		broken   bool
-		nobody   bool
-		want     time.Duration
-	}{
-		"new, a short queue":                   {8 * time.Second, 0, 10, false, false, holdMost},
-		"new, a queue that is let in in time":  {8 * time.Second, 9, 10, false, false, holdMost},
-		"new, a long queue":                    {8 * time.Second, 12, 10, false, false, 0},
-		"new, little time is left":             {time.Second, 3, 10, false, false, 400 * time.Millisecond},
-		"comes again, a long queue":            {7 * time.Second, 12, 10, false, false, holdMost},
-		"comes again, little time is left":     {time.Second, 12, 10, false, false, 400 * time.Millisecond},
-		"new, the group is broken":             {8 * time.Second, 0, 10, true, false, 0},
-		"comes again, the group is broken":     {7 * time.Second, 0, 10, true, false, holdMost},
-		"new, no upstream is listed":           {8 * time.Second, 0, 10, false, true, 0},
-		"comes again, no upstream is listed":   {7 * time.Second, 0, 10, false, true, holdMost},
-		"new, nothing was let in for a second": {8 * time.Second, 1, 0, false, false, 0},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			full := 8 * time.Second
-			if strings.HasPrefix(name, "new") {
-				full = c.patience
-			}
-			l := &lane{pool: balance.NewPool(""), patience: map[string]time.Duration{"r": full}, waiters: make([]*waiter, c.waiters)}
-			for range c.granted {
-				l.granted = append(l.granted, now)
-			}
-			if c.broken {
-				l.pool.Report(now, balance.Group{}, nil)
-			}
-			x := &exchange{route: route, arrived: now, deadline: now.Add(c.patience), meta: services.CallerMeta{Patience: c.patience}}
-			if got := l.hold(now, x, c.nobody); got != c.want {
-				t.Errorf("held %s, want %s", got, c.want)
-			}
-			if room := l.room(now, x, balance.Ask{Engine: engine}); c.broken && room < engine.FormTime+listTime {
-				t.Errorf("told to come back after %s, before the group has formed", room)
-			}
-		})
-	}
-}
-
-// TestBack checks when callers of a broken group are told to come again.
-func TestBack(t *testing.T) {
-	now := time.Unix(1000, 0)
-	engine := &catalog.Engine{FormTime: 600 * time.Millisecond}
-	forms := engine.FormTime + listTime
-	cases := map[string]struct {
-		groups []balance.Group
-		left   time.Duration
-		want   time.Duration
-	}{
-		"nothing is known of the group":       {nil, 8 * time.Second, forms},
-		"it forms anew":                       {[]balance.Group{{Whole: true}}, 8 * time.Second, forms},
-		"a rank is missing":                   {[]balance.Group{{}}, 8 * time.Second, 2400 * time.Millisecond},
-		"a rank is missing, little time left": {[]balance.Group{{}}, 2 * time.Second, forms},
-		"another group works":                 {[]balance.Group{{ID: "a"}, {ID: "b", Open: true}}, 8 * time.Second, forms},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			l := &lane{pool: balance.NewPool("")}
-			for _, g := range c.groups {
-				l.pool.Report(now, g, nil)
-			}
-			if got := l.back(now, &exchange{deadline: now.Add(c.left)}, engine); got != c.want {
-				t.Errorf("told %s, want %s", got, c.want)
-			}
-		})
-	}
-}
-
-// TestFirst checks who is let in first: those that can still be answered in time, and of the others the one
-// whose caller leaves first.
-func TestFirst(t *testing.T) {
-	now := time.Unix(1000, 0)
-	wait := func(inTime, deadline int) *waiter {
-		return &waiter{inTime: now.Add(time.Duration(inTime) * time.Millisecond), deadline: now.Add(time.Duration(deadline) * time.Millisecond)}
-	}
-	cases := map[string]struct {
-		waiters []*waiter
-		want    int
-	}{
-		"one alone":                          {[]*waiter{wait(-100, 3000)}, 0},
-		"in time before late":                {[]*waiter{wait(-100, 500), wait(200, 8000)}, 1},
-		"in time, the one with less for it":  {[]*waiter{wait(200, 8000), wait(100, 8000), wait(150, 300)}, 1},
-		"all late: the caller that is going": {[]*waiter{wait(-100, 5000), wait(-200, 6000), wait(-50, 4000)}, 2},
-		"the end of its time counts as late": {[]*waiter{wait(0, 100), wait(1, 8000)}, 1},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			l := &lane{waiters: c.waiters}
-			got := l.first(now, nil)
-			if got != c.waiters[c.want] {
-				t.Errorf("%d is let in, want %d", slices.Index(c.waiters, got), c.want)
-			}
-			if next := l.first(now, []*waiter{got}); next == got {
-				t.Error("a request that was passed over is let in")
-			}
-		})
-	}
-	if got := (&lane{}).first(now, nil); got != nil {
-		t.Error("somebody is let in although nobody waits")
-	}
-}
-
-// TestWake checks that a request which has tried the only upstream with room does not keep others from it.
-func TestWake(t *testing.T) {
-	_, r := start(t)
-	now := time.Now()
-	u := upstream.Instance{ID: "u0", Service: "s", Address: "a0", Slots: 1, State: upstream.StateReady}
-	r.Know(func(k *knowledge.State) {
-		k.TakeUpstreams(now, knowledge.Part[upstream.Instance]{From: 1, Next: 2, AsOf: now, Changes: []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}})
-	})
-	tried := &waiter{ready: make(chan upstream.Instance, 1), ask: balance.Ask{Exclude: map[upstream.ID]bool{"u0": true}}, inTime: now.Add(time.Second)}
-	fresh := &waiter{ready: make(chan upstream.Instance, 1), inTime: now.Add(2 * time.Second)}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.lane(now, "s")
-	l.waiters = []*waiter{tried, fresh}
-	r.wake(now, l)
-	if len(fresh.ready) != 1 || len(tried.ready) != 0 || !slices.Equal(l.waiters, []*waiter{tried}) {
-		t.Errorf("let in: %d that has tried it, %d others; %d wait", len(tried.ready), len(fresh.ready), len(l.waiters))
-	}
-}
