Maps are planned for groups of more than 128 ranks

Cause: the sets of ranks in services/placement were two words, and a group of 129 ranks was refused with an error that the planner dropped: the large deployment never got a map. Nothing in the logs said so. Ruled out: three words (the next size would end the same way). Change: sets of as many words as the ranks need, in one row that is copied at once; an error of a plan is logged as plan-failed. Figures: TestPlannerOfManyRanks fails at 129 and 260 ranks before.

--- a/services/placement/layer.go
+++ b/services/placement/layer.go
@@ -11,17 +11,36 @@
 	"fawnwinch.org/fawnwinch/models/expertmap"
 )
 
-// maxRanks is the largest number of ranks of a group.
-const maxRanks = 128
-
+// wordBits is the size of a word of a set of ranks.
 const wordBits = 64
 
-// rankSet is a set of ranks.
-type rankSet [maxRanks / wordBits]uint64
+// rankSets holds a set of ranks for each expert, in one row of words, so that it is copied at once.
+type rankSets struct {
+	words int
+	bits  []uint64
+}
+
+func newRankSets(experts, ranks int) rankSets {
+	words := (ranks + wordBits - 1) / wordBits
+	return rankSets{words: words, bits: make([]uint64, experts*words)}
+}
+
+// of returns the words of an expert's set.
+func (s *rankSets) of(e expertmap.Expert) []uint64 {
+	return s.bits[int(e)*s.words : (int(e)+1)*s.words]
+}
 
-func (s *rankSet) has(r int) bool { return s[r/wordBits]&(1<<(r%wordBits)) != 0 }
-func (s *rankSet) add(r int)      { s[r/wordBits] |= 1 << (r % wordBits) }
-func (s *rankSet) remove(r int)   { s[r/wordBits] &^= 1 << (r % wordBits) }
+func (s *rankSets) has(e expertmap.Expert, r int) bool {
+	return s.bits[int(e)*s.words+r/wordBits]&(1<<(r%wordBits)) != 0
+}
+
+func (s *rankSets) add(e expertmap.Expert, r int) { s.of(e)[r/wordBits] |= 1 << (r % wordBits) }
+
+func (s *rankSets) remove(e expertmap.Expert, r int) { s.of(e)[r/wordBits] &^= 1 << (r % wordBits) }
+
+func (s *rankSets) clone() rankSets {
+	return rankSets{words: s.words, bits: slices.Clone(s.bits)}
+}
 
 // empty marks a slot that holds nothing of use: a second replica on the same rank serves nobody.
 const empty = expertmap.Free
@@ -33,7 +52,7 @@
 	// slots[rank] lists the experts held.
 	slots [][]expertmap.Expert
 	// holders and replicas tell for each expert which ranks hold it, and how many.
-	holders  []rankSet
+	holders  rankSets
 	replicas []int
 	// parts holds the load of one replica of each expert; more, what each holder gets on top when
 	// one replica is dropped. Both follow from replicas and are kept because the search asks often.
@@ -44,7 +63,7 @@
 	mean    float64
 	// origin tells which ranks held each expert at first; fresh counts the experts that each rank has
 	// got since. A rank gets at most maxFresh of them; 0 means any number.
-	origin   []rankSet
+	origin   rankSets
 	fresh    []int
 	maxFresh int
 	// loads counts the experts that each rank gets in all layers, by changes that have been made, and made those
@@ -59,12 +78,12 @@
 func (e ErrShape) Error() string { return "placement: " + e.What }
 
 func newLayer(slots [][]expertmap.Expert, popularity, speed []float64) (*layer, error) {
-	if len(speed) != len(slots) || len(slots) > maxRanks {
+	if len(speed) != len(slots) {
 		return nil, ErrShape{What: fmt.Sprintf("%d speeds for %d ranks", len(speed), len(slots))}
 	}
 	l := &layer{
 		popularity: popularity, speed: speed, slots: make([][]expertmap.Expert, len(slots)),
-		holders: make([]rankSet, len(popularity)), replicas: make([]int, len(popularity)), load: make([]float64, len(slots)),
+		holders: newRankSets(len(popularity), len(slots)), replicas: make([]int, len(popularity)), load: make([]float64, len(slots)),
 		parts: make([]float64, len(popularity)), more: make([]float64, len(popularity)), inverse: make([]float64, len(slots)),
 	}
 	for r, s := range speed {
@@ -78,7 +97,7 @@
 	for e := range popularity {
 		l.count(expertmap.Expert(e), 0)
 	}
-	l.origin, l.fresh, l.made = slices.Clone(l.holders), make([]int, len(slots)), make([]int, len(slots))
+	l.origin, l.fresh, l.made = l.holders.clone(), make([]int, len(slots)), make([]int, len(slots))
 	l.reload()
 	var total, speeds float64
 	for r := range slots {
@@ -99,11 +118,11 @@
 		if int(e) >= len(l.popularity) || e < 0 {
 			return ErrShape{What: fmt.Sprintf("expert %d of %d", e, len(l.popularity))}
 		}
-		if l.holders[e].has(r) {
+		if l.holders.has(e, r) {
 			l.replace(r, i, empty)
 			continue
 		}
-		l.holders[e].add(r)
+		l.holders.add(e, r)
 		l.replicas[e]++
 	}
 	return nil
@@ -113,7 +132,7 @@
 func (l *layer) clone() *layer {
 	c := *l
 	c.slots = slices.Clone(l.slots)
-	c.holders = slices.Clone(l.holders)
+	c.holders = l.holders.clone()
 	c.replicas = slices.Clone(l.replicas)
 	c.load = slices.Clone(l.load)
 	c.fresh = slices.Clone(l.fresh)
@@ -131,7 +150,7 @@
 
 // room reports whether a rank may get an expert: it had it at first, or has not got too many since.
 func (l *layer) room(e expertmap.Expert, r int) bool {
-	if l.origin[e].has(r) {
+	if l.origin.has(e, r) {
 		return true
 	}
 	if l.maxFresh != 0 && l.fresh[r] >= l.maxFresh {
@@ -142,16 +161,16 @@
 
 // add notes that a rank now holds an expert.
 func (l *layer) add(e expertmap.Expert, r int) {
-	l.holders[e].add(r)
-	if !l.origin[e].has(r) {
+	l.holders.add(e, r)
+	if !l.origin.has(e, r) {
 		l.fresh[r]++
 	}
 }
 
 // remove notes that a rank no longer holds an expert.
 func (l *layer) remove(e expertmap.Expert, r int) {
-	l.holders[e].remove(r)
-	if !l.origin[e].has(r) {
+	l.holders.remove(e, r)
+	if !l.origin.has(e, r) {
 		l.fresh[r]--
 	}
 }
@@ -205,7 +224,7 @@
 // has more of it.
 func (l *layer) raised(e expertmap.Expert, more float64, a, b int) float64 {
 	var high float64
-	for w, word := range l.holders[e] {
+	for w, word := range l.holders.of(e) {
 		for ; word != 0; word &= word - 1 {
 			r := w*wordBits + bits.TrailingZeros64(word)
 			if r != a && r != b {
--- a/services/placement/move.go
+++ b/services/placement/move.go
@@ -54,7 +54,7 @@
 	l := s.l
 	partNow, partThen := l.parts[in], l.popularity[in]/float64(l.replicas[in]+1)
 	for to := range l.slots {
-		if to == s.high || l.load[to] >= s.top || l.holders[in].has(to) || !l.room(in, to) {
+		if to == s.high || l.load[to] >= s.top || l.holders.has(in, to) || !l.room(in, to) {
 			continue
 		}
 		m := move{from: s.high, fromSlot: slot, to: to, in: in}
@@ -63,7 +63,7 @@
 			if out == empty || l.replicas[out] > 1 {
 				s.tryReplica(m, partNow, partThen)
 			}
-			if out != empty && !l.holders[out].has(s.high) && l.room(out, s.high) {
+			if out != empty && !l.holders.has(out, s.high) && l.room(out, s.high) {
 				m.swap = true
 				s.trySwap(m, partNow)
 			}
@@ -81,7 +81,7 @@
 	from := l.load[m.from] - (partNow-partThen)*l.inverse[m.from]
 	if m.out != empty {
 		more := l.more[m.out]
-		if l.holders[m.out].has(m.from) {
+		if l.holders.has(m.out, m.from) {
 			from += more * l.inverse[m.from]
 		}
 		after = max(after, l.raised(m.out, more, m.from, m.to))
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -201,7 +201,10 @@
 		speed[i] = 1 / max(m.status.Pace, 1)
 		writers += float64(m.status.Running) / float64(len(c.members))
 	}
-	next := c.planner.plan(now, speed, writers)
+	next, err := c.planner.plan(now, speed, writers)
+	if err != nil {
+		c.a.opts.Logger.Error().Err(err).Int("ranks", len(speed)).Msg("plan-failed")
+	}
 	if next != nil {
 		c.version = mapswitch.NextVersion(c.version, d.self())
 		next.Version = c.version
--- a/services/rank/drift_test.go
+++ b/services/rank/drift_test.go
@@ -74,6 +74,7 @@
 		{1500 * ms, usual, 12, 3, 96, 3, 8000},
 		{80 * ms, usual, 24, 16, 96, 1, 420},
 		{100 * ms, usual, 63, 8, 252, 1, 630},
+		{7 * ms, usual, 129, 16, 258, 1, 150},
 		{100 * ms, 1500 * ms, 12, 4, 72, 2, 2200},
 		{400 * ms, 1500 * ms, 12, 3, 96, 3, 2200},
 		{100 * ms, long, 12, 4, 72, 2, 2200},
@@ -181,7 +182,10 @@
 		at = s.now
 		p.current = s.current
 		p.watch(s.now, s.counts)
-		next := p.plan(s.now, evenSpeed(c.ranks), s.writers)
+		next, err := p.plan(s.now, evenSpeed(c.ranks), s.writers)
+		if err != nil {
+			panic(err) // the model has made a map that cannot be read
+		}
 		p.pauseTo = time.Time{}
 		return next, p.skew
 	}
--- a/services/rank/planner.go
+++ b/services/rank/planner.go
@@ -4,6 +4,7 @@
 package rank
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -89,9 +90,9 @@
 
 // plan returns a better map for the relative speed of each rank and the streams that a rank writes on average,
 // or nil if none pays.
-func (p *planner) plan(now time.Time, speed []float64, writers float64) *expertmap.Map {
+func (p *planner) plan(now time.Time, speed []float64, writers float64) (*expertmap.Map, error) {
 	if !p.demand.enough() || now.Before(p.pauseTo) {
-		return nil
+		return nil, nil
 	}
 	perSkew := p.perSkew(writers)
 	lasts := p.demand.lasts(now)
@@ -99,22 +100,23 @@
 		Price: p.price(perSkew, lasts), MaxMoves: math.MaxInt32, MaxFresh: min(p.engine.MaxFresh, p.loads(layerPart)), MaxRank: p.loads(1), Enough: p.enoughFor(writers),
 	}, nil)
 	if err != nil {
-		return nil
+		p.pauseTo = now.Add(retryAfter)
+		return nil, fmt.Errorf("plan a map: %w", err)
 	}
 	p.skew, p.moves = res.Before, res.Moves
 	if res.Map == nil {
-		return nil
+		return nil, nil
 	}
 	most := 0
 	for r := range speed {
 		most = max(most, res.Map.Loads(p.current, r))
 	}
 	if res.Before-res.After < p.leastGain(perSkew, lasts, most) {
-		return nil
+		return nil, nil
 	}
 	p.most = most
 	p.plannedAt, p.pauseTo = now, now.Add(retryAfter)
-	return res.Map
+	return res.Map, nil
 }
 
 // perSkew returns the part of a pass by which it gets shorter when the skew falls by one.
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -178,7 +178,10 @@
 			p := newPlanner(figures, goal, 1, firstMap(ranks))
 			p.watch(begin, counted(ranks, 1, first, c.part))
 			p.watch(begin.Add(time.Second), counted(ranks, 2, first, c.part))
-			next := p.plan(begin.Add(time.Second), c.speed, c.writers)
+			next, err := p.plan(begin.Add(time.Second), c.speed, c.writers)
+			if err != nil {
+				t.Fatal(err)
+			}
 			if (next != nil) != c.change {
 				t.Fatalf("change %t at skew %.2f, want %t", next != nil, p.skew, c.change)
 			}
@@ -228,3 +231,40 @@
 		})
 	}
 }
+
+// TestPlannerOfManyRanks checks that maps are planned for groups of any size.
+func TestPlannerOfManyRanks(t *testing.T) {
+	for _, ranks := range []int{12, 128, 129, 260} {
+		many := *figures
+		many.Experts, many.Places = 2*ranks, 3
+		m := &expertmap.Map{Layers: make([]expertmap.Layer, many.Layers)}
+		for l := range m.Layers {
+			for r := range ranks {
+				m.Layers[l].Slots = append(m.Layers[l].Slots, []expertmap.Expert{expertmap.Expert(r), expertmap.Expert(r + ranks), expertmap.Free})
+			}
+		}
+		counts := make([]services.RankCounts, ranks)
+		speed := make([]float64, ranks)
+		for r := range ranks {
+			speed[r] = 1
+			counts[r].Counts = make([]uint64, many.Layers*many.Experts)
+		}
+		p := newPlanner(&many, goal, 1, m)
+		p.watch(begin, counts)
+		after := make([]services.RankCounts, ranks)
+		for r := range ranks {
+			after[r].Counts = make([]uint64, many.Layers*many.Experts)
+			for i := range after[r].Counts {
+				after[r].Counts[i] = 20
+				if i%many.Experts < 4 {
+					after[r].Counts[i] = 2000
+				}
+			}
+		}
+		p.watch(begin.Add(time.Second), after)
+		next, err := p.plan(begin.Add(time.Second), speed, 4)
+		if err != nil || next == nil {
+			t.Errorf("%d ranks: no map at a skew of %.2f: %v", ranks, p.skew, err)
+		}
+	}
+}
