Each group of a service is led: agents follow, and claim for, their own group only

Cause: an agent whose engine had not answered yet did not know its group and took in the authority of whichever coordinator asked first. If that was another group's, its own claim had to follow on an end that the own group's log did not have; the store named the true end, which was lower and therefore ignored, and the claim was tried at each tick without a rest.

Ruled out: the store's answer to a claim (its end is right); the number of agents (one group of 63 is led).

Change: - A lead names its group. A candidate hears nobody before its engine has told the group, and nothing of another group; an agent asks its engine before it answers a coordinator, and again when the caller knows another group. - Orders of another group's coordinator are answered as conflicts and reach no engine. - What the store says its log ends at is taken, also when that is lower; claims that lose on end, and failed registrations, rest. - What agents tell each other of a coordinator keeps its age: agents of a group formed anew kept telling each other of one that was gone. - A coordinator ends when the rank beside it is another one, and is not told of to others afterwards. - Before a claim three agents of the own group are asked, not three of any group. - A claim is logged also when its claimer is not listed.

--- a/services/election/election.go
+++ b/services/election/election.go
@@ -11,6 +11,8 @@
 
 import (
 	"time"
+
+	"fawnwinch.org/fawnwinch/models/group"
 )
 
 // Authority numbers the claims to coordinate a group, from 1. It is the end of the stream of claims after the claim.
@@ -18,6 +20,8 @@
 
 // Lead is what a coordinator tells the agents of its group.
 type Lead struct {
+	// Group is that which is led. Authorities of different groups say nothing of each other.
+	Group     group.ID
 	Authority Authority
 	// Rank is that beside the coordinator.
 	Rank int
@@ -44,12 +48,16 @@
 
 // Candidate is an agent's part in the election of its group's coordinator. It does no I/O and reads no clock.
 type Candidate struct {
+	// group is that of the rank beside the agent; empty until its engine has told, and nobody is heard until then.
+	group      group.ID
 	rank, size int
 	// lead is the highest that was heard, and claimed the highest authority that is known to be claimed.
 	lead    Lead
 	claimed Authority
-	// heard is when lead was last heard; at first the start of the agent.
+	// heard is when lead was last heard; at first the start of the agent. Ended says that lead was the agent itself, and has
+	// ended.
 	heard time.Time
+	ended bool
 	// pause is that after the latest try that failed, and resting its end.
 	pause   time.Duration
 	resting time.Time
@@ -58,27 +66,45 @@
 // New returns the part of an agent that has just started.
 func New(now time.Time) *Candidate { return &Candidate{heard: now} }
 
-// Place notes the rank beside the agent and the size of its group. An agent that hears nobody waits from the time at which
-// its group has formed: all of its ranks would stand up at once otherwise.
-func (c *Candidate) Place(now time.Time, rank, size int) {
-	if c.size == 0 && c.lead.Authority == 0 {
+// Place notes which rank of which group is beside the agent, and the size of that group. An agent that hears nobody waits
+// from the time at which its group has formed: all of its ranks would stand up at once otherwise. What was heard of another
+// group is forgotten, but for the rest after failures: the calls of the store are paid for all the same.
+func (c *Candidate) Place(now time.Time, g group.ID, rank, size int) {
+	switch {
+	case g != c.group:
+		*c = Candidate{group: g, heard: now, pause: c.pause, resting: c.resting}
+	case c.size == 0 && c.lead.Authority == 0:
 		c.heard = now
 	}
 	c.rank, c.size = rank, size
 }
 
-// Hear takes in what a coordinator tells, and returns the highest authority that was heard.
-func (c *Candidate) Hear(now time.Time, l Lead) Authority {
-	if l.Authority >= c.lead.Authority {
-		c.lead, c.heard, c.pause = l, now, 0
+// Group returns the group of the rank beside the agent; empty if that is not known yet.
+func (c *Candidate) Group() group.ID { return c.group }
+
+// Hear takes in what a coordinator has told at a time, and reports whether it leads the agent's group: it is of that group, and
+// no higher authority was heard. What comes from other agents has the time at which it was told to them: agents that kept
+// telling each other of a coordinator that is gone would never stand up.
+func (c *Candidate) Hear(at time.Time, l Lead) bool {
+	switch {
+	case c.group == "" || l.Group != c.group || l.Authority < c.lead.Authority:
+		return false
+	case l.Authority > c.lead.Authority:
+		c.lead, c.heard, c.ended = l, at, false
 		c.claimed = max(c.claimed, l.Authority)
+	case c.ended:
+		return false
+	case at.After(c.heard):
+		c.lead, c.heard = l, at
 	}
-	return c.lead.Authority
+	c.pause = 0
+	return true
 }
 
-// Led returns the coordinator that was heard within its lease.
-func (c *Candidate) Led(now time.Time) (Lead, bool) {
-	return c.lead, c.lead.Authority > 0 && now.Sub(c.heard) <= c.lead.Lease
+// Led returns the coordinator that was heard within its lease, and how long ago that was.
+func (c *Candidate) Led(now time.Time) (l Lead, age time.Duration, ok bool) {
+	age = now.Sub(c.heard)
+	return c.lead, age, c.lead.Authority > 0 && !c.ended && age <= c.lead.Lease
 }
 
 // Highest returns the highest authority that was heard.
@@ -87,8 +113,9 @@
 // Claimed returns the highest authority that is known to be claimed: the next claim must follow on it.
 func (c *Candidate) Claimed() Authority { return c.claimed }
 
-// Beaten notes that another agent has claimed an authority.
-func (c *Candidate) Beaten(a Authority) { c.claimed = max(c.claimed, a) }
+// Beaten notes the authority that was claimed last, as the store tells it when it turns a claim down. That is lower than
+// what was known if the store's log of the group was begun anew.
+func (c *Candidate) Beaten(a Authority) { c.claimed = a }
 
 // Due reports whether the agent should stand up: nobody was heard for long enough, and it is its turn.
 func (c *Candidate) Due(now time.Time) bool {
@@ -114,7 +141,7 @@
 	return firstTurns*turn + time.Duration(place-firstTurns)*lateTurn
 }
 
-// Failed notes a try that failed, because the store or the engine did not answer.
+// Failed notes a try to stand up that has not led to a coordinator. Each costs calls of the store.
 func (c *Candidate) Failed(now time.Time) {
 	c.pause = min(max(2*c.pause, firstPause), longestPause)
 	c.resting = now.Add(c.pause)
@@ -123,8 +150,12 @@
 // Wait notes that another agent is about to begin.
 func (c *Candidate) Wait(now time.Time) { c.resting = now.Add(turn) }
 
-// Ended notes that the agent coordinates no longer: others stand up first.
-func (c *Candidate) Ended(now time.Time) { c.heard = now }
+// Ended notes that the agent does not coordinate with an authority any longer: if nobody else does yet, others stand up first.
+func (c *Candidate) Ended(now time.Time, a Authority) {
+	if c.lead.Authority == a {
+		c.heard, c.ended = now, true
+	}
+}
 
 const (
 	// leaseLooks is the number of looks at all ranks that a coordinator may miss, and leastLease and mostLease bound its
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
 
@@ -68,8 +69,8 @@
 
 	mu        sync.Mutex
 	candidate *election.Candidate
-	// group is that of the rank, once its engine has told.
-	group group.ID
+	// placed is when the engine last told its group.
+	placed time.Time
 	// asked says that a coordinator has found this process.
 	asked bool
 	// claiming says that the agent waits for the answer to a claim, and leading is its part as coordinator; nil if it has none.
@@ -88,11 +89,9 @@
 // Start numbers the starts of an agent.
 type Start uint64
 
-// Ask is a coordinator's question for a rank's load.
+// Ask is a coordinator's question for a rank's load. Its lead names the group that is coordinated: a service may have several.
 type Ask struct {
-	// Group is the group that is coordinated. A service may have several.
-	Group group.ID
-	Lead  election.Lead
+	Lead election.Lead
 	// Counts asks for the experts' counts too, and Since numbers those that the asker has, 0 for none.
 	Counts bool
 	Since  uint64
@@ -123,6 +122,9 @@
 	loadTick = 10 * time.Millisecond
 	// peerTime bounds a call of another agent: two ways between data centres and the calls of its engine.
 	peerTime = 90 * time.Millisecond
+	// placeEvery is the time after which an engine is asked again for its group when others take its rank for one of another.
+	// Groups form anew within some hundred milliseconds.
+	placeEvery = 200 * time.Millisecond
 	// claimTime bounds a call of the store.
 	claimTime = 1500 * time.Millisecond
 	// claimPause is the pause after a failure to read the list of processes.
@@ -137,11 +139,12 @@
 
 // Status tells a coordinator the load of the rank.
 func (p *API) Status(ask Ask, r *Reply) error {
-	if r.Foreign = p.a.foreign(ask.Group); r.Foreign {
-		return nil
+	heard, err := p.a.listen(time.Now(), ask.Lead)
+	if err != nil {
+		return err
 	}
-	r.Authority = p.a.hear(time.Now(), ask.Lead)
-	if r.Authority != ask.Lead.Authority {
+	r.Foreign, r.Authority = heard == foreign, p.a.highest()
+	if heard != leads {
 		return nil
 	}
 	r.Start = p.a.start
@@ -160,15 +163,68 @@
 	return err
 }
 
-// foreign reports whether the rank is known to belong to another group.
-func (a *Agent) foreign(g group.ID) bool {
+// standing is what an agent makes of a coordinator.
+type standing string
+
+// The standings of a coordinator.
+const (
+	// leads is that of the one that leads the agent's group.
+	leads standing = "leads"
+	// deposed is that of one of the agent's group, of which a later one is known.
+	deposed standing = "deposed"
+	// foreign is that of a coordinator of another group.
+	foreign standing = "foreign"
+)
+
+// errNoGroup reports that an engine has not told its group.
+var errNoGroup = eris.New("the engine has not told its group")
+
+// listen notes that a coordinator is alive, and returns its standing.
+func (a *Agent) listen(now time.Time, l election.Lead) (standing, error) {
+	own := a.groupFor(now, l.Group)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case own == "":
+		return "", errNoGroup
+	case own != l.Group:
+		return foreign, nil
+	case !a.candidate.Hear(now, l):
+		return deposed, nil
+	}
+	return leads, nil
+}
+
+// groupFor returns the group of the rank for a caller that takes it for one of some group; empty if the engine does not tell.
+// The engine is asked first where that is not known: an agent that took a coordinator of another group for its own would
+// follow that and could never claim its own. It is asked again where the caller knows another: groups form anew.
+func (a *Agent) groupFor(now time.Time, g group.ID) group.ID {
+	a.mu.Lock()
+	own, placed := a.candidate.Group(), a.placed
+	a.mu.Unlock()
+	if own == "" || own != g && now.Sub(placed) > placeEvery {
+		a.place()
+		own = a.groupOf()
+	}
+	return own
+}
+
+// groupOf returns the group of the rank; empty if its engine has not told.
+func (a *Agent) groupOf() group.ID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.candidate.Group()
+}
+
+// highest returns the highest authority that was heard of the own group.
+func (a *Agent) highest() election.Authority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.group != "" && g != "" && a.group != g
+	return a.candidate.Highest()
 }
 
-// hear notes that a coordinator is alive and returns the highest authority.
-func (a *Agent) hear(now time.Time, l election.Lead) election.Authority {
+// hear notes that a coordinator is alive, and reports whether it leads the group of the rank.
+func (a *Agent) hear(now time.Time, l election.Lead) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.candidate.Hear(now, l)
@@ -183,8 +239,8 @@
 		return err
 	}
 	a.mu.Lock()
-	a.group = r.Status.Group
-	a.candidate.Place(time.Now(), int(r.Status.Rank), r.Status.Size)
+	a.placed = time.Now()
+	a.candidate.Place(a.placed, r.Status.Group, int(r.Status.Rank), r.Status.Size)
 	r.Status.Noted = a.notes
 	a.mu.Unlock()
 	if !ask.Counts {
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -76,6 +76,8 @@
 	notedStep group.Step
 	reached   time.Time
 	lost      bool
+	// moved says that the own rank is another one since its group has formed anew.
+	moved bool
 	// foreign holds the agents that belong to another group, and when they said so.
 	foreign map[string]time.Time
 	sending sync.WaitGroup
@@ -144,6 +146,8 @@
 		c.look(ctx, true)
 		now := time.Now()
 		switch {
+		case c.moved:
+			return "the rank beside it is another one"
 		case c.lost:
 			return "another coordinator has a higher authority"
 		case now.Sub(c.reached) > alone:
--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,21 +39,25 @@
 
 // LeadReply is the answer.
 type LeadReply struct {
-	// Led says that the agent hears a coordinator, or is one, and Lead which.
+	// Foreign says that the rank belongs to another group; the rest is empty.
+	Foreign bool
+	// Led says that the agent hears a coordinator, or is one, Lead which, and Age how long ago it was heard.
 	Led  bool
 	Lead election.Lead
+	Age  time.Duration
 	// Claiming says that the agent waits for the answer to its own claim.
 	Claiming bool
 }
 
 // Leads tells whether somebody leads the group of the rank.
 func (p *API) Leads(ask LeadAsk, r *LeadReply) error {
-	if p.a.foreign(ask.Group) {
-		return nil
-	}
+	own := p.a.groupFor(time.Now(), ask.Group)
 	p.a.mu.Lock()
 	defer p.a.mu.Unlock()
-	r.Lead, r.Led = p.a.candidate.Led(time.Now())
+	if r.Foreign = own != "" && own != ask.Group; r.Foreign {
+		return nil
+	}
+	r.Lead, r.Age, r.Led = p.a.candidate.Led(time.Now())
 	r.Claiming = p.a.claiming
 	return nil
 }
@@ -66,7 +72,7 @@
 			placed = a.place()
 		}
 		if !registered && (a.opts.Bootstrap || now.Sub(started) > unknownAfter) {
-			registered = a.wasAsked() || a.register(ctx)
+			registered = a.wasAsked() || a.registers(ctx)
 		}
 		if a.due(now) {
 			a.stand(ctx)
@@ -97,26 +103,38 @@
 	return a.candidate.Due(now)
 }
 
+// registers is register for a process that tries until it is registered.
+func (a *Agent) registers(ctx context.Context) bool {
+	err := a.register(ctx)
+	if err != nil {
+		a.opts.Logger.Warn().Err(err).Msg("registration-failed")
+		sleep.For(ctx, claimPause)
+	}
+	return err == nil
+}
+
 // register registers this process, so that a coordinator finds it.
-func (a *Agent) register(ctx context.Context) bool {
+func (a *Agent) register(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
 	if err := a.opts.Store.PutNodes(cctx, []peer.Info{a.opts.Self}); err != nil {
-		a.opts.Logger.Warn().Err(err).Msg("registration-failed")
-		sleep.For(ctx, claimPause)
-		return false
+		return fmt.Errorf("register: %w", err)
 	}
 	a.around.listed = true
-	return true
+	return nil
 }
 
 // stand claims the authority to coordinate, unless other agents hear somebody who does, and coordinates until it is lost.
 func (a *Agent) stand(ctx context.Context) {
 	var r Reply
+	before := a.groupOf()
 	if err := a.status(Ask{}, &r); err != nil {
 		a.failed("engine-unreachable", err)
 		return
 	}
+	if r.Status.Group != before {
+		return // the group has formed anew: its coordinator may be about to ask
+	}
 	s, err := a.surroundings(ctx)
 	if err != nil {
 		a.failed("nodes-unread", err)
@@ -130,38 +148,44 @@
 		// Who is cut off from the other agents cannot lead them, but its claim would depose whoever does.
 		a.failed("agents-unreached", errNoAgent)
 		return
-	case !s.listed && !a.register(ctx):
-		return
+	}
+	if !s.listed {
+		if err := a.register(ctx); err != nil {
+			a.failed("registration-failed", err)
+			return
+		}
 	}
 	authority, err := a.claim(ctx, s.agents, r.Status.Group)
 	if err != nil {
 		a.failed("claim-failed", err)
 		return
 	}
-	if authority == 0 {
-		return
-	}
-	lead := election.Lead{Authority: authority, Rank: int(r.Status.Rank), Lease: election.Lease(0)}
-	if a.hear(time.Now(), lead) != authority {
+	lead := election.Lead{Group: r.Status.Group, Authority: authority, Rank: int(r.Status.Rank), Lease: election.Lease(0)}
+	if authority == 0 || !a.hear(time.Now(), lead) {
 		return
 	}
 	c := newCoordinator(a, lead, r.Status)
 	c.found.Store(&s)
 	a.lead(c)
-	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Int("rank", lead.Rank).Int("others", len(s.agents)).Msg("coordinator-begins")
+	defer a.ended(authority)
+	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Str("group", string(lead.Group)).Int("rank", lead.Rank).Int("others", len(s.agents)).Msg("coordinator-begins")
 	why := c.run(ctx)
-	a.lead(nil)
-	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Str("reason", why).Msg("coordinator-ends")
+	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Str("group", string(lead.Group)).Str("reason", why).Msg("coordinator-ends")
 }
 
-// lead notes what this agent coordinates, or nil when it has ended.
+// lead notes what this agent coordinates.
 func (a *Agent) lead(c *coordinator) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.leading = c
-	if c == nil {
-		a.candidate.Ended(time.Now())
-	}
+}
+
+// ended notes that this agent coordinates no longer.
+func (a *Agent) ended(au election.Authority) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leading = nil
+	a.candidate.Ended(time.Now(), au)
 }
 
 func (a *Agent) failed(what string, err error) {
@@ -192,21 +216,38 @@
 // errNoAgent reports that no other agent of the group has answered.
 var errNoAgent = eris.New("no other agent answers")
 
-// othersLed asks some other agents, chosen by chance, whether they hear a coordinator, and takes in what they say. It
-// reports also whether any has answered.
+// othersLed asks other agents of the group, chosen by chance, whether they hear a coordinator, and takes in what they say. It
+// reports also whether any has answered. Agents of other groups do not count; which these are shows only when they answer.
 func (a *Agent) othersLed(ctx context.Context, agents []peer.Info, g group.ID) (led, reached bool) {
+	order := rand.Perm(len(agents)) //nolint:gosec // no secret
+	for own := 0; own < askedFirst && len(order) > 0; {
+		n := min(askedFirst, len(order))
+		for _, r := range a.askLeads(ctx, agents, order[:n], g) {
+			if r != nil && r.Foreign {
+				continue
+			}
+			own++
+			reached = reached || r != nil
+			led = r != nil && a.follows(*r) || led
+		}
+		order = order[n:]
+	}
+	return led, reached
+}
+
+// askLeads asks agents, given by their places, whether somebody leads. The answer of one that is silent is nil.
+func (a *Agent) askLeads(ctx context.Context, agents []peer.Info, places []int, g group.ID) []*LeadReply {
 	var w sync.WaitGroup
-	replies := make([]LeadReply, min(askedFirst, len(agents)))
-	errs := make([]error, len(replies))
-	for i, at := range rand.Perm(len(agents))[:len(replies)] { //nolint:gosec // no secret
-		w.Go(func() { replies[i], errs[i] = a.askLead(ctx, agents[at].Address, g, peerTime) })
+	replies := make([]*LeadReply, len(places))
+	for i, at := range places {
+		w.Go(func() {
+			if r, err := a.askLead(ctx, agents[at].Address, g, peerTime); err == nil {
+				replies[i] = &r
+			}
+		})
 	}
 	w.Wait()
-	for i, r := range replies {
-		reached = reached || errs[i] == nil
-		led = a.follows(r) || led
-	}
-	return led, reached
+	return replies
 }
 
 // askLead asks an agent whether somebody leads.
@@ -218,15 +259,24 @@
 	return r, err
 }
 
-// follows takes in what another agent says, and reports whether somebody leads. A coordinator that is heard by others only
-// has as long again to be heard here.
+// follows takes in what another agent says, and reports whether somebody leads.
 func (a *Agent) follows(r LeadReply) bool {
 	if !r.Led {
 		return false
 	}
-	return a.hear(time.Now(), r.Lead) == r.Lead.Authority
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.candidate.Hear(now.Add(-r.Age), r.Lead) {
+		return false
+	}
+	_, _, led := a.candidate.Led(now)
+	return led
 }
 
+// errClaimsBeaten reports that claims of others came first each time.
+var errClaimsBeaten = eris.New("other claims came first")
+
 // claim claims the next authority. It returns 0 if another agent has claimed one that it makes use of.
 func (a *Agent) claim(ctx context.Context, agents []peer.Info, g group.ID) (election.Authority, error) {
 	for range maxClaims {
@@ -234,11 +284,12 @@
 		if err != nil || won {
 			return end, err
 		}
-		if a.claimerLeads(ctx, agents, g, end) {
-			return 0, nil
+		leads, err := a.claimerLeads(ctx, agents, g, end)
+		if err != nil || leads {
+			return 0, err
 		}
 	}
-	return 0, nil
+	return 0, errClaimsBeaten
 }
 
 // claimOnce adds a claim if no other has come since the latest that is known. It returns the newest authority.
@@ -260,25 +311,25 @@
 }
 
 // claimerLeads reports whether the agent that has claimed an authority makes use of it, or may.
-func (a *Agent) claimerLeads(ctx context.Context, agents []peer.Info, g group.ID, claimed election.Authority) bool {
+func (a *Agent) claimerLeads(ctx context.Context, agents []peer.Info, g group.ID, claimed election.Authority) (bool, error) {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
 	name, err := a.opts.Store.Claimer(cctx, string(g), services.Offset(claimed))
 	if err != nil {
-		a.failed("claimer-unread", err)
-		return true
+		return false, err
 	}
-	leads := false
-	for _, other := range agents {
-		if other.Name != name {
-			continue
-		}
-		r, err := a.askLead(ctx, other.Address, g, claimerTime)
-		leads = a.follows(r) || r.Claiming
-		if r.Claiming {
-			a.wait()
-		}
-		a.opts.Logger.Info().Uint64("authority", uint64(claimed)).Str("claimer", name).Bool("leads", leads).Err(err).Msg("claim-beaten")
+	at := slices.IndexFunc(agents, func(p peer.Info) bool { return p.Name == name })
+	event := a.opts.Logger.Info().Str("group", string(g)).Uint64("authority", uint64(claimed)).Str("claimer", name).Bool("listed", at >= 0)
+	if at < 0 {
+		event.Msg("claim-beaten")
+		return false, nil
+	}
+	r, err := a.askLead(ctx, agents[at].Address, g, claimerTime)
+	leads := a.follows(r)
+	event.Bool("leads", leads).Bool("claiming", r.Claiming).Err(err).Msg("claim-beaten")
+	if r.Claiming && !leads {
+		a.wait()
+		leads = true
 	}
-	return leads
+	return leads, nil
 }
--- a/services/rank/lead_test.go
+++ b/services/rank/lead_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,30 +25,37 @@
 	"github.com/rs/zerolog"
 )
 
-// deployment plays the real agents of one group on virtual time: calls between them take the time of the way and of the
-// processors at both ends, and there is a log of claims.
+// deployment plays the real agents of the groups of one service on virtual time: calls between them take the time of the way
+// and of the processors at both ends, and there is a log of claims for each group.
 type deployment struct {
-	t     *testing.T
-	rand  *rand.Rand
-	ranks int
+	t    *testing.T
+	rand *rand.Rand
+	// ranks is the number of ranks of each group.
+	ranks, groups int
 	// cost is the processor time of a call at each end, by the share of a core that an agent has.
 	cost time.Duration
 
 	mu     sync.Mutex
 	agents map[string]*played
 	nodes  []services.Change[peer.Info]
-	claims []string
+	claims map[group.ID][]string
 	// away says that the store does not answer; loss is the part of the calls that get none.
 	away bool
 	loss float64
-	// calls counts those of each process.
-	calls map[string]int
+	// calls counts those of each process, and stored holds the times of its calls of the store.
+	calls  map[string]int
+	stored map[string][]time.Time
 }
 
 // played is one agent.
 type played struct {
-	info   peer.Info
-	rank   int
+	info  peer.Info
+	group group.ID
+	rank  int
+	// cut says that no call of another agent arrives.
+	cut bool
+	// mute is the time up to which the engine beside it does not answer.
+	mute   time.Time
 	api    *API
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -56,22 +65,29 @@
 	free   time.Time
 }
 
-func newDeployment(t *testing.T, ranks, dataCentres int, cost time.Duration, seed uint64) *deployment {
-	d := &deployment{t: t, ranks: ranks, cost: cost, rand: rand.New(rand.NewPCG(seed, 1)), agents: map[string]*played{}, calls: map[string]int{}}
-	for i := range ranks {
+func newDeployment(t *testing.T, groups, ranks, dataCentres int, cost time.Duration, seed uint64) *deployment {
+	d := &deployment{
+		t: t, ranks: ranks, groups: groups, cost: cost, rand: rand.New(rand.NewPCG(seed, 1)),
+		agents: map[string]*played{}, claims: map[group.ID][]string{}, calls: map[string]int{}, stored: map[string][]time.Time{},
+	}
+	for i := range ranks * groups {
 		name := fmt.Sprintf("agent-%03d", i)
-		d.agents[name] = &played{rank: i, slow: 1, info: peer.Info{
+		d.agents[name] = &played{group: groupNamed(i / ranks), rank: i % ranks, slow: 1, info: peer.Info{
 			Name: name, Role: vm.RoleAgent, DataCentre: vm.DataCentre(fmt.Sprint("dc-", i%dataCentres)), Address: "at " + name, Engine: "engine of " + name, Service: "m",
 		}}
 	}
 	return d
 }
 
+func groupNamed(i int) group.ID { return group.ID(fmt.Sprint("g", i)) }
+
 // start starts an agent. Bootstrap says that nobody knows it.
 func (d *deployment) start(a *played, bootstrap bool) {
 	agent := New(time.Now(), Options{
-		Self: a.info, Engine: idleEngine{d, a.rank}, Store: playedStore{d}, Pool: playedPool{d, a}, Bootstrap: bootstrap,
-		Dial: func(string) services.RankEngine { return idleEngine{d, a.rank} }, Logger: zerolog.Nop(),
+		Self: a.info, Engine: idleEngine{d, a}, Store: playedStore{d, a.info.Name}, Pool: playedPool{d, a}, Bootstrap: bootstrap,
+		Dial: func(engine string) services.RankEngine {
+			return idleEngine{d, d.agents[strings.TrimPrefix(engine, "engine of ")]}
+		}, Logger: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	d.mu.Lock()
@@ -97,13 +113,9 @@
 	synctest.Wait()
 }
 
-// sorted returns the agents by rank.
+// sorted returns the agents by name.
 func (d *deployment) sorted() []*played {
-	out := make([]*played, d.ranks)
-	for _, a := range d.agents {
-		out[a.rank] = a
-	}
-	return out
+	return slices.SortedFunc(maps.Values(d.agents), func(a, b *played) int { return strings.Compare(a.info.Name, b.info.Name) })
 }
 
 func (d *deployment) kill(a *played) {
@@ -113,6 +125,12 @@
 	a.cancel()
 }
 
+// end ends a play, also one that has failed.
+func (d *deployment) end() {
+	d.killAll()
+	time.Sleep(2 * loadTime) // calls under way end
+}
+
 func (d *deployment) killAll() {
 	for _, a := range d.agents {
 		d.kill(a)
@@ -122,48 +140,82 @@
 	}
 }
 
-// leader returns the agent that most others hear, or nil.
-func (d *deployment) leader() *played {
+// leader returns the agent that most others of a group hear, or nil.
+func (d *deployment) leader(g group.ID) *played {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.lockedLeader(g)
+}
+
+func (d *deployment) lockedLeader(g group.ID) *played {
 	heard := map[int]int{}
 	for _, a := range d.agents {
-		if a.api == nil {
+		if a.api == nil || a.group != g {
 			continue
 		}
 		a.api.a.mu.Lock()
-		if lead, led := a.api.a.candidate.Led(time.Now()); led {
+		if lead, _, led := a.api.a.candidate.Led(time.Now()); led {
 			heard[lead.Rank]++
 		}
 		a.api.a.mu.Unlock()
 	}
 	for _, a := range d.agents {
-		if a.api != nil && 2*heard[a.rank] > d.ranks {
+		if a.api != nil && a.group == g && 2*heard[a.rank] > d.ranks && a.api.leads() {
 			return a
 		}
 	}
 	return nil
 }
 
+// leads reports whether the agent coordinates.
+func (p *API) leads() bool {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	return p.a.leading != nil
+}
+
 // led waits until a group that had no leader, or one, has another.
-func (d *deployment) led(what string, before *played, most time.Duration) time.Duration {
+func (d *deployment) led(what string, g group.ID, before *played, most time.Duration) time.Duration {
 	d.t.Helper()
 	begun := time.Now()
 	for {
-		if l := d.leader(); l != nil && l != before {
+		if l := d.leader(g); l != nil && l != before {
 			return time.Since(begun)
 		}
 		if time.Since(begun) > most {
-			d.t.Fatalf("%s: no coordinator after %s, %d claims", what, most, d.claimed())
+			d.t.Fatalf("%s: no coordinator of %s after %s, %d claims", what, g, most, d.claimed())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// claimed returns the number of claims of all groups.
 func (d *deployment) claimed() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.claims)
+	n := 0
+	for _, c := range d.claims {
+		n += len(c)
+	}
+	return n
+}
+
+// storedWithin returns the most calls of the store that a process has made in any time of a length, and which process.
+func (d *deployment) storedWithin(length time.Duration) (most int, name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for process, times := range d.stored {
+		first := 0
+		for i, at := range times {
+			for at.Sub(times[first]) > length {
+				first++
+			}
+			if n := i - first + 1; n > most {
+				most, name = n, process
+			}
+		}
+	}
+	return most, name
 }
 
 // made returns how many calls an agent has made.
@@ -208,7 +260,7 @@
 	d := p.d
 	d.mu.Lock()
 	to := d.agents[strings.TrimPrefix(address, "at ")]
-	lost := d.rand.Float64() < d.loss
+	lost := to.cut || d.rand.Float64() < d.loss
 	d.calls[p.from.info.Name]++
 	d.mu.Unlock()
 	done := make(chan error, 1)
@@ -284,12 +336,20 @@
 
 // idleEngine is the engine of a group without requests.
 type idleEngine struct {
-	d    *deployment
-	rank int
+	d *deployment
+	a *played
 }
 
-func (e idleEngine) Status(context.Context) (services.RankStatus, error) {
-	return services.RankStatus{Group: "g", Epoch: 1, Rank: group.Rank(e.rank), Size: e.d.ranks, Open: true, Pace: 1}, nil
+func (e idleEngine) Status(ctx context.Context) (services.RankStatus, error) {
+	e.d.mu.Lock()
+	mute := time.Until(e.a.mute) > 0
+	g, r := e.a.group, e.a.rank
+	e.d.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return services.RankStatus{}, ctx.Err()
+	}
+	return services.RankStatus{Group: g, Epoch: 1, Rank: group.Rank(r), Size: e.d.ranks, Open: true, Pace: 1}, nil
 }
 
 func (idleEngine) Counts(context.Context) (services.RankCounts, error) {
@@ -300,10 +360,16 @@
 	return services.RankUnknown, errPlayed
 }
 
-// playedStore is the store as agents use it: an answer takes 4 ms.
-type playedStore struct{ d *deployment }
+// playedStore is the store as a process uses it: an answer takes 4 ms.
+type playedStore struct {
+	d    *deployment
+	name string
+}
 
 func (s playedStore) answer(ctx context.Context) error {
+	s.d.mu.Lock()
+	s.d.stored[s.name] = append(s.d.stored[s.name], time.Now())
+	s.d.mu.Unlock()
 	time.Sleep(4 * time.Millisecond)
 	s.d.mu.Lock()
 	away := s.d.away
@@ -315,26 +381,31 @@
 	return nil
 }
 
-func (s playedStore) Claim(ctx context.Context, _, name string, end services.Offset) (services.Offset, bool, error) {
+func (s playedStore) Claim(ctx context.Context, g, name string, end services.Offset) (services.Offset, bool, error) {
 	if err := s.answer(ctx); err != nil {
 		return 0, false, err
 	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
-	if int(end) != len(s.d.claims) {
-		return services.Offset(len(s.d.claims)), false, nil
+	claims := s.d.claims[group.ID(g)]
+	if int(end) != len(claims) {
+		return services.Offset(len(claims)), false, nil
 	}
-	s.d.claims = append(s.d.claims, name)
-	return services.Offset(len(s.d.claims)), true, nil
+	s.d.claims[group.ID(g)] = append(claims, name)
+	return services.Offset(len(claims) + 1), true, nil
 }
 
-func (s playedStore) Claimer(ctx context.Context, _ string, end services.Offset) (string, error) {
+func (s playedStore) Claimer(ctx context.Context, g string, end services.Offset) (string, error) {
 	if err := s.answer(ctx); err != nil {
 		return "", err
 	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
-	return s.d.claims[end-1], nil
+	claims := s.d.claims[group.ID(g)]
+	if end < 1 || int(end) > len(claims) {
+		return "", nil
+	}
+	return claims[end-1], nil
 }
 
 func (s playedStore) PutNodes(ctx context.Context, nodes []peer.Info) error {
@@ -395,12 +466,14 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { oneLeader(t, newDeployment(t, c.ranks, c.dataCentres, c.cost, 1)) })
+			synctest.Test(t, func(t *testing.T) { oneLeader(t, newDeployment(t, 1, c.ranks, c.dataCentres, c.cost, 1)) })
 		})
 	}
 }
 
 func oneLeader(t *testing.T, d *deployment) {
+	defer d.end()
+	const g = group.ID("g0")
 	// claims checks how many claims were made since the last check.
 	last := 0
 	claims := func(what string, most int) {
@@ -412,29 +485,29 @@
 		last = now
 	}
 	d.startAll(true)
-	start := d.led("start", nil, time.Second)
+	start := d.led("start", g, nil, time.Second)
 	time.Sleep(time.Second)
-	first := d.leader()
+	first := d.leader(g)
 	before := d.made(first)
 	time.Sleep(4 * time.Second)
 	calls := float64(d.made(first)-before) / 4
 	claims("start", 3)
 	d.kill(first)
-	death := d.led("death of the coordinator", first, 1500*time.Millisecond)
+	death := d.led("death of the coordinator", g, first, 1500*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	claims("death of the coordinator", 1)
 	d.start(first, false)
 	time.Sleep(2 * time.Second)
 	claims("start of one agent", 0)
-	second := d.leader()
+	second := d.leader(g)
 	d.set(func() { second.frozen = time.Now().Add(4 * time.Second) })
-	freeze := d.led("freeze of the coordinator", second, 1500*time.Millisecond)
+	freeze := d.led("freeze of the coordinator", g, second, 1500*time.Millisecond)
 	time.Sleep(8 * time.Second)
 	claims("freeze of the coordinator", 1)
 	d.set(func() { d.loss = 0.05 })
 	time.Sleep(10 * time.Second)
 	claims("lost calls", 0)
-	d.set(func() { d.loss = 0; d.leader0().slow = 5.5 })
+	d.set(func() { d.loss = 0; d.lockedLeader(g).slow = 5.5 })
 	time.Sleep(6 * time.Second)
 	claims("a slow coordinator", 1)
 	d.set(func() {
@@ -449,17 +522,105 @@
 	d.killAll()
 	time.Sleep(time.Second)
 	d.startAll(false)
-	again := d.led("death of all", nil, time.Second)
+	again := d.led("death of all", g, nil, time.Second)
 	time.Sleep(5 * time.Second)
 	claims("death of all", 3)
 	t.Logf("led %s after a start, %s after the death and %s after the freeze of the coordinator, %s after the death of all; %d claims; calls of the coordinator %.0f a second", start, death, freeze, again, d.claimed(), calls)
+}
+
+// mostStored is the number of calls of the store that an agent may make in storedIn, whatever happens.
+const (
+	mostStored = 15
+	storedIn   = 5 * time.Second
+)
+
+// TestGroupsLed plays several groups of one service: each is led by a coordinator of its own, few claims are made, and no
+// process calls the store often, also where engines answer late, groups form anew with other ranks, and a group cannot
+// be led at all.
+func TestGroupsLed(t *testing.T) {
+	cases := map[string]struct {
+		groups, ranks int
+		// late is the time in which engines begin to answer, each at its own.
+		late time.Duration
+	}{
+		"2 groups of 12":               {2, 12, 0},
+		"3 groups of 24":               {3, 24, 0},
+		"3 groups of 24, late engines": {3, 24, 2 * time.Second},
+		"5 groups of 12, late engines": {5, 12, 600 * time.Millisecond},
+		"5 groups of 3":                {5, 3, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				groupsLed(t, newDeployment(t, c.groups, c.ranks, 3, 400*time.Microsecond, 1), c.late)
+			})
+		})
+	}
+}
+
+// allLed waits until each group has a leader that is not one of those before.
+func (d *deployment) allLed(what string, before map[group.ID]*played, most time.Duration) map[group.ID]*played {
+	d.t.Helper()
+	leaders := map[group.ID]*played{}
+	for i := range d.groups {
+		g := groupNamed(i)
+		d.led(what, g, before[g], most)
+		leaders[g] = d.leader(g)
+	}
+	return leaders
+}
+
+func groupsLed(t *testing.T, d *deployment, late time.Duration) {
+	defer d.end()
+	last := 0
+	settled := func(what string, most int) {
+		t.Helper()
+		time.Sleep(5 * time.Second)
+		now := d.claimed()
+		if now-last > most {
+			t.Errorf("%s: %d claims, want %d at most", what, now-last, most)
+		}
+		last = now
+		if n, name := d.storedWithin(storedIn); n > mostStored {
+			t.Errorf("%s: %s has called the store %d times in %s, want %d at most", what, name, n, storedIn, mostStored)
+		}
+	}
+	for _, a := range d.agents {
+		if late > 0 {
+			a.mute = time.Now().Add(time.Duration(d.rand.Int64N(int64(late))))
+		}
+	}
+	d.startAll(true)
+	leaders := d.allLed("start", nil, late+1500*time.Millisecond)
+	settled("start", 3*d.groups)
+	for _, a := range leaders {
+		d.kill(a)
+	}
+	d.allLed("death of all coordinators", leaders, 2*time.Second)
+	settled("death of all coordinators", 2*d.groups)
+	for _, a := range leaders {
+		d.start(a, false)
+	}
+	settled("start of some", 0)
+	d.deal()
+	d.allLed("groups formed anew with other ranks", nil, 3*time.Second)
+	settled("groups formed anew with other ranks", 3*d.groups)
 	d.killAll()
-	time.Sleep(2 * loadTime) // calls under way end
+	for _, a := range d.agents {
+		a.cut = a.group == groupNamed(0)
+	}
+	d.startAll(false)
+	time.Sleep(10 * time.Second)
+	settled("a group whose agents cannot be reached", 3*d.groups)
 }
 
-// leader0 is leader for callers that hold the lock.
-func (d *deployment) leader0() *played {
-	d.mu.Unlock()
-	defer d.mu.Lock()
-	return d.leader()
+// deal forms all groups anew, with other ranks.
+func (d *deployment) deal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	agents := d.sorted()
+	for i, at := range d.rand.Perm(len(agents)) {
+		agents[at].group, agents[at].rank = groupNamed(i/d.ranks), i%d.ranks
+	}
 }
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -164,9 +164,11 @@
 	sent := time.Now()
 	var own Reply
 	if err := c.a.status(c.ask(c.a.opts.Self, counted), &own); err == nil {
+		s := own.Status
+		c.moved = s.Group != c.first.Group || s.Rank != c.first.Rank || s.Size != c.first.Size
 		c.take(sent, c.a.opts.Self, own)
 	}
-	c.lost = c.lost || c.a.hear(time.Now(), c.lead()) != c.own.Authority
+	c.lost = c.lost || !c.a.hear(time.Now(), c.lead())
 }
 
 // askPart asks the agents of a part. What they answer comes in the inbox.
@@ -275,7 +277,7 @@
 
 // ask returns the question for the agent of a rank. Counted holds the engines whose counts are wanted.
 func (c *coordinator) ask(n peer.Info, counted map[string]bool) Ask {
-	a := Ask{Group: c.first.Group, Lead: c.lead(), Counts: counted[n.Engine]}
+	a := Ask{Lead: c.lead(), Counts: counted[n.Engine]}
 	if a.Counts {
 		if m := c.memberOf(n); m != nil {
 			a.Since = m.counts.number
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -34,11 +34,17 @@
 
 // Order carries out an order of a coordinator.
 func (p *API) Order(o Order, r *OrderReply) error {
-	if p.a.hear(time.Now(), o.Lead) != o.Lead.Authority {
+	heard, err := p.a.listen(time.Now(), o.Lead)
+	switch {
+	case err != nil:
+		r.Answer = services.RankUnknown // the engine does not answer, which place has logged
+		return nil
+	case heard == foreign:
+		r.Answer = services.RankConflict
+		return nil
+	case heard == deposed:
 		r.Answer = services.RankFenced
 		return nil
-	}
-	switch {
 	case o.Order.Kind == services.RankAnnounce:
 		r.Answer = p.a.announce(o.Lead.Authority, o.Order.Version)
 		return nil
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -4,6 +4,7 @@
 package rank
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -23,9 +24,19 @@
 var begin = time.Unix(1000, 0)
 
 // lead returns what a coordinator of an authority tells.
-func lead(a election.Authority) election.Lead { return election.Lead{Authority: a, Lease: time.Second} }
+func lead(a election.Authority) election.Lead {
+	return election.Lead{Group: "g", Authority: a, Lease: time.Second}
+}
+
+// leadOf is lead for a group.
+func leadOf(g group.ID, a election.Authority) election.Lead {
+	l := lead(a)
+	l.Group = g
+	return l
+}
 
-// engine is a rank's engine that leaves the first orders of each kind without an answer.
+// engine is a rank's engine that leaves the first orders of each kind without an answer. Its group is g unless its status
+// names another.
 type engine struct {
 	mu     sync.Mutex
 	status services.RankStatus
@@ -41,7 +52,9 @@
 	if e.loads--; e.loads == 0 {
 		e.status.Prepared = 5
 	}
-	return e.status, nil
+	s := e.status
+	s.Group = cmp.Or(s.Group, "g")
+	return s, nil
 }
 
 func (e *engine) Counts(context.Context) (services.RankCounts, error) {
@@ -101,20 +114,40 @@
 	if len(e.orders) != 2 {
 		t.Errorf("%d orders reached the engine", len(e.orders))
 	}
-	other := New(begin, Options{Engine: &engine{status: services.RankStatus{Group: "b"}}, Logger: zerolog.Nop()})
-	var own, foreign Reply
-	if err := NewAPI(other).Status(Ask{Group: "b", Lead: lead(1)}, &own); err != nil || own.Foreign {
-		t.Errorf("the own coordinator was refused: %v", err)
-	}
-	if err := NewAPI(other).Status(Ask{Group: "a", Lead: lead(9)}, &foreign); err != nil || !foreign.Foreign || other.candidate.Highest() != 1 {
-		t.Errorf("the coordinator of another group was heard: authority %d", other.candidate.Highest())
-	}
 	var reply Reply
 	if err := api.Status(Ask{Lead: lead(3)}, &reply); err != nil || reply.Authority != 4 {
 		t.Errorf("an old coordinator is told authority %d, %v", reply.Authority, err)
 	}
 }
 
+// TestOtherGroups checks that an agent takes nothing from the coordinator of another group, also when that is the first to
+// call: it asks its engine first.
+func TestOtherGroups(t *testing.T) {
+	e := &engine{status: services.RankStatus{Group: "b"}}
+	other := New(begin, Options{Engine: e, Logger: zerolog.Nop()})
+	api := NewAPI(other)
+	var told Reply
+	if err := api.Status(Ask{Lead: leadOf("a", 9)}, &told); err != nil || !told.Foreign || other.highest() != 0 {
+		t.Errorf("the coordinator of another group was heard: authority %d, %v", other.highest(), err)
+	}
+	var ordered OrderReply
+	order := services.RankOrder{Kind: services.RankDisarm}
+	if err := api.Order(Order{Lead: leadOf("a", 9), Order: order}, &ordered); err != nil || ordered.Answer != services.RankConflict || len(e.orders) != 0 {
+		t.Errorf("an order for another group: %s, %v, %d orders given", ordered.Answer, err, len(e.orders))
+	}
+	told = Reply{}
+	if err := api.Status(Ask{Lead: leadOf("b", 1)}, &told); err != nil || told.Foreign || told.Authority != 1 {
+		t.Errorf("the own coordinator was refused: %v", err)
+	}
+	if other.follows(LeadReply{Led: true, Lead: leadOf("a", 5)}) || other.highest() != 1 {
+		t.Error("the coordinator of another group was followed")
+	}
+	var led LeadReply
+	if err := api.Leads(LeadAsk{Group: "a"}, &led); err != nil || !led.Foreign || led.Led {
+		t.Errorf("another group is told %+v, %v", led, err)
+	}
+}
+
 const goal = 120 * time.Millisecond
 
 var figures = &catalog.Engine{
