No claim is made once a coordinator was heard while others were asked

Cause: an agent that stands up asks others first, which takes up to 90 ms. A coordinator that began and asked it in that time raised the authority on which its own claim followed: the claim won and deposed the one that had just begun.

Ruled out: the order in which the store takes claims (the second follows on the first); the length of leases.

Change: an agent that hears a coordinator by the time of its claim makes none.

--- /dev/null
+++ b/services/rank/claim_test.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package rank
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/peer"
+
+	"github.com/rs/zerolog"
+)
+
+// claimStore lists two agents and answers claims in turn: each ends the log at one of ends, and wins if won says so.
+type claimStore struct {
+	ends   []services.Offset
+	won    bool
+	claims []services.Offset
+}
+
+func (s *claimStore) Claim(_ context.Context, _, _ string, end services.Offset) (services.Offset, bool, error) {
+	s.claims = append(s.claims, end)
+	return s.ends[min(len(s.claims), len(s.ends))-1], s.won, nil
+}
+func (s *claimStore) Claimer(context.Context, string, services.Offset) (string, error) {
+	return "nobody", nil
+}
+func (s *claimStore) PutNodes(context.Context, []peer.Info) error { return nil }
+func (s *claimStore) Catalogs() services.Feed[catalog.Catalog]    { return noCatalogs{} }
+func (s *claimStore) Nodes() services.Feed[peer.Info]             { return s }
+func (s *claimStore) Snapshot(context.Context) ([]services.Change[peer.Info], services.Offset, error) {
+	a := peer.Info{Name: "side-1", Role: vm.RoleAgent, Address: "1", Service: "m"}
+	b := peer.Info{Name: "side-2", Role: vm.RoleAgent, Address: "2", Service: "m"}
+	return []services.Change[peer.Info]{{Key: a.Name, Value: &a}, {Key: b.Name, Value: &b}}, 1, nil
+}
+func (s *claimStore) Changes(context.Context, services.Offset, time.Duration) ([]services.Change[peer.Info], services.Offset, error) {
+	return nil, 0, errPlayed
+}
+
+// callFunc is a pool whose calls are a function.
+type callFunc func(method string) error
+
+func (f callFunc) Call(_ context.Context, _, method string, _, _ any) error { return f(method) }
+
+// claimAgent returns an agent of a group of two that would stand up.
+func claimAgent(s Store) *Agent {
+	e := &engine{status: services.RankStatus{Group: "g", Size: 2}}
+	a := New(begin, Options{Self: peer.Info{Name: "side-1", Address: "1", Service: "m"}, Engine: e, Store: s, Logger: zerolog.Nop()})
+	a.opts.Pool = callFunc(func(string) error { return nil })
+	a.place()
+	return a
+}
+
+// TestLedMeanwhile checks that an agent does not claim when a coordinator has begun while it asked others: its claim would
+// depose that.
+func TestLedMeanwhile(t *testing.T) {
+	s := &claimStore{ends: []services.Offset{5}, won: true}
+	a := claimAgent(s)
+	a.opts.Pool = callFunc(func(string) error {
+		var r Reply
+		return NewAPI(a).Status(Ask{Lead: lead(4)}, &r)
+	})
+	a.stand(t.Context())
+	if len(s.claims) != 0 {
+		t.Errorf("claims on %v although authority 4 leads", s.claims)
+	}
+}
+
+// TestClaimsRest checks that an agent takes the end of the log from the store, also a lower one, and that claims that lose on end
+// make it rest for longer and longer.
+func TestClaimsRest(t *testing.T) {
+	s := &claimStore{ends: []services.Offset{9, 3, 4}}
+	a := claimAgent(s)
+	a.stand(t.Context())
+	want := []services.Offset{0, 9, 3}
+	if len(s.claims) != len(want) || s.claims[1] != want[1] || s.claims[2] != want[2] {
+		t.Errorf("claims on %v, want %v", s.claims, want)
+	}
+	now := time.Now()
+	if a.due(now.Add(200 * time.Millisecond)) {
+		t.Error("the agent stands up again at once")
+	}
+	a.stand(t.Context())
+	if a.due(time.Now().Add(400 * time.Millisecond)) {
+		t.Error("the second pause is no longer than the first")
+	}
+}
--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -264,14 +264,7 @@
 	if !r.Led {
 		return false
 	}
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.candidate.Hear(now.Add(-r.Age), r.Lead) {
-		return false
-	}
-	_, _, led := a.candidate.Led(now)
-	return led
+	return a.hear(time.Now().Add(-r.Age), r.Lead) && a.led()
 }
 
 // errClaimsBeaten reports that claims of others came first each time.
@@ -280,6 +273,9 @@
 // claim claims the next authority. It returns 0 if another agent has claimed one that it makes use of.
 func (a *Agent) claim(ctx context.Context, agents []peer.Info, g group.ID) (election.Authority, error) {
 	for range maxClaims {
+		if a.led() {
+			return 0, nil // by one that has begun while others were asked
+		}
 		won, end, err := a.claimOnce(ctx, g)
 		if err != nil || won {
 			return end, err
@@ -292,6 +288,14 @@
 	return 0, errClaimsBeaten
 }
 
+// led reports whether a coordinator is heard.
+func (a *Agent) led() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, _, led := a.candidate.Led(time.Now())
+	return led
+}
+
 // claimOnce adds a claim if no other has come since the latest that is known. It returns the newest authority.
 func (a *Agent) claimOnce(ctx context.Context, g group.ID) (won bool, newest election.Authority, err error) {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
