--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -79,7 +79,9 @@
 		fx.Provide(
 			func() (zerolog.Logger, error) { return log.New(log.Buffered(n.logs), "info", n.set.Name) },
 			func() *metrics.Metrics { return metrics.New(n.set.Name) },
-			func() *platform.Store { return platform.NewStore(n.set.Store, n.set.StoreReads, n.set.StoreWrites) },
+			func(logger zerolog.Logger) *platform.Store {
+				return platform.NewStore(n.set.Store, n.set.StoreReads, n.set.StoreWrites, logger)
+			},
 			rpc.NewPool,
 		),
 		fx.Invoke(n.serveMetrics, n.reloads.watch, sweepPeers),
@@ -122,6 +124,7 @@
 		}
 		return out
 	})
+	m.Counter("store_unread_records_total", "Records of the platform's store that could not be decoded.", nil, func() float64 { return float64(store.Unread()) })
 	m.Counter("peer_sent_bytes_total", "Bytes sent to other processes.", nil, func() float64 { return float64(pool.Stats.Sent.Load()) })
 	if n.metrics == 0 {
 		return nil
--- a/models/upstream/upstream.go
+++ b/models/upstream/upstream.go
@@ -26,9 +26,21 @@
 	StateDown State = "down"
 )
 
-// Instance is an upstream as the platform lists it. Every start of an upstream has an ID of its own.
+// Born is when an upstream started, as it says itself, in Unix milliseconds; 0 if it does not say. An upstream may start again
+// under the ID that it had: with a later Born it knows nothing of before, and its counters begin anew.
+type Born int64
+
+// Run names one run of an upstream: what was seen of another run under the same ID says nothing of it.
+type Run struct {
+	ID   ID
+	Born Born
+}
+
+// Instance is an upstream as the platform lists it.
 type Instance struct {
-	ID         ID
+	ID ID
+	// Born tells the runs of an upstream apart.
+	Born       Born
 	Service    string
 	Address    string
 	DataCentre vm.DataCentre
@@ -36,3 +48,6 @@
 	Slots int
 	State State
 }
+
+// Run returns the run that the entry is of.
+func (i Instance) Run() Run { return Run{ID: i.ID, Born: i.Born} }
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -196,7 +196,7 @@
 	}
 	u, ok := q.pool.Pick(now, usable, ask)
 	if ok {
-		q.pool.Sent(u.ID)
+		q.pool.Sent(u.Run())
 		q.granted = append(q.granted, now)
 	}
 	return u, ok
--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -98,13 +98,16 @@
 	}
 }
 
-func candidates(n int) ([]upstream.Instance, map[string]upstream.ID) {
+// run names the only run of an upstream that does not say when it started.
+func run(id upstream.ID) upstream.Run { return upstream.Run{ID: id} }
+
+func candidates(n int) ([]upstream.Instance, map[string]upstream.Run) {
 	var list []upstream.Instance
-	ids := map[string]upstream.ID{}
+	ids := map[string]upstream.Run{}
 	for i := range n {
 		u := upstream.Instance{ID: upstream.ID(fmt.Sprint("u", i)), Address: fmt.Sprint("a", i), Slots: 6}
 		list = append(list, u)
-		ids[u.Address] = u.ID
+		ids[u.Address] = u.Run()
 	}
 	return list, ids
 }
@@ -142,7 +145,7 @@
 				if !ok {
 					t.Fatal("no room")
 				}
-				p.Sent(u.ID)
+				p.Sent(u.Run())
 				sent[u.ID]++
 				most = max(most, sent[u.ID])
 			}
@@ -169,20 +172,24 @@
 		at   time.Duration
 		want upstream.ID
 	}{
-		"the one with fewer requests": {func(p *Pool) { p.Sent("u0") }, Ask{}, 0, "u1"},
+		"the one with fewer requests": {func(p *Pool) { p.Sent(run("u0")) }, Ask{}, 0, "u1"},
 		"not one that is excluded":    {func(*Pool) {}, Ask{Exclude: map[upstream.ID]bool{"u1": true}}, 0, "u0"},
-		"not one that fails":          {func(p *Pool) { p.Sent("u0"); p.Done(begin, "u0", ResultError, 0, false) }, Ask{}, 0, "u1"},
+		"not one that fails":          {func(p *Pool) { p.Sent(run("u0")); p.Done(begin, run("u0"), ResultError, 0, false) }, Ask{}, 0, "u1"},
 		"not one that is slow": {func(p *Pool) {
 			for range 20 {
-				p.Sent("u0")
-				p.Done(begin, "u0", ResultOK, time.Second, true)
-				p.Sent("u1")
-				p.Done(begin, "u1", ResultOK, 50*time.Millisecond, true)
+				p.Sent(run("u0"))
+				p.Done(begin, run("u0"), ResultOK, time.Second, true)
+				p.Sent(run("u1"))
+				p.Done(begin, run("u1"), ResultOK, 50*time.Millisecond, true)
 			}
 		}, Ask{}, 0, "u1"},
-		"not one that cannot be reached": {func(p *Pool) { p.Sent("u1"); p.Done(begin, "u1", ResultUnreached, 0, false); p.Sent("u0") }, Ask{}, 0, "u0"},
-		"none when all are at the limit": {func(p *Pool) { p.Sent("u0"); p.Sent("u1") }, Ask{Bounds: Bounds{Rank: 1}}, 0, ""},
-		"none when the mean is reached":  {func(p *Pool) { p.Sent("u0"); p.Sent("u0") }, Ask{Bounds: Bounds{Mean: 1}}, 0, ""},
+		"not one that cannot be reached": {func(p *Pool) {
+			p.Sent(run("u1"))
+			p.Done(begin, run("u1"), ResultUnreached, 0, false)
+			p.Sent(run("u0"))
+		}, Ask{}, 0, "u0"},
+		"none when all are at the limit": {func(p *Pool) { p.Sent(run("u0")); p.Sent(run("u1")) }, Ask{Bounds: Bounds{Rank: 1}}, 0, ""},
+		"none when the mean is reached":  {func(p *Pool) { p.Sent(run("u0")); p.Sent(run("u0")) }, Ask{Bounds: Bounds{Mean: 1}}, 0, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -231,12 +238,12 @@
 		want   upstream.ID
 	}{
 		"a place":                                  {Places{"a0": 1}, func(*Pool) {}, 0, "u0"},
-		"the place is used":                        {Places{"a0": 1}, func(p *Pool) { p.Sent("u0") }, 0, ""},
-		"its stream has ended":                     {Places{"a0": 1}, func(p *Pool) { p.Sent("u0"); p.Started("u0"); p.Done(begin, "u0", ResultOK, 0, true) }, 0, "u0"},
-		"no place, the report is old":              {Places{}, func(p *Pool) { p.Sent("u1") }, old, "u0"},
-		"a place that is left of an old report":    {Places{"a1": 3}, func(p *Pool) { p.Sent("u0"); p.Sent("u0") }, old, "u1"},
-		"not beyond what others may have sent":     {Places{}, func(p *Pool) { p.Sent("u0"); p.Sent("u1"); p.Sent("u0"); p.Sent("u1") }, old, ""},
-		"judged by own sends only, not old counts": {nil, func(p *Pool) { p.Sent("u1") }, old, "u0"},
+		"the place is used":                        {Places{"a0": 1}, func(p *Pool) { p.Sent(run("u0")) }, 0, ""},
+		"its stream has ended":                     {Places{"a0": 1}, func(p *Pool) { p.Sent(run("u0")); p.Started(run("u0")); p.Done(begin, run("u0"), ResultOK, 0, true) }, 0, "u0"},
+		"no place, the report is old":              {Places{}, func(p *Pool) { p.Sent(run("u1")) }, old, "u0"},
+		"a place that is left of an old report":    {Places{"a1": 3}, func(p *Pool) { p.Sent(run("u0")); p.Sent(run("u0")) }, old, "u1"},
+		"not beyond what others may have sent":     {Places{}, func(p *Pool) { p.Sent(run("u0")); p.Sent(run("u1")); p.Sent(run("u0")); p.Sent(run("u1")) }, old, ""},
+		"judged by own sends only, not old counts": {nil, func(p *Pool) { p.Sent(run("u1")) }, old, "u0"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -264,3 +271,31 @@
 		t.Error("a report after a long silence counts for ever")
 	}
 }
+
+// TestBornAgain checks that an upstream that has started again has neither the requests nor the failures of before, and that the end of a
+// request that was sent to the run before does not count for it.
+func TestBornAgain(t *testing.T) {
+	p := NewPool("")
+	before := upstream.Instance{ID: "u0", Born: 100, Slots: 1}
+	p.Sent(before.Run())
+	p.Sent(before.Run())
+	p.Done(begin, before.Run(), ResultUnreached, 0, false)
+	ask := Ask{Bounds: Bounds{Rank: 1}}
+	if _, ok := p.Pick(begin, []upstream.Instance{before}, ask); ok {
+		t.Error("an upstream that cannot be reached was chosen")
+	}
+	after := before
+	after.Born = 200
+	if _, ok := p.Pick(begin, []upstream.Instance{after}, ask); !ok {
+		t.Error("an upstream that has started again was not chosen")
+	}
+	p.Sent(after.Run())
+	p.Done(begin, before.Run(), ResultError, 0, false)
+	if s := p.state(after.Run()); s.inFlight != 1 || s.errorRate(begin) != 0 {
+		t.Errorf("%d requests, failure rate %.1f", s.inFlight, s.errorRate(begin))
+	}
+	p.Forget(map[upstream.Run]bool{after.Run(): true})
+	if len(p.ups) != 1 {
+		t.Errorf("%d runs are kept", len(p.ups))
+	}
+}
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -76,7 +76,7 @@
 
 // Report takes in the load of a group, and returns what this router has to add. IDs maps the addresses
 // of the ranks to upstreams.
-func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.ID) Unstarted {
+func (p *Pool) Report(now time.Time, g Group, ids map[string]upstream.Run) Unstarted {
 	valid := reportValid
 	if last, ok := p.groups[g.ID]; ok {
 		valid = min(max(reportValid, time.Duration(reportsMissed*float64(now.Sub(last.at)))), reportValidMost)
--- a/services/balance/places_test.go
+++ b/services/balance/places_test.go
@@ -140,16 +140,16 @@
 			for range 40 { // many callers at each router, one after the other
 				p := pools[r.IntN(routers)]
 				if u, ok := p.Pick(now, cands, Ask{Engine: engine, Bounds: Bounds{Rank: most, Mean: most}, Routers: routers}); ok {
-					p.Sent(u.ID)
+					p.Sent(u.Run())
 					sent++
 				}
 			}
 			for _, c := range cands { // half of what was sent begins before the next report
 				requests := running[c.Address]
 				for _, p := range pools {
-					requests += p.state(c.ID).unstarted
-					for range p.state(c.ID).unstarted / 2 {
-						p.Started(c.ID)
+					requests += p.state(c.Run()).unstarted
+					for range p.state(c.Run()).unstarted / 2 {
+						p.Started(c.Run())
 						running[c.Address]++
 					}
 				}
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -105,10 +105,11 @@
 	s.errors, s.errorsAt = errorKeep*rate+(1-errorKeep)*hit, now
 }
 
-// Pool holds a router's view of the upstreams of one service. It does no I/O and reads no clock.
+// Pool holds a router's view of the upstreams of one service, by their runs: requests that were sent to an earlier run, its
+// failures and its load do not count for the one that has started since. It does no I/O and reads no clock.
 type Pool struct {
 	here vm.DataCentre
-	ups  map[upstream.ID]*state
+	ups  map[upstream.Run]*state
 	// groups holds the latest report of each group of the service.
 	groups map[group.ID]groupReport
 	turn   int
@@ -118,13 +119,13 @@
 
 // NewPool returns the view of a router in a data centre.
 func NewPool(here vm.DataCentre) *Pool {
-	return &Pool{here: here, ups: map[upstream.ID]*state{}, groups: map[group.ID]groupReport{}, chance: rand.Float64}
+	return &Pool{here: here, ups: map[upstream.Run]*state{}, groups: map[group.ID]groupReport{}, chance: rand.Float64}
 }
 
 // DrawBy has numbers from 0 to 1 drawn by a function, so that choices repeat.
 func (p *Pool) DrawBy(chance func() float64) { p.chance = chance }
 
-func (p *Pool) state(id upstream.ID) *state {
+func (p *Pool) state(id upstream.Run) *state {
 	s, ok := p.ups[id]
 	if !ok {
 		s = &state{}
@@ -170,7 +171,7 @@
 	for k := range cands {
 		i := (k + p.turn) % len(cands)
 		c := cands[i]
-		s := p.state(c.ID)
+		s := p.state(c.Run())
 		if a.Exclude[c.ID] || now.Before(s.outUntil) || p.broken(now, s) {
 			continue
 		}
@@ -192,7 +193,7 @@
 func (p *Pool) others(cands []upstream.Instance, routers int) float64 {
 	own := 0
 	for _, c := range cands {
-		own += p.state(c.ID).inFlight
+		own += p.state(c.Run()).inFlight
 	}
 	return float64(max(routers-1, 0)*own) / float64(max(len(cands), 1))
 }
@@ -218,7 +219,7 @@
 // allotted reports whether a coordinator has lately told this router what it may send.
 func (p *Pool) allotted(now time.Time, cands []upstream.Instance) bool {
 	for _, c := range cands {
-		if s := p.state(c.ID); s.allotted && s.fresh(now) {
+		if s := p.state(c.Run()); s.allotted && s.fresh(now) {
 			return true
 		}
 	}
@@ -229,7 +230,7 @@
 func (p *Pool) total(now time.Time, cands []upstream.Instance, routers int) float64 {
 	var sum float64
 	for _, c := range cands {
-		sum += p.load(now, p.state(c.ID), routers)
+		sum += p.load(now, p.state(c.Run()), routers)
 	}
 	return sum
 }
@@ -267,7 +268,7 @@
 const plainFloor = 0.05
 
 // Sent notes the begin of an attempt.
-func (p *Pool) Sent(id upstream.ID) {
+func (p *Pool) Sent(id upstream.Run) {
 	s := p.state(id)
 	s.inFlight++
 	s.unstarted++
@@ -275,14 +276,14 @@
 }
 
 // Started notes that the answer to an attempt has begun.
-func (p *Pool) Started(id upstream.ID) {
+func (p *Pool) Started(id upstream.Run) {
 	s := p.state(id)
 	s.unstarted--
 	s.begun++
 }
 
 // Done notes the end of an attempt that took a time. Started says that its answer had begun.
-func (p *Pool) Done(now time.Time, id upstream.ID, r Result, took time.Duration, started bool) {
+func (p *Pool) Done(now time.Time, id upstream.Run, r Result, took time.Duration, started bool) {
 	s := p.state(id)
 	s.inFlight--
 	if started {
@@ -310,7 +311,7 @@
 }
 
 // Forget drops what is known of upstreams that are no longer listed.
-func (p *Pool) Forget(listed map[upstream.ID]bool) {
+func (p *Pool) Forget(listed map[upstream.Run]bool) {
 	for id, s := range p.ups {
 		if !listed[id] && s.inFlight == 0 {
 			delete(p.ups, id)
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -260,7 +260,7 @@
 		old := time.Now().Add(-300 * time.Millisecond)
 		u := upstream.Instance{ID: "u", Service: "s", State: upstream.StateReady}
 		ra.Know(func(s *knowledge.State) {
-			c := catalog.Catalog{Version: 7, Accounts: []catalog.Account{{ID: "x", Keys: []catalog.Key{"k"}}}}
+			c := catalog.Catalog{Version: 7, Services: []catalog.Service{{ID: "s"}}, Accounts: []catalog.Account{{ID: "x", Keys: []catalog.Key{"k"}}}}
 			s.TakeCatalogs(knowledge.Part[catalog.Catalog]{Whole: true, Next: 5, AsOf: old, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
 			s.TakeUpstreams(old, knowledge.Part[upstream.Instance]{Whole: true, Next: 9, AsOf: old, Changes: []services.Change[upstream.Instance]{{Key: "u", Value: &u}}})
 		})
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -82,6 +82,7 @@
 			s.past = append(s.past[max(0, len(s.past)+1-keptCatalogs):], c.Value)
 		}
 	}
+	s.arrange()
 	return fit
 }
 
@@ -128,7 +129,8 @@
 			}
 		}
 	}
-	s.sort(now)
+	s.expire(now)
+	s.arrange()
 	return fit
 }
 
@@ -157,9 +159,14 @@
 // Upstreams tells how far the feed of upstreams is known.
 func (s *State) Upstreams() Mark { return s.upstreams }
 
-// take keeps an entry. An upstream that was once leaving does not come back under its id.
+// take keeps an entry. A run that was once leaving does not come back, but the upstream may start again under its id. An entry of
+// an earlier run that comes late changes nothing.
 func (s *State) take(i upstream.Instance, at services.Offset) {
-	if e, ok := s.ups[i.ID]; ok && e.instance.State == upstream.StateLeaving {
+	e, ok := s.ups[i.ID]
+	switch {
+	case ok && i.Born < e.instance.Born:
+		return
+	case ok && i.Born == e.instance.Born && e.instance.State == upstream.StateLeaving:
 		i.State = upstream.StateLeaving
 	}
 	s.ups[i.ID] = &entry{instance: i, at: at}
@@ -171,14 +178,23 @@
 	}
 }
 
-// sort lists the upstreams of each service, sorted by id. An address belongs to the entry that came last: who
-// had it before has ended, although its entry stays until it lapses.
-func (s *State) sort(now time.Time) {
-	s.byService = map[service.ID][]upstream.ID{}
-	s.owners = map[string]upstream.ID{}
+// expire forgets upstreams whose entries have gone for long.
+func (s *State) expire(now time.Time) {
 	for id, e := range s.ups {
 		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > s.lapse {
 			delete(s.ups, id)
+		}
+	}
+}
+
+// arrange lists the upstreams of each service, sorted by id. An address belongs to the entry that came last: who
+// had it before has ended, although its entry stays until it lapses. An entry of a service that the catalog does not name is
+// not of the platform's upstreams, and takes no address from one that is.
+func (s *State) arrange() {
+	s.byService = map[service.ID][]upstream.ID{}
+	s.owners = map[string]upstream.ID{}
+	for id, e := range s.ups {
+		if s.index != nil && s.index.Service(service.ID(e.instance.Service)) == nil {
 			continue
 		}
 		if o, ok := s.owners[e.instance.Address]; !ok || e.at > s.ups[o].at || (e.at == s.ups[o].at && id > o) {
--- a/services/knowledge/knowledge_test.go
+++ b/services/knowledge/knowledge_test.go
@@ -76,6 +76,11 @@
 	up := func(id string, st upstream.State) services.Change[upstream.Instance] {
 		return services.Change[upstream.Instance]{Key: id, Value: &upstream.Instance{ID: upstream.ID(id), Service: "s", Address: "at " + id, State: st}}
 	}
+	bornAt := func(born upstream.Born, id string, st upstream.State) services.Change[upstream.Instance] {
+		c := up(id, st)
+		c.Value.Born = born
+		return c
+	}
 	gone := func(id string) services.Change[upstream.Instance] {
 		return services.Change[upstream.Instance]{Key: id}
 	}
@@ -97,6 +102,11 @@
 		"all entries lapsed and did not come back": {changes{gone("a"), gone("b")}, false, 1600 * time.Millisecond, 0, false},
 		"all lapse and one is back":                {changes{gone("a"), gone("b"), up("a", ready)}, false, 1600 * time.Millisecond, 1, true},
 		"a whole list without one":                 {changes{up("b", ready)}, true, 1600 * time.Millisecond, 1, false},
+		"one that left starts again under its id":  {changes{up("a", leaving), bornAt(5, "a", ready)}, false, 0, 2, true},
+		"and leaves again":                         {changes{bornAt(5, "a", ready), bornAt(5, "a", leaving), bornAt(5, "a", ready)}, false, 0, 1, false},
+		"an earlier start is told late":            {changes{bornAt(5, "a", ready), bornAt(4, "a", leaving)}, false, 0, 2, true},
+		"and does not bring back who leaves":       {changes{bornAt(5, "a", leaving), bornAt(4, "a", ready)}, false, 0, 1, false},
+		"one lapses and starts again":              {changes{gone("a"), bornAt(5, "a", ready)}, false, 1600 * time.Millisecond, 2, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -155,3 +165,33 @@
 		})
 	}
 }
+
+// TestForeignEntries checks that an entry of a service that the catalog does not name takes no address from an upstream, whether the
+// catalog comes first or last.
+func TestForeignEntries(t *testing.T) {
+	entry := func(id, service string, at services.Offset) services.Change[upstream.Instance] {
+		i := &upstream.Instance{ID: upstream.ID(id), Service: service, Address: "here", State: upstream.StateReady}
+		return services.Change[upstream.Instance]{Key: id, Value: i, At: at}
+	}
+	ups := Part[upstream.Instance]{Whole: true, Next: 2, AsOf: begin, Changes: []services.Change[upstream.Instance]{entry("a", "s", 0), entry("b", "else", 1)}}
+	named := &catalog.Catalog{Version: 1, Services: []catalog.Service{{ID: "s"}}}
+	catalogs := Part[catalog.Catalog]{Whole: true, Next: 1, AsOf: begin, Changes: []services.Change[catalog.Catalog]{{Key: "c", Value: named}}}
+	orders := map[string][]func(*State){
+		"the catalog first": {func(s *State) { s.TakeCatalogs(catalogs) }, func(s *State) { s.TakeUpstreams(begin, ups) }},
+		"the catalog last":  {func(s *State) { s.TakeUpstreams(begin, ups) }, func(s *State) { s.TakeCatalogs(catalogs) }},
+	}
+	for name, steps := range orders {
+		t.Run(name, func(t *testing.T) {
+			s := New(2 * time.Second)
+			for _, step := range steps {
+				step(s)
+			}
+			if got := s.Usable(begin, "s"); len(got) != 1 || !s.Takes(begin, "a") {
+				t.Errorf("usable: %+v", got)
+			}
+			if got := s.Usable(begin, "else"); len(got) != 0 {
+				t.Errorf("usable of a service that is not named: %+v", got)
+			}
+		})
+	}
+}
--- a/services/mapswitch/explore_test.go
+++ b/services/mapswitch/explore_test.go
@@ -10,6 +10,7 @@
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services"
 )
 
@@ -421,3 +422,31 @@
 		t.Run(name, func(t *testing.T) { explore(t, seed, 1500, false, false, false) })
 	}
 }
+
+// TestBornAgain checks that a change fails when a rank starts again in the middle of it, although its epoch is still told as the same,
+// and that what the rank told before that changes nothing.
+func TestBornAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	status := func() []services.RankStatus {
+		return []services.RankStatus{{Born: 100, Epoch: 1, Size: 2, Rank: 0}, {Born: 100, Epoch: 1, Size: 2, Rank: 1}}
+	}
+	cases := map[string]struct {
+		born upstream.Born
+		want Stage
+	}{
+		"the same run":    {100, StagePrepareOwner},
+		"it starts again": {101, StageFailed},
+		"an earlier run":  {99, StagePrepareOwner},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := Start(now, 5, 0, status(), 1<<10, nil)
+			s := status()[1]
+			s.Born, s.Prepared = c.born, 1<<10
+			m.Observe(now, now, 1, s)
+			if m.Stage() != c.want {
+				t.Errorf("stage %s, want %s", m.Stage(), c.want)
+			}
+		})
+	}
+}
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -244,8 +244,13 @@
 	if m.Ended() {
 		return
 	}
-	if s.Epoch != m.epoch {
-		// The group has formed anew: nothing is prepared, armed or held.
+	born := m.status[r].Born
+	if s.Born < born {
+		return // told before the rank started again
+	}
+	if s.Epoch != m.epoch || born != 0 && s.Born != born {
+		// The group has formed anew, or is about to because the rank has started again: what was prepared, armed or held
+		// there is gone.
 		m.stage = StageFailed
 		return
 	}
--- a/services/rank.go
+++ b/services/rank.go
@@ -8,6 +8,7 @@
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/upstream"
 )
 
 // Epoch numbers the formations of a group. Each formation begins on the map that the engines start with.
@@ -15,6 +16,8 @@
 
 // RankStatus is what the engine of a rank tells of itself.
 type RankStatus struct {
+	// Born tells the runs of the engine apart.
+	Born  upstream.Born
 	Group group.ID
 	Epoch Epoch
 	Rank  group.Rank
@@ -95,6 +98,8 @@
 
 // RankCounts tells how often the requests of a rank have chosen each expert since its start.
 type RankCounts struct {
+	// Born is that of the engine: one that has started again counts from 0.
+	Born   upstream.Born
 	Epoch  Epoch
 	Counts []uint64
 }
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -12,6 +12,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -69,8 +70,9 @@
 
 	mu        sync.Mutex
 	candidate *election.Candidate
-	// placed is when the engine last told its group.
+	// placed is when the engine last told its group, and born when it started.
 	placed time.Time
+	born   upstream.Born
 	// asked says that a coordinator has found this process.
 	asked bool
 	// claiming says that the agent waits for the answer to a claim, and leading is its part as coordinator; nil if it has none.
@@ -238,11 +240,9 @@
 	if r.Status, err = a.opts.Engine.Status(ctx); err != nil {
 		return err
 	}
-	a.mu.Lock()
-	a.placed = time.Now()
-	a.candidate.Place(a.placed, r.Status.Group, int(r.Status.Rank), r.Status.Size)
-	r.Status.Noted = a.notes
-	a.mu.Unlock()
+	if err = a.noteStatus(time.Now(), &r.Status); err != nil {
+		return err
+	}
 	if !ask.Counts {
 		return nil
 	}
@@ -255,3 +255,23 @@
 	r.Counts = a.tally.tell(ask.Since, counts)
 	return nil
 }
+
+// errEarlierRun reports an answer that an engine gave before it started again.
+var errEarlierRun = eris.New("the answer is of an earlier run of the engine")
+
+// noteStatus takes in what the engine tells, and adds what the agent has noted. An engine that has started again knows nothing of
+// the orders that it was given before.
+func (a *Agent) noteStatus(now time.Time, s *services.RankStatus) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case s.Born < a.born:
+		return errEarlierRun
+	case s.Born > a.born:
+		a.born, a.notes, a.maps = s.Born, services.RankNotes{}, nil
+	}
+	a.placed = now
+	a.candidate.Place(now, s.Group, int(s.Rank), s.Size)
+	s.Noted = a.notes
+	return nil
+}
--- a/services/rank/counts.go
+++ b/services/rank/counts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -26,6 +27,7 @@
 
 // CountsPart is what a rank tells of its counts: all of them, or what has been added to those that the asker has.
 type CountsPart struct {
+	Born  upstream.Born
 	Epoch services.Epoch
 	// Number is that of the counts that the asker has now; Since is that of the counts that these are added
 	// to, 0 if they are all.
@@ -46,7 +48,7 @@
 
 // tell returns what an asker that has the counts of a number has to be told.
 func (t *tally) tell(since uint64, now services.RankCounts) CountsPart {
-	part := CountsPart{Epoch: now.Epoch, Counts: now.Counts}
+	part := CountsPart{Born: now.Born, Epoch: now.Epoch, Counts: now.Counts}
 	if since != 0 && since == t.number {
 		if added, ok := difference(t.last, now); ok {
 			part.Since, part.Counts = since, added
@@ -59,7 +61,7 @@
 
 // difference returns what was added between two counts, or false if the later ones do not go on from the earlier.
 func difference(before, after services.RankCounts) ([]uint64, bool) {
-	if before.Epoch != after.Epoch || len(before.Counts) != len(after.Counts) {
+	if before.Born != after.Born || before.Epoch != after.Epoch || len(before.Counts) != len(after.Counts) {
 		return nil, false
 	}
 	added := make([]uint64, len(after.Counts))
@@ -83,8 +85,8 @@
 	switch {
 	case len(p.Counts) == 0:
 	case p.Since == 0:
-		*h = heldCounts{number: p.Number, RankCounts: services.RankCounts{Epoch: p.Epoch, Counts: p.Counts}}
-	case p.Since != h.number || len(p.Counts) != len(h.Counts):
+		*h = heldCounts{number: p.Number, RankCounts: services.RankCounts{Born: p.Born, Epoch: p.Epoch, Counts: p.Counts}}
+	case p.Since != h.number || p.Born != h.Born || len(p.Counts) != len(h.Counts):
 		*h = heldCounts{}
 	default:
 		sum := make([]uint64, len(p.Counts)) // the planner keeps the old ones
--- a/services/rank/demand.go
+++ b/services/rank/demand.go
@@ -87,8 +87,9 @@
 	if len(after.Counts) != d.layers*d.experts || len(before.Counts) != len(after.Counts) {
 		return
 	}
+	same := before.Born == after.Born && before.Epoch == after.Epoch
 	for i, n := range after.Counts {
-		if before.Counts[i] <= n {
+		if same && before.Counts[i] <= n {
 			n -= before.Counts[i]
 		}
 		to[i/d.experts][i%d.experts] += float64(n)
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -341,7 +341,7 @@
 		return
 	}
 	m := c.members[r.Status.Rank]
-	if m.known && sent.Before(m.sent) {
+	if m.known && (sent.Before(m.sent) || n.Engine == m.info.Engine && r.Status.Born < m.status.Born) {
 		return
 	}
 	m.info, m.status, m.sent, m.heard, m.known = n, r.Status, sent, time.Now(), true
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -15,8 +15,10 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/election"
+	"fawnwinch.org/fawnwinch/services/peer"
 
 	"github.com/rs/zerolog"
 )
@@ -148,6 +150,65 @@
 	}
 }
 
+// TestBornAgain checks that an agent forgets what it noted for an engine that has started again, that counts which begin anew are
+// told whole, and that what the engine said before comes too late.
+func TestBornAgain(t *testing.T) {
+	e := &engine{status: services.RankStatus{Group: "g", Born: 100, Epoch: 1, Size: 2}}
+	a := New(begin, Options{Engine: e, Logger: zerolog.Nop()})
+	a.order(services.RankOrder{Kind: services.RankArm})
+	a.notes = services.RankNotes{Prepared: 7, Announced: 7}
+	a.maps.keep(&expertmap.Map{Version: 7})
+	if !a.place() {
+		t.Fatal("the engine does not tell")
+	}
+	if a.notes = (services.RankNotes{Prepared: 7, Announced: 7}); len(a.maps) != 0 {
+		t.Error("maps of before the first answer are kept")
+	}
+	e.status.Born, e.status.Epoch = 200, 2
+	var r Reply
+	if err := a.status(Ask{}, &r); err != nil || r.Status.Noted != (services.RankNotes{}) {
+		t.Errorf("noted of the run before: %+v, %v", r.Status.Noted, err)
+	}
+	e.status.Born, e.status.Rank = 100, 1
+	if err := a.status(Ask{}, &r); err == nil {
+		t.Error("an answer of the run before was taken")
+	}
+	var first tally
+	first.tell(0, services.RankCounts{Born: 100, Epoch: 1, Counts: []uint64{1, 2}})
+	if part := first.tell(first.number, services.RankCounts{Born: 200, Epoch: 1, Counts: []uint64{5, 6}}); part.Since != 0 || part.Counts[0] != 5 || part.Born != 200 {
+		t.Errorf("counts of another run told as a difference: %+v", part)
+	}
+	held := heldCounts{number: 3, RankCounts: services.RankCounts{Born: 100, Counts: []uint64{1}}}
+	held.add(CountsPart{Born: 200, Since: 3, Number: 4, Counts: []uint64{1}})
+	if held.number != 0 {
+		t.Errorf("a difference was added to counts of another run: %+v", held)
+	}
+	d := newDemand(1, 2)
+	to := d.none()
+	d.add(to, services.RankCounts{Born: 100, Counts: []uint64{3, 3}}, services.RankCounts{Born: 200, Counts: []uint64{4, 9}})
+	if to[0][0] != 4 || to[0][1] != 9 {
+		t.Errorf("choices since the start: %v", to)
+	}
+}
+
+// TestTakeBornAgain checks that a coordinator takes no status of an earlier run of an engine.
+func TestTakeBornAgain(t *testing.T) {
+	c := newCoordinator(New(begin, Options{Logger: zerolog.Nop()}), lead(1), services.RankStatus{Group: "g", Size: 1})
+	status := func(born upstream.Born, step group.Step) Reply {
+		return Reply{Status: services.RankStatus{Group: "g", Size: 1, Born: born, Step: step}}
+	}
+	n := peer.Info{Name: "side-1", Engine: "e"}
+	c.take(begin, n, status(200, 1))
+	c.take(begin.Add(time.Second), n, status(100, 99))
+	if got := c.members[0].status; got.Born != 200 || got.Step != 1 {
+		t.Errorf("taken: %+v", got)
+	}
+	c.take(begin.Add(2*time.Second), peer.Info{Name: "side-2", Engine: "f"}, status(100, 5))
+	if got := c.members[0].status; got.Born != 100 {
+		t.Errorf("another engine has the rank now, taken: %+v", got)
+	}
+}
+
 const goal = 120 * time.Millisecond
 
 var figures = &catalog.Engine{
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -113,6 +113,7 @@
 // attempt sends the request to one upstream and reads the head of its answer. After an error, the
 // result says what it tells of the upstream.
 func (x *exchange) attempt(ctx context.Context, u upstream.Instance) (*answer, balance.Result, error) {
+	x.r.reach(u)
 	conn, _, err := x.r.conns.Take(ctx, time.Now(), u.Address)
 	if err != nil {
 		if ctx.Err() != nil {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -6,6 +6,7 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 	// unreported is called when a request comes for a service with groups whose load nobody tells.
 	unreported func(service.ID)
 	active     int
+	// runs holds the run of the upstream to which the connections of an address lead.
+	runs map[string]upstream.Run
 }
 
 // lane is the way to the upstreams of one service.
@@ -61,7 +64,7 @@
 
 // New returns a relay that knows nothing yet.
 func New(o Options) *Relay {
-	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {}}
+	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {}, runs: map[string]upstream.Run{}}
 }
 
 // Know calls f with the router's knowledge, under the relay's lock.
@@ -134,9 +137,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := service.ID(g.Service)
-	ids := map[string]upstream.ID{}
+	ids := map[string]upstream.Run{}
 	for _, i := range r.know.Usable(now, id) {
-		ids[i.Address] = i.ID
+		ids[i.Address] = i.Run()
 	}
 	l := r.lane(now, id)
 	mine := l.pool.Report(now, g, ids)
@@ -149,10 +152,12 @@
 	r.conns.Sweep(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listed := map[upstream.ID]bool{}
+	listed, addresses := map[upstream.Run]bool{}, map[string]bool{}
 	for _, c := range r.know.All() {
-		listed[upstream.ID(c.Key)] = true
+		listed[c.Value.Run()] = true
+		addresses[c.Value.Address] = true
 	}
+	maps.DeleteFunc(r.runs, func(address string, _ upstream.Run) bool { return !addresses[address] })
 	for _, l := range r.pools {
 		l.pool.Forget(listed)
 		r.wake(now, l)
@@ -200,18 +205,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.lane(now, id)
-	l.pool.Done(now, u.ID, res, took, started)
+	l.pool.Done(now, u.Run(), res, took, started)
 	r.wake(now, l)
 	if res == balance.ResultUnreached || res == balance.ResultStranger {
 		r.conns.Drop(u.Address)
 	}
 }
 
+// reach notes to which run of an upstream its address leads now, and closes resting connections that lead to another: a request
+// that may not be repeated would be lost on one.
+func (r *Relay) reach(u upstream.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if before, known := r.runs[u.Address]; known && before != u.Run() {
+		r.conns.Drop(u.Address)
+	}
+	r.runs[u.Address] = u.Run()
+}
+
 // started notes that the answer of an upstream has begun.
 func (r *Relay) started(id service.ID, u upstream.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lane(time.Now(), id).pool.Started(u.ID)
+	r.lane(time.Now(), id).pool.Started(u.Run())
 }
 
 // takes reports whether an upstream may still get work, right before it is sent.
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -330,6 +330,31 @@
 	}
 }
 
+// TestBornAgain checks that no request goes out on a connection to an earlier run of an upstream.
+func TestBornAgain(t *testing.T) {
+	f := newFake(t, func(_ int, h map[string]string, conn net.Conn) { whole(conn, h["Id"], "ok") })
+	s, r := start(t, f)
+	r.Know(func(k *knowledge.State) { k.TakeCatalogs(catalogs(time.Now())) })
+	for i, born := range []upstream.Born{0, 0, 200} {
+		r.Know(func(k *knowledge.State) {
+			u := upstream.Instance{ID: "u0", Born: born, Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
+			k.TakeUpstreams(time.Now(), knowledge.Part[upstream.Instance]{
+				Whole: true, Next: services.Offset(i + 2), AsOf: time.Now(), Changes: []services.Change[upstream.Instance]{{Key: "u0", Value: &u}},
+			})
+		})
+		if status, _, _, err := get(t.Context(), t, s, "/unsafe/x", map[string]string{"Key": "k"}); err != nil || status != 200 {
+			t.Fatalf("status %d, %v", status, err)
+		}
+		want := uint64(1)
+		if born > 0 {
+			want = 2
+		}
+		if got := r.Connections(); got != want {
+			t.Errorf("started at %d: %d connections, want %d", born, got, want)
+		}
+	}
+}
+
 // TestCallerLeaves checks that an upstream's connection is closed when the caller's is.
 func TestCallerLeaves(t *testing.T) {
 	begun := make(chan struct{})
--- a/tests/integration/platform_ranks_test.go
+++ b/tests/integration/platform_ranks_test.go
@@ -36,26 +36,44 @@
 // newRanks starts a group and its agents.
 func newRanks(t *testing.T, seed uint64) *ranks {
 	t.Helper()
-	r := &ranks{site: newSite(t), group: rankgroup.New(rankgroup.Options{
-		Name: "g", Ranks: rankCount, Layers: rankLayers, Experts: rankExpert, PassTime: 15 * time.Millisecond, LoadTime: 20 * time.Millisecond,
-		Seed: seed, ChoicesPerPass: 60, Running: 10,
-	})}
-	r.store.Put(operatorStream, "config", fmt.Sprintf(`{"version":1,"routes":[
+	return newGroups(t, seed, "g")[0]
+}
+
+// newGroups starts groups of one service and their agents.
+func newGroups(t *testing.T, seed uint64, names ...string) []*ranks {
+	t.Helper()
+	s := newSite(t)
+	s.store.Put(operatorStream, "config", fmt.Sprintf(`{"version":1,"routes":[
 	{"name":"draft","host":"h","pathPrefix":"/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":500,"gap_aim_ms":50,"service":"pool","maxAttempts":2}],
 	"services":[{"name":"pool","engine":{"slots":12,"stride":4,"step_ms":4.5,"per_seq_ms":0.9,"read_per_s":60000,"chunk":512,"usual":{"prompt":800},
 	"sets":%d,"experts":%d,"places":%d,"spare":2,"expert_mb":1,"expert_share":0.85,"form_ms":600}}]}`, rankLayers, rankExpert, rankPlaces))
+	var out []*ranks
+	for _, name := range names {
+		out = append(out, newGroup(s, seed, name))
+	}
+	for _, r := range out {
+		r.group.Start()
+		t.Cleanup(func() {
+			r.group.Stop()
+			if seen := r.group.Seen(); seen.Mixed != 0 {
+				t.Errorf("%d of %d passes began with two maps", seen.Mixed, seen.Passes)
+			}
+		})
+	}
+	return out
+}
+
+// newGroup starts the agents of a group.
+func newGroup(s *site, seed uint64, name string) *ranks {
+	r := &ranks{site: s, group: rankgroup.New(rankgroup.Options{
+		Name: name, Ranks: rankCount, Layers: rankLayers, Experts: rankExpert, PassTime: 15 * time.Millisecond, LoadTime: 20 * time.Millisecond,
+		Seed: seed, ChoicesPerPass: 60, Running: 10,
+	})}
 	for n := range rankCount {
 		engine := httptest.NewServer(r.group.Handler(n))
-		t.Cleanup(func() { engine.CloseClientConnections(); engine.Close() })
-		r.agents = append(r.agents, r.agent(fmt.Sprint("side-", n), strings.TrimPrefix(engine.URL, "http://")))
+		s.t.Cleanup(func() { engine.CloseClientConnections(); engine.Close() })
+		r.agents = append(r.agents, r.agent(fmt.Sprint("side-", name, "-", n), strings.TrimPrefix(engine.URL, "http://")))
 	}
-	r.group.Start()
-	t.Cleanup(func() {
-		r.group.Stop()
-		if seen := r.group.Seen(); seen.Mixed != 0 {
-			t.Errorf("%d of %d passes began with two maps", seen.Mixed, seen.Passes)
-		}
-	})
 	return r
 }
 
@@ -172,3 +190,28 @@
 		})
 	}
 }
+
+// mostStoreCalls is the number of calls of the store that an agent may make in a second once its group is led.
+const mostStoreCalls = 2
+
+// TestTwoGroups runs two groups of one service: each is led, its maps follow what is liked there, and no agent goes on calling the
+// store.
+func TestTwoGroups(t *testing.T) {
+	t.Parallel()
+	groups := newGroups(t, 7, "g", "h")
+	for _, r := range groups {
+		r.drift("a first map", 1)
+	}
+	begun, before := time.Now(), groups[0].calls.Load()
+	for range 3 {
+		for _, r := range groups {
+			r.drift("a map that follows", 1)
+		}
+	}
+	passes := groups[1].group.Seen().Passes
+	eventually(t, "passes", func() bool { return groups[1].group.Seen().Passes > passes+60 })
+	calls, most := groups[0].calls.Load()-before, mostStoreCalls*2*rankCount*time.Since(begun).Seconds()
+	if float64(calls) > most {
+		t.Errorf("%d calls of the store in %s", calls, time.Since(begun))
+	}
+}
--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -79,6 +79,8 @@
 type site struct {
 	t     *testing.T
 	store *metastore.Store
+	// calls counts those of all processes.
+	calls *atomic.Int64
 	addr  string
 	dir   string
 	ip    string
@@ -87,9 +89,13 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	store := metastore.New()
-	s := httptest.NewServer(store)
+	calls := &atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		store.ServeHTTP(w, r)
+	}))
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return &site{t: t, store: store, addr: strings.TrimPrefix(s.URL, "http://"), dir: t.TempDir(), ip: "127.0.0.1"}
+	return &site{t: t, store: store, calls: calls, addr: strings.TrimPrefix(s.URL, "http://"), dir: t.TempDir(), ip: "127.0.0.1"}
 }
 
 func freePort(t *testing.T) int {
--- a/tests/replay/play_test.go
+++ b/tests/replay/play_test.go
@@ -143,7 +143,7 @@
 	engine  *engine
 	routers []*router
 	ups     []upstream.Instance
-	ids     map[string]upstream.ID
+	ids     map[string]upstream.Run
 	book    *balance.Book
 	infos   []peer.Info
 	choose  policy
@@ -156,12 +156,12 @@
 func play(p pattern, choose policy) result {
 	w := &world{
 		p: p, rand: rand.New(rand.NewPCG(p.seed, 7)), come: rand.New(rand.NewPCG(p.seed, 8)), begin: time.Unix(1000, 0), now: time.Unix(1000, 0), book: balance.NewBook(1), choose: choose,
-		ids: map[string]upstream.ID{}, engine: &engine{figures: p.figures, queue: p.queue, ranks: make([]engineRank, p.ranks), skew: p.skew, pace: p.pace},
+		ids: map[string]upstream.Run{}, engine: &engine{figures: p.figures, queue: p.queue, ranks: make([]engineRank, p.ranks), skew: p.skew, pace: p.pace},
 	}
 	for i := range p.ranks {
 		id := fmt.Sprint("e", i)
 		w.ups = append(w.ups, upstream.Instance{ID: upstream.ID(id), Service: "s", Address: id, Slots: p.figures.Slots, State: upstream.StateReady})
-		w.ids[id] = upstream.ID(id)
+		w.ids[id] = w.ups[i].Run()
 	}
 	for i := range p.routers {
 		pool := balance.NewPool("")
@@ -274,10 +274,10 @@
 func (w *world) send(c *caller, r *router, rank int, tried map[upstream.ID]bool) {
 	prompt := w.p.figures.UsualPrompt * (0.3 + 1.4*w.rand.Float64())
 	s := &stream{caller: c, router: r, rank: rank, unread: prompt, left: 1 + int(2*float64(events-1)*w.rand.Float64())}
-	id := w.ups[rank].ID
+	run := w.ups[rank].Run()
 	r.inFlight[rank]++
 	if w.choose != nil {
-		r.pool.Sent(id) // the project's decisions note that themselves
+		r.pool.Sent(run) // the project's decisions note that themselves
 	}
 	w.after(way, func() {
 		if !w.closed() && w.engine.take(s) {
@@ -287,9 +287,9 @@
 		}
 		w.res.full++
 		r.inFlight[rank]--
-		r.pool.Done(w.now, id, balance.ResultFull, way, false)
+		r.pool.Done(w.now, run, balance.ResultFull, way, false)
 		w.wake(r)
-		tried[id] = true
+		tried[run.ID] = true
 		if len(tried) < 2 && r.budget.Take(w.now) && !c.done {
 			w.ask(c, r, tried)
 			return
@@ -344,7 +344,7 @@
 	c := s.caller
 	if !s.begun {
 		s.begun = true
-		s.router.pool.Started(w.ups[s.rank].ID)
+		s.router.pool.Started(w.ups[s.rank].Run())
 		c.first = w.now.Sub(c.arrived)
 	} else {
 		c.pause = max(c.pause, w.now.Sub(c.latest))
@@ -354,7 +354,7 @@
 		return
 	}
 	s.router.inFlight[s.rank]--
-	s.router.pool.Done(w.now, w.ups[s.rank].ID, balance.ResultOK, 0, true)
+	s.router.pool.Done(w.now, w.ups[s.rank].Run(), balance.ResultOK, 0, true)
 	w.wake(s.router)
 	c.done = true
 	if c.first <= goal && c.pause <= pauseGoal {
@@ -375,7 +375,7 @@
 	if s := c.stream; s != nil {
 		w.engine.drop(s)
 		s.router.inFlight[s.rank]--
-		s.router.pool.Done(w.now, w.ups[s.rank].ID, balance.ResultCancelled, 0, s.begun)
+		s.router.pool.Done(w.now, w.ups[s.rank].Run(), balance.ResultCancelled, 0, s.begun)
 	}
 }
 
