--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -213,8 +213,10 @@
 // Usable returns the upstreams of a service that may take new work: those listed, or else those whose
 // entries have just lapsed.
 func (s *State) Usable(now time.Time, id service.ID) []upstream.Instance {
-	var listed, lapsed []upstream.Instance
-	for _, u := range s.byService[id] {
+	ids := s.byService[id]
+	listed := make([]upstream.Instance, 0, len(ids)) // it is asked for each request; grown in steps it took a sixth of a grant
+	var lapsed []upstream.Instance
+	for _, u := range ids {
 		e := s.ups[u]
 		switch {
 		case e.instance.State != upstream.StateReady:
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -126,15 +126,20 @@
 	return knowledge.Part[catalog.Catalog]{Whole: true, Next: 1, AsOf: asOf, Changes: []services.Change[catalog.Catalog]{{Value: &testCatalog}}}
 }
 
-// start returns a router before some upstreams, and its relay.
-func start(t *testing.T, fakes ...*fake) (*httptest.Server, *Relay) {
-	t.Helper()
-	r := New(Options{
+// newRelay returns a relay that knows nothing yet.
+func newRelay() *Relay {
+	return New(Options{
 		Bounds: setting.Bounds{
 			ApplyTime: 2 * time.Second, DrainTime: 2 * time.Second, KeyFreshness: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		},
 		Protocol: protocol{}, Metrics: metrics.New("test"), Logger: zerolog.Nop(),
 	})
+}
+
+// start returns a router before some upstreams, and its relay.
+func start(t *testing.T, fakes ...*fake) (*httptest.Server, *Relay) {
+	t.Helper()
+	r := newRelay()
 	now := time.Now()
 	r.Know(func(s *knowledge.State) {
 		s.TakeCatalogs(catalogs(now))
