--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -141,9 +141,9 @@
 
 // Status tells a coordinator the load of the rank.
 func (p *API) Status(ask Ask, r *Reply) error {
-	heard, err := p.a.listen(time.Now(), ask.Lead)
-	if err != nil {
-		return err
+	heard := p.a.listen(time.Now(), ask.Lead)
+	if heard == unplaced {
+		return errNoGroup
 	}
 	r.Foreign, r.Authority = heard == foreign, p.a.highest()
 	if heard != leads {
@@ -176,25 +176,27 @@
 	deposed standing = "deposed"
 	// foreign is that of a coordinator of another group.
 	foreign standing = "foreign"
+	// unplaced is that of any coordinator while the agent does not know its group.
+	unplaced standing = "unplaced"
 )
 
 // errNoGroup reports that an engine has not told its group.
 var errNoGroup = eris.New("the engine has not told its group")
 
 // listen notes that a coordinator is alive, and returns its standing.
-func (a *Agent) listen(now time.Time, l election.Lead) (standing, error) {
+func (a *Agent) listen(now time.Time, l election.Lead) standing {
 	own := a.groupFor(now, l.Group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
 	case own == "":
-		return "", errNoGroup
+		return unplaced
 	case own != l.Group:
-		return foreign, nil
+		return foreign
 	case !a.candidate.Hear(now, l):
-		return deposed, nil
+		return deposed
 	}
-	return leads, nil
+	return leads
 }
 
 // groupFor returns the group of the rank for a caller that takes it for one of some group; empty if the engine does not tell.
--- a/services/rank/claim_test.go
+++ b/services/rank/claim_test.go
@@ -27,6 +27,7 @@
 	s.claims = append(s.claims, end)
 	return s.ends[min(len(s.claims), len(s.ends))-1], s.won, nil
 }
+
 func (s *claimStore) Claimer(context.Context, string, services.Offset) (string, error) {
 	return "nobody", nil
 }
@@ -38,6 +39,7 @@
 	b := peer.Info{Name: "side-2", Role: vm.RoleAgent, Address: "2", Service: "m"}
 	return []services.Change[peer.Info]{{Key: a.Name, Value: &a}, {Key: b.Name, Value: &b}}, 1, nil
 }
+
 func (s *claimStore) Changes(context.Context, services.Offset, time.Duration) ([]services.Change[peer.Info], services.Offset, error) {
 	return nil, 0, errPlayed
 }
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -34,10 +34,10 @@
 
 // Order carries out an order of a coordinator.
 func (p *API) Order(o Order, r *OrderReply) error {
-	heard, err := p.a.listen(time.Now(), o.Lead)
+	heard := p.a.listen(time.Now(), o.Lead)
 	switch {
-	case err != nil:
-		r.Answer = services.RankUnknown // the engine does not answer, which place has logged
+	case heard == unplaced:
+		r.Answer = services.RankUnknown // the engine does not answer
 		return nil
 	case heard == foreign:
 		r.Answer = services.RankConflict
