--- a/services/mapswitch/explore_test.go
+++ b/services/mapswitch/explore_test.go
@@ -303,7 +303,7 @@
 		return
 	}
 	p.version = NextVersion(p.version, p.self)
-	p.machine = Start(w.now, p.fence, p.self, status, p.version, nil, 1)
+	p.machine = Start(w.now, p.fence, p.self, status, p.version, nil)
 }
 
 // explore plays one world and returns it. Abandons says that coordinators give changes up, and freezes that VMs freeze
@@ -440,7 +440,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			m := Start(now, 5, 0, status(), 1<<10, nil, 1)
+			m := Start(now, 5, 0, status(), 1<<10, nil)
 			s := status()[1]
 			s.Born, s.Prepared = c.born, 1<<10
 			m.Observe(now, now, 1, s)
@@ -450,24 +450,3 @@
 		})
 	}
 }
-
-// TestLead checks that a map is taken after as many passes as arming takes, and at the next one where that is short.
-func TestLead(t *testing.T) {
-	ms := time.Millisecond
-	cases := map[string]struct {
-		arming, pass time.Duration
-		want         group.Step
-	}{
-		"nothing is known yet":            {0, 0, 1},
-		"armed within a pass":             {35 * ms, 110 * ms, 1},
-		"short passes":                    {35 * ms, 27 * ms, 2},
-		"a slow coordinator, long passes": {250 * ms, 110 * ms, 3},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			if got := Lead(c.arming, c.pass); got != c.want {
-				t.Errorf("%d passes, want %d", got, c.want)
-			}
-		})
-	}
-}
--- a/services/mapswitch/machine.go
+++ b/services/mapswitch/machine.go
@@ -56,6 +56,11 @@
 	prepareTime = 4 * time.Second
 	// armTime bounds the time in which all ranks must confirm: the group may stand still meanwhile.
 	armTime = 350 * time.Millisecond
+	// lead is the number of passes between the last that has begun and the one that takes the map, and leadRanks the
+	// number of ranks for each of which one more is left: to arm 63 ranks takes a coordinator with a quarter of a core
+	// some 30 ms, in which a group would stand still.
+	lead      = 1
+	leadRanks = 32
 	// unusedVersion is the last of the versions that a coordinator counts up.
 	unusedVersion = 1<<32 - 1
 	// maxHolds bounds how often a pass to hold is chosen anew because it has begun already.
@@ -81,9 +86,7 @@
 	version expertmap.Version
 	layers  []expertmap.Layer
 	step    group.Step
-	// lead is how many passes after the last that has begun the map is taken.
-	lead  group.Step
-	holds int
+	holds   int
 	// heldAt is when the group was held; zero before.
 	heldAt time.Time
 	// release holds the pass to be let go at each rank that may hold one.
@@ -99,22 +102,12 @@
 // holderOf returns the rank that holds a group of some size for the change of an owner.
 func holderOf(owner group.Rank, size int) group.Rank { return (owner + 1) % group.Rank(size) }
 
-// Lead returns how many passes after the last that has begun a map is taken, by the time in which a group is armed and the mean
-// time of its passes: it stands still while it is armed for a pass that is due. One pass is left in any case, and each more lets
-// all streams wait longer for a better map.
-func Lead(arming, pass time.Duration) group.Step {
-	if pass <= 0 {
-		return 1
-	}
-	return 1 + group.Step(arming/pass) //nolint:gosec // passes are few
-}
-
-// Start returns the change of a group, as its ranks report it, to a new map, which is taken some passes after the last that has
-// begun. Self is the rank beside the coordinator; it holds the pass. Each machine needs a fence above that of the one before:
-// otherwise a late order of that one could, for example, let go what this one holds.
-func Start(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus, v expertmap.Version, layers []expertmap.Layer, lead group.Step) *Machine {
+// Start returns the change of a group, as its ranks report it, to a new map. Self is the rank beside the
+// coordinator; it holds the pass. Each machine needs a fence above that of the one before: otherwise a
+// late order of that one could, for example, let go what this one holds.
+func Start(now time.Time, f services.Fence, self group.Rank, status []services.RankStatus, v expertmap.Version, layers []expertmap.Layer) *Machine {
 	m := newMachine(now, f, self, status)
-	m.version, m.layers, m.lead = v, layers, lead
+	m.version, m.layers = v, layers
 	m.holder = holderOf(self, len(status))
 	m.enter(now, StagePrepareOwner)
 	return m
@@ -167,7 +160,7 @@
 	m.done, m.sent = make([]bool, len(m.status)), make([]bool, len(m.status))
 	m.fenced = make([]time.Time, len(m.status))
 	if s == StageHold {
-		m.step = max(m.lastStep()+m.lead, m.step+1)
+		m.step = max(m.lastStep()+m.lead(), m.step+1)
 	}
 	for r := range m.done {
 		m.done[r] = !m.concerns(group.Rank(r))
@@ -175,6 +168,9 @@
 	m.advance(now)
 }
 
+// lead returns how many passes after the last that has begun the map is taken.
+func (m *Machine) lead() group.Step { return group.Step(lead + len(m.status)/leadRanks) }
+
 // lastStep returns the last pass that any rank is known to have begun.
 func (m *Machine) lastStep() group.Step {
 	var last group.Step
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -71,9 +71,6 @@
 	// version is the latest that this coordinator has given out. Each authority has a range of its own,
 	// above those of all earlier ones: a rank takes no version that is not above all it had.
 	version expertmap.Version
-	// arming is the mean time in which the group was armed for a change, and pass that of its passes.
-	arming time.Duration
-	pass   passTime
 	// notedAt and notedStep are when the load of the group was last logged, and its pass then.
 	notedAt   time.Time
 	notedStep group.Step
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -31,8 +31,6 @@
 	// holdLook is the time between two looks while the group is held. Nothing is told by them that the answers to orders
 	// do not, and they hold up the orders.
 	holdLook = 300 * time.Millisecond
-	// armingKeep is the weight of the past in the mean time in which a group is armed.
-	armingKeep = 0.7
 	// resendPause is the pause before an order that had no answer is sent again.
 	resendPause = 5 * time.Millisecond
 )
@@ -67,7 +65,7 @@
 // change brings a new map into force.
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
 	began := time.Now()
-	m := mapswitch.Start(began, d.c.fence+1, d.self(), status, next.Version, next.Layers, mapswitch.Lead(d.c.arming, d.c.pass.mean))
+	m := mapswitch.Start(began, d.c.fence+1, d.self(), status, next.Version, next.Layers)
 	d.goOnFrom(d.c.planner.current, next)
 	stage := d.drive(ctx, m)
 	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
@@ -76,7 +74,6 @@
 	if stage == mapswitch.StageDone {
 		d.c.pending, d.c.pendingFrom = next.Version, time.Now()
 		d.c.planner.loaded(m.HeldAt().Sub(began))
-		d.c.arming = time.Duration(armingKeep*float64(d.c.arming) + (1-armingKeep)*float64(d.held(m)))
 	}
 	d.c.planner.ended(next, stage == mapswitch.StageDone)
 	if stage == mapswitch.StageAbandoned {
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -53,16 +53,6 @@
 	c.collect(ctx, waited)
 	c.askDirectly(ctx)
 	c.judge(time.Now())
-	c.pass.note(time.Now(), c.lastStep())
-}
-
-// lastStep returns the latest pass that a rank has told of.
-func (c *coordinator) lastStep() group.Step {
-	var last group.Step
-	for _, m := range c.members {
-		last = max(last, m.status.Step)
-	}
-	return last
 }
 
 // lookAtSelf takes in the load of the own rank.
