Who leads a group, and which ranks nobody tells of, is seen: lines, metrics, alerts and a command

Cause: with two of three groups without a coordinator no line of any log and no metric said so; the lines of a coordinator did not name its group.

Ruled out: a line of the coordinator that is missing (there is none), counting `coordinator-begins` (an operator has to know how many are due).

Change: agents log group-unled after 2 s without a coordinator, and then each 10 s, with how often they have stood up and how the latest try ended (each way in which a try ends has a name), and group-led-again; metrics group_led and group_silence_seconds. Routers log ranks-untold and ranks-told; metrics ranks_listed and ranks_untold. `fawnwinch platform status ADDRESS` shows groups, coordinators and ranks of none in one look, with exit code 2 while there are any. Three alerts. All lines of a coordinator have group=. No decision has changed.

At a start agents say group-unled with an empty group when engines answer later than 2 s after them.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -35,7 +35,7 @@
 	c.AddCommand(
 		nodeCommand("router", "Run the router of an entry VM", entryOptions),
 		nodeCommand("agent", "Run the agent beside a rank of a model group", rankOptions),
-		newPlatformTimelineCommand(),
+		newPlatformTimelineCommand(), newPlatformStatusCommand(),
 	)
 	return c
 }
@@ -164,7 +164,7 @@
 }
 
 // runRank assembles the agent beside a rank.
-func (n node) runRank(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, logger zerolog.Logger) error {
+func (n node) runRank(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, m *metrics.Metrics, logger zerolog.Logger) error {
 	if n.set.Engine == "" {
 		return setting.ErrInvalid{Field: "app", Reason: "is missing: an agent needs a model engine"}
 	}
@@ -186,6 +186,7 @@
 	}
 	self := n.self(vm.RoleAgent)
 	a := rank.New(time.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Bootstrap: n.set.Bootstrap, Dial: dial, Logger: logger})
+	measureLeadership(m, a)
 	server := rpc.NewServer(l)
 	if err := server.Register("Rank", rank.NewAPI(a)); err != nil {
 		return wrap(err, "agent")
@@ -209,3 +210,19 @@
 	})
 	return nil
 }
+
+// measureLeadership serves whether the group of an agent's rank is led, as far as the agent knows.
+func measureLeadership(m *metrics.Metrics, a *rank.Agent) {
+	m.Each("group_led", "1 if the agent hears a coordinator of its rank's group, else 0; the group is empty while the engine has not told it.", "group", false, func() []metrics.Sample {
+		l := a.Leadership(time.Now())
+		led := 0.0
+		if l.Led {
+			led = 1
+		}
+		return []metrics.Sample{{Label: string(l.Group), Value: led}}
+	})
+	m.Each("group_silence_seconds", "Time since the agent heard a coordinator of its rank's group, or learned the group if it never did.", "group", false, func() []metrics.Sample {
+		l := a.Leadership(time.Now())
+		return []metrics.Sample{{Label: string(l.Group), Value: l.Silence.Seconds()}}
+	})
+}
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
@@ -66,7 +67,7 @@
 }
 
 // runEntry assembles a router.
-func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, logger zerolog.Logger) error {
+func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, m *metrics.Metrics, logger zerolog.Logger) error {
 	front, err := httpx.Listen(n.set.Callers)
 	if err != nil {
 		return wrap(err, "listen for callers")
@@ -79,6 +80,7 @@
 		Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger,
 		Bounds: n.set.Bounds,
 	})
+	measureCoverage(m, r)
 	server := rpc.NewServer(peers)
 	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
 		return wrap(err, "router")
@@ -114,6 +116,25 @@
 	return nil
 }
 
+// measureCoverage serves how many ranks there are, and of how many nobody tells the load.
+func measureCoverage(m *metrics.Metrics, r *entry.Router) {
+	samples := func(of map[service.ID]int) []metrics.Sample {
+		var out []metrics.Sample
+		for id, n := range of {
+			out = append(out, metrics.Sample{Label: string(id), Value: float64(n)})
+		}
+		return out
+	}
+	m.Each("ranks_listed", "Ranks of model groups that may take work.", "service", false, func() []metrics.Sample {
+		listed, _ := r.UntoldRanks(time.Now())
+		return samples(listed)
+	})
+	m.Each("ranks_untold", "Ranks of model groups whose load no coordinator has told this router lately.", "service", false, func() []metrics.Sample {
+		_, untold := r.UntoldRanks(time.Now())
+		return samples(untold)
+	})
+}
+
 // stop ends the router without cutting a request: it leaves the directory, serves until every answer
 // that named it has run out and every request has ended, and ends before it is killed.
 func (p *entryProcess) stop(ctx context.Context) error {
--- /dev/null
+++ b/cmd/platform_status_test.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/platform"
+	"fawnwinch.org/fawnwinch/services/entry"
+	"fawnwinch.org/fawnwinch/services/rank"
+	"fawnwinch.org/fawnwinch/services/relay"
+
+	"github.com/rs/zerolog"
+)
+
+// TestPrintGroups checks the lines of groups, and of ranks that belong to none.
+func TestPrintGroups(t *testing.T) {
+	g := entry.GroupStatus{
+		Coordinator: entry.Coordinator{Group: "g0", Service: "m", Authority: 3, Address: "10.1.0.1:80"},
+		Age:         70 * time.Millisecond, Open: true, Ranks: 2, Running: 9, Waiting: 1, Skew: 1.5,
+	}
+	forming, missing := g, g
+	forming.Open, forming.Whole, forming.Group = false, true, "g1"
+	missing.Open, missing.Whole, missing.Group = false, false, "g2"
+	s := entry.GroupsStatus{
+		Router: "r", Groups: []entry.GroupStatus{g, forming, missing},
+		Coverage: []relay.Coverage{{Service: "m", Listed: 8, Untold: []string{"a:1", "b:1"}}, {Service: "n", Listed: 2}},
+	}
+	var out bytes.Buffer
+	if err := printGroups(&out, []entry.GroupsStatus{s}); err != nil {
+		t.Fatal(err)
+	}
+	want := `ROUTER  SERVICE  GROUP  COORDINATOR  AUTHORITY  TOLD ms AGO  STATE         RANKS  RUNNING  WAITING  SKEW
+r       m        g0     10.1.0.1:80  3          70           open          2      9        1        1.50
+r       m        g1     10.1.0.1:80  3          70           forming       2      9        1        1.50
+r       m        g2     10.1.0.1:80  3          70           misses ranks  2      9        1        1.50
+r       m        -      nobody tells of 2 of 8 ranks: a:1 b:1
+`
+	if got := out.String(); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
+	}
+}
+
+// TestPlatformStatusRefuses checks what the command refuses, and that a router which does not answer is an error.
+func TestPlatformStatusRefuses(t *testing.T) {
+	cases := map[string]struct {
+		args []string
+		want string
+	}{
+		"no address":       {nil, "requires at least 1 arg"},
+		"no port":          {[]string{"10.0.0.1"}, "ADDRESS"},
+		"another format":   {[]string{"-o", "xml", "127.0.0.1:1"}, "--output"},
+		"nobody answering": {[]string{"127.0.0.1:1"}, "ask router 127.0.0.1:1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			if code := Execute(append([]string{"platform", "status"}, c.args...), &out, &errs); code != exitFailed || !strings.Contains(errs.String(), c.want) {
+				t.Errorf("exit code %d, %q; want %d and %q", code, errs.String(), exitFailed, c.want)
+			}
+		})
+	}
+}
+
+// TestAlerts checks that the alerts on leadership name metrics which agents and routers serve.
+func TestAlerts(t *testing.T) {
+	m := metrics.New("p")
+	a := rank.New(time.Now(), rank.Options{Engine: platform.NewEngine("127.0.0.1:1"), Logger: zerolog.Nop()})
+	measureLeadership(m, a)
+	pool := rpc.NewPool()
+	defer pool.Close()
+	rl := relay.New(relay.Options{Metrics: m, Logger: zerolog.Nop()})
+	defer rl.Close()
+	measureCoverage(m, entry.New(entry.Options{Store: platform.NewStore("127.0.0.1:1", 1, 1, zerolog.Nop()), Pool: pool, Relay: rl, Logger: zerolog.Nop()}))
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	if want := `fawnwinch_group_led{group=""} 0`; !strings.Contains(w.Body.String(), want) {
+		t.Errorf("metrics lack %q", want)
+	}
+	served, err := m.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{"fawnwinch_ranks_untold": true, "fawnwinch_ranks_listed": true} // without samples as no service is known here
+	for _, f := range served {
+		names[f.GetName()] = true
+	}
+	raw, err := os.ReadFile("../docs/alerts.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`fawnwinch_(group|ranks)_[a-z_]+`).FindAllString(string(raw), -1) {
+		if !names[name] {
+			t.Errorf("an alert names %s, which nobody serves", name)
+		}
+	}
+}
--- a/services/election/election.go
+++ b/services/election/election.go
@@ -82,6 +82,9 @@
 // Group returns the group of the rank beside the agent; empty if that is not known yet.
 func (c *Candidate) Group() group.ID { return c.group }
 
+// Rank returns the rank beside the agent; 0 if that is not known yet.
+func (c *Candidate) Rank() int { return c.rank }
+
 // Hear takes in what a coordinator has told at a time, and reports whether it leads the agent's group: it is of that group, and
 // no higher authority was heard. What comes from other agents has the time at which it was told to them: agents that kept
 // telling each other of a coordinator that is gone would never stand up.
--- /dev/null
+++ b/services/entry/coverage_test.go
@@ -0,0 +1,121 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/knowledge"
+	"fawnwinch.org/fawnwinch/services/relay"
+
+	"github.com/rs/zerolog"
+)
+
+// ranksOf are the addresses of the ranks of a group.
+func ranksOf(g group.ID) []string { return []string{string(g) + "-0", string(g) + "-1"} }
+
+// knowGroups gives a router the catalog of a service with model groups, and the ranks of those.
+func knowGroups(now time.Time, rl *relay.Relay, groups ...group.ID) {
+	rl.Know(func(s *knowledge.State) {
+		c := catalog.Catalog{Version: 1, Services: []catalog.Service{{ID: "m", Engine: &catalog.Engine{Slots: 4}}, {ID: "plain"}}}
+		s.TakeCatalogs(knowledge.Part[catalog.Catalog]{Whole: true, Next: 1, AsOf: now, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+		var ups []services.Change[upstream.Instance]
+		for _, g := range groups {
+			for _, address := range ranksOf(g) {
+				u := upstream.Instance{ID: upstream.ID(address), Service: "m", Address: address, State: upstream.StateReady, Slots: 4}
+				ups = append(ups, services.Change[upstream.Instance]{Key: address, Value: &u})
+			}
+		}
+		s.TakeUpstreams(now, knowledge.Part[upstream.Instance]{Whole: true, Next: 1, AsOf: now, Changes: ups})
+	})
+}
+
+// reportOf is the report of a group's coordinator.
+func reportOf(g group.ID, authority uint64, coordinator string) balance.Report {
+	load := balance.Group{Service: "m", ID: g, Open: true, Whole: true, Skew: 1.5}
+	for _, address := range ranksOf(g) {
+		load.Ranks = append(load.Ranks, balance.RankLoad{Address: address, Running: 3})
+	}
+	r := balance.RankList{Number: 1, Addresses: ranksOf(g)}.Pack(load, 0)
+	r.Authority, r.Coordinator = authority, coordinator
+	return r
+}
+
+// TestGroupsStatus checks what a router tells operators of its groups: those that tell their load, and the ranks of which nobody tells.
+func TestGroupsStatus(t *testing.T) {
+	r, rl, address := router(t, "a")
+	now := time.Now()
+	knowGroups(now, rl, "g", "h")
+	r.takeReport(now, reportOf("g", 7, "coordinator of g"))
+	pool := rpc.NewPool()
+	defer pool.Close()
+	for _, of := range []service.ID{"", "m"} {
+		var s GroupsStatus
+		if err := pool.Call(t.Context(), address, "Router.Groups", of, &s); err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Groups) != 1 || s.Groups[0].Group != "g" || s.Groups[0].Authority != 7 || s.Groups[0].Running != 6 || !s.Groups[0].Open {
+			t.Errorf("of %q: groups %+v", of, s.Groups)
+		}
+		if len(s.Coverage) != 1 || s.Coverage[0].Listed != 4 || !slices.Equal(s.Coverage[0].Untold, ranksOf("h")) {
+			t.Errorf("of %q: coverage %+v", of, s.Coverage)
+		}
+	}
+	listed, untold := r.UntoldRanks(now)
+	if listed["m"] != 4 || untold["m"] != 2 || len(listed) != 1 {
+		t.Errorf("%v ranks listed, %v untold", listed, untold)
+	}
+}
+
+// TestNoteCoverage checks when a router logs that nobody tells of some ranks: after a while, rarely, and once when they are told.
+func TestNoteCoverage(t *testing.T) {
+	var logs bytes.Buffer
+	rl := quietRelay()
+	defer rl.Close()
+	r := New(Options{Store: silent{}, Pool: rpc.NewPool(), Relay: rl, Logger: zerolog.New(&logs)})
+	begin := time.Unix(1000, 0)
+	knowGroups(begin, rl, "g", "h")
+	told := func(at time.Duration, groups ...group.ID) {
+		for _, g := range groups {
+			r.takeReport(begin.Add(at), reportOf(g, 1, "c"))
+		}
+		r.noteCoverage(begin.Add(at))
+	}
+	steps := []struct {
+		at     time.Duration
+		groups []group.ID
+		want   string
+	}{
+		{0, []group.ID{"g", "h"}, ""},
+		{time.Second, []group.ID{"g"}, ""},
+		{3 * time.Second, []group.ID{"g"}, ""},
+		{4100 * time.Millisecond, []group.ID{"g"}, "ranks-untold"},
+		{6 * time.Second, []group.ID{"g"}, ""},
+		{15 * time.Second, []group.ID{"g"}, "ranks-untold"},
+		{16 * time.Second, []group.ID{"g", "h"}, "ranks-told"},
+		{17 * time.Second, []group.ID{"g", "h"}, ""},
+	}
+	for _, s := range steps {
+		logs.Reset()
+		told(s.at, s.groups...)
+		if got := logs.String(); (s.want == "") != (got == "") || !strings.Contains(got, s.want) {
+			t.Errorf("at %s: logged %q, want %q", s.at, got, s.want)
+		}
+		if s.want == "ranks-untold" && !strings.Contains(logs.String(), fmt.Sprintf("%q:%q", "addresses", "h-0,h-1")) {
+			t.Errorf("at %s: %s does not name the ranks", s.at, logs.String())
+		}
+	}
+}
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -209,6 +209,11 @@
 	return ctx.Err()
 }
 
+// quietRelay returns a relay that logs nothing.
+func quietRelay() *relay.Relay {
+	return relay.New(relay.Options{Bounds: setting.Bounds{ApplyTime: time.Second, KeyFreshness: time.Hour, RetryWindow: time.Second}, Metrics: metrics.New("router"), Logger: zerolog.Nop()})
+}
+
 // router starts a router whose store never answers, with some seeds.
 func router(t *testing.T, name string, seeds ...string) (*Router, *relay.Relay, string) {
 	t.Helper()
@@ -216,7 +221,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rl := relay.New(relay.Options{Bounds: setting.Bounds{ApplyTime: time.Second, KeyFreshness: time.Hour, RetryWindow: time.Second}, Metrics: metrics.New(name), Logger: zerolog.Nop()})
+	rl := quietRelay()
 	pool := rpc.NewPool()
 	address := l.Addr().String()
 	r := New(Options{
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -38,6 +38,7 @@
 		begun := time.Now()
 		r.greet(ctx, &w)
 		r.opts.Relay.Sweep(begun)
+		r.noteCoverage(begun)
 		r.rest(ctx, begun)
 	}
 }
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -28,11 +28,14 @@
 type led struct {
 	Coordinator
 	list balance.RankList
+	// toldAt is when the load was last told, and last what that was.
+	toldAt time.Time
+	last   GroupStatus
 }
 
 // takeReport takes in the load of a group and returns what this router adds to it.
 func (r *Router) takeReport(now time.Time, report balance.Report) balance.ReportReply {
-	list := r.noteCoordinator(&report)
+	list := r.noteCoordinator(now, &report)
 	g, ok := list.Unpack(report)
 	if !ok {
 		return balance.ReportReply{}
@@ -42,7 +45,7 @@
 }
 
 // noteCoordinator notes who has sent a report, and returns the list of ranks that it goes by.
-func (r *Router) noteCoordinator(report *balance.Report) balance.RankList {
+func (r *Router) noteCoordinator(now time.Time, report *balance.Report) balance.RankList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.groups[report.ID]
@@ -52,10 +55,23 @@
 	if list, ok := report.Carried(); ok {
 		l.list = list
 	}
+	l.toldAt, l.last = now, statusOf(report)
 	r.groups[report.ID] = l
 	return l.list
 }
 
+// statusOf returns what a report tells operators.
+func statusOf(report *balance.Report) GroupStatus {
+	s := GroupStatus{Open: report.Open, Whole: report.Whole, Ranks: len(report.Running), Skew: report.Skew}
+	for i := range report.Running {
+		s.Running += int(report.Running[i]) //nolint:gosec // a count of requests
+	}
+	for i := range report.Waiting {
+		s.Waiting += int(report.Waiting[i]) //nolint:gosec // a count of requests
+	}
+	return s
+}
+
 // coordinatorsOf returns who coordinates the groups of a service.
 func (r *Router) coordinatorsOf(id service.ID) []Coordinator {
 	r.mu.Lock()
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -65,8 +65,9 @@
 type Agent struct {
 	opts  Options
 	start Start
-	// around is what was last read of the other processes; only Run uses it.
+	// around is what was last read of the other processes, and unled what was logged of the group's leadership; only Run uses them.
 	around surroundings
+	unled  unledNotes
 
 	mu        sync.Mutex
 	candidate *election.Candidate
@@ -78,9 +79,12 @@
 	// claiming says that the agent waits for the answer to a claim, and leading is its part as coordinator; nil if it has none.
 	claiming bool
 	leading  *coordinator
-	tally    tally
-	maps     preparedMaps
-	notes    services.RankNotes
+	// tries counts the tries to stand up since a coordinator was heard, and lastTry tells how the latest ended.
+	tries   int
+	lastTry TryEnd
+	tally   tally
+	maps    preparedMaps
+	notes   services.RankNotes
 }
 
 // New returns an agent.
@@ -193,7 +197,7 @@
 		return unplaced
 	case own != l.Group:
 		return foreign
-	case !a.candidate.Hear(now, l):
+	case !a.lockedHear(now, l):
 		return deposed
 	}
 	return leads
@@ -231,7 +235,16 @@
 func (a *Agent) hear(now time.Time, l election.Lead) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.candidate.Hear(now, l)
+	return a.lockedHear(now, l)
+}
+
+// lockedHear is hear for a caller that holds the lock.
+func (a *Agent) lockedHear(now time.Time, l election.Lead) bool {
+	leads := a.candidate.Hear(now, l)
+	if leads {
+		a.tries = 0
+	}
+	return leads
 }
 
 // status reads the status of the engine, and its counts if they are asked for.
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -17,6 +17,8 @@
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -53,7 +55,9 @@
 
 // coordinator is one agent's time as coordinator.
 type coordinator struct {
-	a       *Agent
+	a *Agent
+	// logger names the group in each line: a service may have several.
+	logger  zerolog.Logger
 	own     election.Lead
 	service string
 	fence   services.Fence
@@ -101,7 +105,7 @@
 func newCoordinator(a *Agent, lead election.Lead, s services.RankStatus) *coordinator {
 	fence := fenceOf(lead.Authority)
 	c := &coordinator{
-		a: a, own: lead, fence: fence, version: expertmap.Version(fence), service: a.opts.Self.Service, first: s, reached: time.Now(),
+		a: a, logger: a.opts.Logger.With().Str("group", string(lead.Group)).Logger(), own: lead, fence: fence, version: expertmap.Version(fence), service: a.opts.Self.Service, first: s, reached: time.Now(),
 		book: balance.NewBook(uint64(fence)), foreign: map[string]time.Time{}, inbox: make(chan answers, inboxSize),
 		outstanding: map[string]bool{}, late: map[string]bool{}, failedRelays: map[string]time.Time{},
 	}
@@ -209,7 +213,7 @@
 	}
 	next, err := c.planner.plan(now, speed, writers)
 	if err != nil {
-		c.a.opts.Logger.Error().Err(err).Int("ranks", len(speed)).Msg("plan-failed")
+		c.logger.Error().Err(err).Int("ranks", len(speed)).Msg("plan-failed")
 	}
 	if next != nil {
 		c.version = mapswitch.NextVersion(c.version, d.self())
--- a/services/rank/dispatch.go
+++ b/services/rank/dispatch.go
@@ -75,7 +75,7 @@
 	var r ForwardReply
 	err := d.c.a.opts.Pool.Call(cctx, relay.Address, "Rank.Forward", f, &r)
 	if err != nil || len(r.Replies) != len(dls) || len(r.Silent) != len(dls) {
-		d.c.a.opts.Logger.Info().Str("relay", relay.Name).Str("order", string(kind)).Int("agents", len(dls)).Err(err).Msg("relay-silent")
+		d.c.logger.Info().Str("relay", relay.Name).Str("order", string(kind)).Int("agents", len(dls)).Err(err).Msg("relay-silent")
 		d.each(ctx, dls, answers)
 		return
 	}
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -57,7 +57,7 @@
 	}
 	begun := time.Now()
 	stage := d.drive(ctx, m)
-	d.c.a.opts.Logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(d.c.members[d.self()].status.Epoch)).Int("silent_rank", silent).
+	d.c.logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(d.c.members[d.self()].status.Epoch)).Int("silent_rank", silent).
 		Str("stage", string(stage)).Int64("took_ms", time.Since(begun).Milliseconds()).Msg("map-settle")
 	return true
 }
@@ -68,7 +68,7 @@
 	m := mapswitch.Start(began, d.c.fence+1, d.self(), status, next.Version, next.Layers)
 	d.goOnFrom(d.c.planner.current, next)
 	stage := d.drive(ctx, m)
-	d.c.a.opts.Logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
+	d.c.logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
 		Int64("took_ms", time.Since(began).Milliseconds()).Int64("held_ms", d.held(m).Milliseconds()).Msg("map-change")
 	if stage == mapswitch.StageDone {
@@ -231,7 +231,7 @@
 	defer cancel()
 	answer, err := d.c.a.opts.Dial(to.Engine).Order(dctx, o)
 	if err != nil {
-		d.c.a.opts.Logger.Warn().Str("agent", to.Name).Str("order", string(o.Kind)).Uint64("fence", uint64(o.Fence)).
+		d.c.logger.Warn().Str("agent", to.Name).Str("order", string(o.Kind)).Uint64("fence", uint64(o.Fence)).
 			Str("answer", string(answer)).Err(err).Msg("direct-order-failed")
 	}
 	return answer
--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -62,6 +62,7 @@
 	registered, placed := false, false
 	for ; ctx.Err() == nil; sleep.For(ctx, electTick) {
 		now := time.Now()
+		a.noteLeadership(now)
 		if !placed {
 			placed = a.place()
 		}
@@ -123,39 +124,46 @@
 	var r Reply
 	before := a.groupOf()
 	if err := a.status(Ask{}, &r); err != nil {
-		a.failed("engine-unreachable", err)
+		a.failed(TryNoEngine, err)
 		return
 	}
 	if r.Status.Group != before {
-		return // the group has formed anew: its coordinator may be about to ask
+		a.tried(TryOtherGroup) // its coordinator may be about to ask
+		return
 	}
 	s, err := a.surroundings(ctx)
 	if err != nil {
-		a.failed("nodes-unread", err)
+		a.failed(TryNodesUnread, err)
 		return
 	}
 	led, reached := a.othersLed(ctx, s.agents, r.Status.Group)
 	switch {
 	case led:
+		a.tried(TryOthersLed)
 		return
 	case !reached && r.Status.Size > 1:
 		// Who is cut off from the other agents cannot lead them, but its claim would depose whoever does.
-		a.failed("agents-unreached", errNoAgent)
+		a.failed(TryNoAgent, errNoAgent)
 		return
 	}
 	if !s.listed {
 		if err := a.register(ctx); err != nil {
-			a.failed("registration-failed", err)
+			a.failed(TryUnregistered, err)
 			return
 		}
 	}
 	authority, err := a.claim(ctx, s.agents, r.Status.Group)
 	if err != nil {
-		a.failed("claim-failed", err)
+		a.failed(TryClaimFailed, err)
 		return
 	}
 	lead := election.Lead{Group: r.Status.Group, Authority: authority, Rank: int(r.Status.Rank), Lease: election.Lease(0)}
-	if authority == 0 || !a.hear(time.Now(), lead) {
+	switch {
+	case authority == 0:
+		a.tried(TryClaimerLeads)
+		return
+	case !a.hear(time.Now(), lead):
+		a.tried(TryOutranked)
 		return
 	}
 	c := newCoordinator(a, lead, r.Status)
@@ -182,8 +190,9 @@
 	a.candidate.Ended(time.Now(), au)
 }
 
-func (a *Agent) failed(what string, err error) {
-	a.opts.Logger.Warn().Err(err).Msg(what)
+func (a *Agent) failed(end TryEnd, err error) {
+	a.opts.Logger.Warn().Err(err).Msg(string(end))
+	a.tried(end)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.candidate.Failed(time.Now())
--- a/services/rank/map.go
+++ b/services/rank/map.go
@@ -22,7 +22,7 @@
 	for r, held := range parts {
 		err := errs[r]
 		if err != nil || held.Version != m.Version || len(held.Experts) != c.engine.Layers {
-			c.a.opts.Logger.Warn().Int("rank", r).Uint64("version", uint64(held.Version)).Uint64("want", uint64(m.Version)).Int("layers", len(held.Experts)).Err(err).Msg("map-unread")
+			c.logger.Warn().Int("rank", r).Uint64("version", uint64(held.Version)).Uint64("want", uint64(m.Version)).Int("layers", len(held.Experts)).Err(err).Msg("map-unread")
 			return nil, false
 		}
 		for l, experts := range held.Experts {
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -94,7 +94,7 @@
 	var r GatherReply
 	err := c.a.opts.Pool.Call(cctx, relay.Address, "Rank.Gather", g, &r)
 	if err != nil || len(r.Replies) != len(p) || len(r.Silent) != len(p) {
-		c.a.opts.Logger.Info().Str("relay", relay.Name).Int("agents", len(p)).Err(err).Msg("relay-silent")
+		c.logger.Info().Str("relay", relay.Name).Int("agents", len(p)).Err(err).Msg("relay-silent")
 		out.failed = relay.Name
 		return out
 	}
@@ -213,7 +213,7 @@
 	cctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	s, err := c.a.opts.Dial(n.Engine).Status(cctx)
-	c.a.opts.Logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(s.Rank)).Uint64("step", uint64(s.Step)).
+	c.logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(s.Rank)).Uint64("step", uint64(s.Step)).
 		Bool("holds", s.Holds).Err(err).Msg("engine-asked-directly")
 	out := answers{part: part{n}, sent: sent, replies: []*Reply{nil}, direct: true}
 	if err == nil {
--- a/services/rank/surroundings.go
+++ b/services/rank/surroundings.go
@@ -56,7 +56,7 @@
 	defer cancel()
 	if now := time.Now(); now.Sub(s.at) >= claimPause {
 		if err := s.readNodes(cctx, now, c.a.opts); err != nil {
-			c.a.opts.Logger.Warn().Err(err).Msg("nodes-unread")
+			c.logger.Warn().Err(err).Msg("nodes-unread")
 			return false
 		}
 	}
@@ -65,7 +65,7 @@
 	}
 	catalogs, _, err := c.a.opts.Store.Catalogs().Snapshot(cctx)
 	if err != nil {
-		c.a.opts.Logger.Warn().Err(err).Msg("catalog-unread")
+		c.logger.Warn().Err(err).Msg("catalog-unread")
 		return true
 	}
 	for _, k := range catalogs {
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -35,7 +35,7 @@
 	}
 	skew := c.skew()
 	load := balance.PassLoad{Mean: float64(sum) / float64(len(c.members)), Max: float64(most), Skew: skew, Pace: pace}
-	c.a.opts.Logger.Info().Int("running", sum).Int("fullest", most).Int("waiting", waiting).Uint64("step", uint64(step)).
+	c.logger.Info().Int("running", sum).Int("fullest", most).Int("waiting", waiting).Uint64("step", uint64(step)).
 		Float64("pass_ms", pass).Float64("forecast_ms", c.forecast(load)).Float64("skew", skew).Msg("group-load")
 	c.notedAt, c.notedStep = now, step
 }
@@ -65,7 +65,7 @@
 			defer cancel()
 			var r balance.ReportReply
 			if err := c.a.opts.Pool.Call(cctx, n.Address, "Router.Report", report, &r); err != nil {
-				c.a.opts.Logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
+				c.logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
 				return
 			}
 			c.book.Answered(time.Now(), n, number, list, r)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -147,6 +147,38 @@
 	return Told{Unstarted: mine, Wanted: l.queue.Wanted(now), Waiting: l.queue.Waiting(), Rate: l.queue.Rate(now), Idle: len(mine) == 0 && l.queue.Idle(now)}
 }
 
+// Coverage tells how many ranks of a service with model groups have a load that a coordinator has told lately.
+type Coverage struct {
+	Service service.ID
+	// Listed counts the ranks that may take work, and Untold holds the addresses of those of whose load nobody tells.
+	Listed int
+	Untold []string
+}
+
+// Coverage tells for each service with model groups how far the loads of its ranks are told.
+func (r *Relay) Coverage(now time.Time) []Coverage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := r.know.Index()
+	if index == nil {
+		return nil
+	}
+	var out []Coverage
+	for i := range index.Services {
+		s := &index.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		usable := r.know.Usable(now, s.ID)
+		c := Coverage{Service: s.ID, Listed: len(usable)}
+		for _, u := range r.lane(now, s.ID).pool.Untold(now, usable) {
+			c.Untold = append(c.Untold, u.Address)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // Sweep drops what is no longer needed.
 func (r *Relay) Sweep(now time.Time) {
 	r.conns.Sweep(now)
