Agents ask their engine for its group again while they know none

Cause: an agent asked its engine for the group until the first answer, and never again. If the engine then told no group for a moment (it has started anew and its group is still to form), the agent forgot the one it knew and stood up no more; when that held for all agents of a group, with its coordinator ended for the same reason, nobody led it for good.

Ruled out: asking in each look (a known group changes with the answers to coordinators); keeping the old group meanwhile (its coordinator might be followed by ranks of another).

Change: the engine is asked at each tick while the group is not known.

--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -59,12 +59,13 @@
 // Run looks for a coordinator until ctx ends, and is one when there is none.
 func (a *Agent) Run(ctx context.Context) {
 	started := time.Now()
-	registered, placed := false, false
+	registered := false
 	for ; ctx.Err() == nil; sleep.For(ctx, electTick) {
 		now := time.Now()
 		a.noteLeadership(now)
-		if !placed {
-			placed = a.place()
+		if a.groupOf() == "" {
+			// Also after the engine has started anew and told no group for a moment: nobody would stand up for the group any more.
+			a.place()
 		}
 		if !registered && (a.opts.Bootstrap || now.Sub(started) > unknownAfter) {
 			registered = a.wasAsked() || a.registers(ctx)
@@ -76,13 +77,11 @@
 }
 
 // place learns from the engine which rank of which group it is.
-func (a *Agent) place() bool {
+func (a *Agent) place() {
 	var r Reply
-	err := a.status(Ask{}, &r)
-	if err != nil {
+	if err := a.status(Ask{}, &r); err != nil {
 		a.opts.Logger.Debug().Err(err).Msg("engine-unreachable")
 	}
-	return err == nil
 }
 
 // wasAsked reports whether a coordinator has found this process.
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -158,7 +158,7 @@
 	a.order(services.RankOrder{Kind: services.RankArm})
 	a.notes = services.RankNotes{Prepared: 7, Announced: 7}
 	a.maps.keep(&expertmap.Map{Version: 7})
-	if !a.place() {
+	if a.place(); a.groupOf() != "g" {
 		t.Fatal("the engine does not tell")
 	}
 	if a.notes = (services.RankNotes{Prepared: 7, Announced: 7}); len(a.maps) != 0 {
