Routers look for the coordinator of each group, not for one of the service

Cause: a router that heard the coordinator of one group of a service looked for none of the others (`Reported` asked whether any group was told). One that starts, or that a new coordinator does not know yet, had no loads of those groups until that coordinator read the list of processes anew, which it cannot while the store is away.

Ruled out: seeking as often as before (31 routers that seek a group without a coordinator each 0.1 s make some hundred calls a second).

Change: a request has coordinators sought as long as there is a rank of which nobody tells; those that have told within 0.3 s are not asked; other routers are asked while ranks are left. The pause between two searches doubles up to 2 s while some groups tell and others do not.

--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -86,15 +86,19 @@
 }
 
 const (
-	// seekGap is the time between two questions for the load of the groups of a service.
-	seekGap = 100 * time.Millisecond
+	// seekGap is the time between two questions for the loads of the groups of a service, while none is told. While some are, it is
+	// doubled each time up to seekMost: a group may have no coordinator for long, and all routers seek it.
+	seekGap  = 100 * time.Millisecond
+	seekMost = 2 * time.Second
 	// seekTime bounds such a question.
 	seekTime = 200 * time.Millisecond
 	// seekRouters is the number of other routers that are asked who coordinates.
 	seekRouters = 2
+	// seekStale is how long ago a coordinator has told its load that is asked for it: some times that between two reports.
+	seekStale = 300 * time.Millisecond
 )
 
-// seek notes that requests for a service have come although no coordinator tells its load. It does not wait.
+// seek notes that requests for a service have come although nobody tells the load of some of its ranks. It does not wait.
 func (r *Router) seek(id service.ID) {
 	select {
 	case r.sought <- id:
@@ -102,27 +106,55 @@
 	}
 }
 
+// seekPause is when the groups of a service are sought again, and the latest pause before that.
+type seekPause struct {
+	until  time.Time
+	length time.Duration
+}
+
+// next returns the pause after a search. Covered says that all ranks are told of now, and some that some groups are.
+func (p seekPause) next(now time.Time, covered, some bool) seekPause {
+	length := seekGap
+	if !covered && some {
+		length = min(max(2*p.length, seekGap), seekMost)
+	}
+	return seekPause{until: now.Add(length), length: length}
+}
+
 // seekAll asks for the loads of groups that nobody tells until ctx ends.
 func (r *Router) seekAll(ctx context.Context) {
+	pauses := map[service.ID]seekPause{}
 	for {
 		select {
 		case id := <-r.sought:
+			if time.Now().Before(pauses[id].until) {
+				continue
+			}
 			r.seekOne(ctx, id)
+			now := time.Now()
+			covered, some := r.covered(now, id)
+			pauses[id] = pauses[id].next(now, covered, some)
 		case <-ctx.Done():
 			return
 		}
-		pause := time.NewTimer(seekGap)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
+	}
+}
+
+// covered reports whether the loads of all ranks of a service are told, and whether those of some are.
+func (r *Router) covered(now time.Time, id service.ID) (all, some bool) {
+	for _, c := range r.opts.Relay.Coverage(now) {
+		if c.Service == id {
+			return len(c.Untold) == 0, len(c.Untold) < c.Listed
 		}
-		pause.Stop()
 	}
+	return false, false
 }
 
-// seekOne asks the coordinators of a service for loads, and other routers who that is if those that are known do not answer.
+// seekOne asks the coordinators of a service that have not told their load lately, and other routers who they are if ranks are
+// left of which nobody tells. A service may have several groups: one that tells says nothing of the others.
 func (r *Router) seekOne(ctx context.Context, id service.ID) {
-	if r.askCoordinators(ctx, id) {
+	r.askCoordinators(ctx, id)
+	if all, _ := r.covered(time.Now(), id); all {
 		return
 	}
 	for _, n := range r.someRouters(seekRouters) {
@@ -130,21 +162,27 @@
 		if err := r.callSoon(ctx, n.Address, "Router.Coordinators", id, &found); err != nil {
 			continue // it is noted that the router is silent when it is greeted
 		}
-		if r.learnCoordinators(found) && r.askCoordinators(ctx, id) {
+		if !r.learnCoordinators(found) {
+			continue
+		}
+		r.askCoordinators(ctx, id)
+		if all, _ := r.covered(time.Now(), id); all {
 			return
 		}
 	}
 	r.opts.Logger.Info().Str("service", string(id)).Int("known", len(r.coordinatorsOf(id))).Msg("no-coordinator-answers")
 }
 
-// askCoordinators asks the coordinators that are known, and reports whether any has told a load.
-func (r *Router) askCoordinators(ctx context.Context, id service.ID) bool {
-	told := false
+// askCoordinators asks the coordinators that are known and have not told their load lately.
+func (r *Router) askCoordinators(ctx context.Context, id service.ID) {
 	for _, c := range r.coordinatorsOf(id) {
 		r.mu.Lock()
-		list := r.groups[c.Group].list
-		want := balance.Want{Router: r.table.Self(), List: list.Number}
+		l := r.groups[c.Group]
+		want := balance.Want{Router: r.table.Self(), List: l.list.Number}
 		r.mu.Unlock()
+		if time.Since(l.toldAt) < seekStale {
+			continue
+		}
 		var report balance.Report
 		if err := r.callSoon(ctx, c.Address, "Rank.Report", want, &report); err != nil {
 			r.opts.Logger.Debug().Str("coordinator", c.Address).Err(err).Msg("coordinator-silent")
@@ -152,10 +190,8 @@
 		}
 		if report.ID != "" {
 			r.takeReport(time.Now(), report)
-			told = true
 		}
 	}
-	return told
 }
 
 func (r *Router) callSoon(ctx context.Context, address, method string, args, reply any) error {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -60,6 +60,8 @@
 	queue   *admission.Queue
 	// ready takes the upstream of each request that waits.
 	ready map[*admission.Request]chan upstream.Instance
+	// coverageAt is when it was last looked whether the load of each rank is told.
+	coverageAt time.Time
 }
 
 // New returns a relay that knows nothing yet.
@@ -125,7 +127,7 @@
 	Idle bool
 }
 
-// OnUnreported has a function called when a request comes for a service with groups whose load nobody tells.
+// OnUnreported has a function called when a request comes for a service with model groups and nobody tells the load of some of its ranks.
 func (r *Relay) OnUnreported(f func(service.ID)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -17,12 +17,15 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/httpx/httpxtest"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 
 	"github.com/rs/zerolog"
@@ -426,3 +429,40 @@
 		}
 	}
 }
+
+// TestUnreported checks that a request has the coordinators of a service's groups sought as long as there is a rank of which nobody tells.
+func TestUnreported(t *testing.T) {
+	_, r := start(t, newFake(t, nil), newFake(t, nil))
+	now := time.Now()
+	c := testCatalog
+	c.Version, c.Services = 4, []catalog.Service{{ID: "s", Engine: &catalog.Engine{Slots: 4}}}
+	var addresses []string
+	r.Know(func(s *knowledge.State) {
+		s.TakeCatalogs(knowledge.Part[catalog.Catalog]{Whole: true, Next: 2, AsOf: now, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+		for _, u := range s.Usable(now, "s") {
+			addresses = append(addresses, u.Address)
+		}
+	})
+	sought := 0
+	r.OnUnreported(func(service.ID) { sought++ })
+	steps := []struct {
+		what string
+		told []string
+		want int
+	}{
+		{"nobody tells", nil, 1},
+		{"one group tells", addresses[:1], 1},
+		{"both groups tell", addresses, 0},
+	}
+	for _, s := range steps {
+		r.lane(now, "s").coverageAt = time.Time{}
+		for i, address := range s.told {
+			r.Report(time.Now(), balance.Group{Service: "s", ID: group.ID(strconv.Itoa(i)), Open: true, Ranks: []balance.RankLoad{{Address: address}}})
+		}
+		sought = 0
+		x := &exchange{service: "s", route: &c.Routes[0], arrived: time.Now(), deadline: time.Now().Add(time.Second)}
+		if _, ok := r.acquire(t.Context(), x); !ok || sought != s.want {
+			t.Errorf("%s: let in: %t, sought %d times, want %d", s.what, ok, sought, s.want)
+		}
+	}
+}
--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -19,11 +19,12 @@
 	now := time.Now()
 	l := r.lane(now, x.service)
 	asked := r.asked(now, l, x)
-	if asked.Ask.Engine != nil && !l.pool.Reported(now) {
+	usable := r.know.Usable(now, x.service)
+	if asked.Ask.Engine != nil && l.untold(now, usable) {
 		r.unreported(x.service)
 	}
 	r.wake(now, l) // what nobody tells may have changed too: a report that was binding is old
-	v := l.queue.Arrive(now, asked, r.know.Usable(now, x.service))
+	v := l.queue.Arrive(now, asked, usable)
 	x.comeBack = v.RetryAfter
 	switch v.Outcome {
 	case admission.OutcomeGranted:
@@ -40,6 +41,18 @@
 	return r.await(ctx, l, asked, ready, v.Wait)
 }
 
+// coverageEvery is the time between two looks at whether the load of each rank is told: a look takes some microseconds.
+const coverageEvery = 50 * time.Millisecond
+
+// untold reports from time to time whether there are ranks of whose load nobody tells.
+func (l *lane) untold(now time.Time, ranks []upstream.Instance) bool {
+	if now.Sub(l.coverageAt) < coverageEvery {
+		return false
+	}
+	l.coverageAt = now
+	return len(ranks) == 0 || len(l.pool.Untold(now, ranks)) > 0
+}
+
 // await waits until a request is let in.
 func (r *Relay) await(ctx context.Context, l *lane, asked *admission.Request, ready chan upstream.Instance, wait time.Duration) (upstream.Instance, bool) {
 	t := time.NewTimer(wait)
