Tests of platform processes have an address of their own

Cause: TestRanks failed once ("a first map did not happen"). Traced by a run of it with logs beside eight busy loops, four at a time, 2 of 16 runs: `listen on 127.0.0.1:45757: ... bind: address already in use` at the agent that was missing. A port was chosen by listening and closing on 127.0.0.1, where connections that go out are given ports as well.

Change: each site has a loopback address of its own, and counts its ports from 20000, as the other tests with processes do.

--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -138,6 +138,15 @@
 
 var clusters atomic.Int32
 
+// firstPort is below the ports that connections going out are given.
+const firstPort = 20000
+
+// loopback returns an address that no other test uses.
+func loopback() string {
+	n := clusters.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n/250, 1+n%250)
+}
+
 var accounts = []account.Share{{Account: "large", Weight: 4}, {Account: "small", Weight: 1}}
 
 func newCluster(t testing.TB, o options) *cluster {
@@ -150,7 +159,7 @@
 func newClusterInto(t testing.TB, into **cluster, o options) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, clusters.Add(1)), port: 20000,
+		t: t, dir: t.TempDir(), ip: loopback(), port: firstPort,
 		procs: map[string]*process{}, plain: map[upstream.ID]string{}, ranks: map[upstream.ID]string{}, opts: o,
 	}
 	*into = c
--- a/tests/integration/platform_ranks_test.go
+++ b/tests/integration/platform_ranks_test.go
@@ -80,7 +80,7 @@
 // agent starts the agent beside an engine.
 func (r *ranks) agent(name, engine string) *process {
 	r.t.Helper()
-	port := freePort(r.t)
+	port := r.nextPort()
 	settings := filepath.Join(r.dir, name+".toml")
 	text := platformtest.NodeFile{Name: name, IP: r.ip, Zone: "a", Ports: [2]int{port, port}, App: engine, Service: "pool", Store: r.addr}.Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -21,7 +21,6 @@
 	"testing"
 	"time"
 
-	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/platform/platformtest"
 	"fawnwinch.org/fawnwinch/standin/metastore"
 )
@@ -83,7 +82,9 @@
 	calls *atomic.Int64
 	addr  string
 	dir   string
+	// ip is an address that this site has for itself, and ports counts the ports that were given out there.
 	ip    string
+	ports atomic.Int32
 }
 
 func newSite(t *testing.T) *site {
@@ -95,20 +96,12 @@
 		store.ServeHTTP(w, r)
 	}))
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return &site{t: t, store: store, calls: calls, addr: strings.TrimPrefix(s.URL, "http://"), dir: t.TempDir(), ip: "127.0.0.1"}
+	return &site{t: t, store: store, calls: calls, addr: strings.TrimPrefix(s.URL, "http://"), dir: t.TempDir(), ip: loopback()}
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	_, port, _ := net.SplitHostPort(l.Addr().String())
-	n, _ := strconv.Atoi(port)
-	return n
-}
+// nextPort returns a port that no other process of the site uses. Connections that go out from 127.0.0.1 are given ports as well: there
+// one was taken now and then before the process that it was meant for listened.
+func (s *site) nextPort() int { return firstPort + int(s.ports.Add(1)) }
 
 // node is a running router.
 type node struct {
@@ -120,7 +113,7 @@
 // router starts a router. Seeds are addresses of others.
 func (s *site) router(name string, seeds ...string) *node {
 	s.t.Helper()
-	address := func() string { return net.JoinHostPort(s.ip, strconv.Itoa(freePort(s.t))) }
+	address := func() string { return net.JoinHostPort(s.ip, strconv.Itoa(s.nextPort())) }
 	n := &node{front: address(), ready: address(), control: address(), directory: address()}
 	n.settings = filepath.Join(s.dir, name+".toml")
 	text := platformtest.NodeFile{
