--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -8,7 +8,6 @@
 	"math"
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
@@ -49,6 +48,7 @@
 		})
 		return age
 	})
+	measureCoverage(m, r)
 	m.Counter("upstream_connections_total", "Connections opened to upstreams.", nil, func() float64 { return float64(r.Connections()) })
 	return r
 }
@@ -67,7 +67,7 @@
 }
 
 // runEntry assembles a router.
-func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, m *metrics.Metrics, logger zerolog.Logger) error {
+func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, logger zerolog.Logger) error {
 	front, err := httpx.Listen(n.set.Callers)
 	if err != nil {
 		return wrap(err, "listen for callers")
@@ -80,7 +80,6 @@
 		Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger,
 		Bounds: n.set.Bounds,
 	})
-	measureCoverage(m, r)
 	server := rpc.NewServer(peers)
 	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
 		return wrap(err, "router")
@@ -117,22 +116,18 @@
 }
 
 // measureCoverage serves how many ranks there are, and of how many nobody tells the load.
-func measureCoverage(m *metrics.Metrics, r *entry.Router) {
-	samples := func(of map[service.ID]int) []metrics.Sample {
-		var out []metrics.Sample
-		for id, n := range of {
-			out = append(out, metrics.Sample{Label: string(id), Value: float64(n)})
-		}
-		return out
+func measureCoverage(m *metrics.Metrics, r *relay.Relay) {
+	each := func(name, help string, count func(relay.Coverage) int) {
+		m.Each(name, help, "service", false, func() []metrics.Sample {
+			var out []metrics.Sample
+			for _, c := range r.Coverage(time.Now()) {
+				out = append(out, metrics.Sample{Label: string(c.Service), Value: float64(count(c))})
+			}
+			return out
+		})
 	}
-	m.Each("ranks_listed", "Ranks of model groups that may take work.", "service", false, func() []metrics.Sample {
-		listed, _ := r.UnreportedRanks(time.Now())
-		return samples(listed)
-	})
-	m.Each("ranks_unreported", "Ranks of model groups whose load no coordinator has told this router lately.", "service", false, func() []metrics.Sample {
-		_, unreported := r.UnreportedRanks(time.Now())
-		return samples(unreported)
-	})
+	each("ranks_listed", "Ranks of model groups that may take work.", func(c relay.Coverage) int { return c.Listed })
+	each("ranks_unreported", "Ranks of model groups whose load no coordinator has told this router lately.", func(c relay.Coverage) int { return len(c.Unreported) })
 }
 
 // stop ends the router without cutting a request: it leaves the directory, serves until every answer
--- a/cmd/platform_status_test.go
+++ b/cmd/platform_status_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/modules/metrics"
-	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/platform"
 	"fawnwinch.org/fawnwinch/services/entry"
 	"fawnwinch.org/fawnwinch/services/rank"
@@ -76,11 +75,9 @@
 	m := metrics.New("p")
 	a := rank.New(time.Now(), rank.Options{Engine: platform.NewEngine("127.0.0.1:1"), Logger: zerolog.Nop()})
 	measureLeadership(m, a)
-	pool := rpc.NewPool()
-	defer pool.Close()
 	rl := relay.New(relay.Options{Metrics: m, Logger: zerolog.Nop()})
 	defer rl.Close()
-	measureCoverage(m, entry.New(entry.Options{Store: platform.NewStore("127.0.0.1:1", 1, 1, zerolog.Nop()), Pool: pool, Relay: rl, Logger: zerolog.Nop()}))
+	measureCoverage(m, rl)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	if want := `fawnwinch_group_led{group=""} 0`; !strings.Contains(w.Body.String(), want) {
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -209,16 +209,16 @@
 // has sent to each: it is in the same case with all of them.
 func (p *Pool) view(now time.Time, cands []upstream.Instance, a Ask) view {
 	v := view{ask: a, weight: 1}
-	unreported, own := 0, 0
+	stale, own := 0, 0
 	for _, c := range cands {
 		if s := p.state(c.Run()); !s.fresh(now) {
-			unreported++
+			stale++
 			own += s.inFlight
 		}
 	}
-	v.mixed = a.Engine != nil && unreported > 0 && unreported < len(cands)
-	v.others = float64(max(a.Routers-1, 0)*own) / float64(max(unreported, 1))
-	v.mean = float64(max(a.Routers, 1)*own) / float64(max(unreported, 1))
+	v.mixed = a.Engine != nil && stale > 0 && stale < len(cands)
+	v.others = float64(max(a.Routers-1, 0)*own) / float64(max(stale, 1))
+	v.mean = float64(max(a.Routers, 1)*own) / float64(max(stale, 1))
 	if a.Leaderless.Mean > 0 {
 		v.weight = max(1, float64(a.Bounds.Mean)/float64(a.Leaderless.Mean))
 	}
--- a/services/entry/coverage.go
+++ b/services/entry/coverage.go
@@ -106,13 +106,3 @@
 		Str("addresses", strings.Join(c.Unreported[:min(unreportedNamed, len(c.Unreported))], ",")).Int("groups_known", len(known)).Int("groups_told", told).
 		Int64("unreported_ms", now.Sub(since).Milliseconds()).Msg("ranks-unreported")
 }
-
-// UnreportedRanks returns the number of ranks of each service with model groups, and how many of them belong to no group whose load
-// was told lately.
-func (r *Router) UnreportedRanks(now time.Time) (listed, unreported map[service.ID]int) {
-	listed, unreported = map[service.ID]int{}, map[service.ID]int{}
-	for _, c := range r.opts.Relay.Coverage(now) {
-		listed[c.Service], unreported[c.Service] = c.Listed, len(c.Unreported)
-	}
-	return listed, unreported
-}
--- a/services/entry/coverage_test.go
+++ b/services/entry/coverage_test.go
@@ -76,10 +76,6 @@
 			t.Errorf("of %q: coverage %+v", of, s.Coverage)
 		}
 	}
-	listed, unreported := r.UnreportedRanks(now)
-	if listed["m"] != 4 || unreported["m"] != 2 || len(listed) != 1 {
-		t.Errorf("%v ranks listed, %v unreported", listed, unreported)
-	}
 }
 
 // TestNoteCoverage checks when a router logs that nobody tells of some ranks: after a while, rarely, and once when they are told.
@@ -169,8 +165,8 @@
 	a.takeReport(now, reportOf("h", 1, h.address))
 	b.takeReport(time.Now(), reportOf("g", 1, g.address))
 	b.seekOne(t.Context(), "m")
-	_, unreported := b.UnreportedRanks(time.Now())
-	if unreported["m"] != 0 || h.asked.Load() == 0 {
-		t.Errorf("%d ranks are unreported, the coordinator of h was asked %d times", unreported["m"], h.asked.Load())
+	c := rb.Coverage(time.Now())
+	if len(c) != 1 || len(c[0].Unreported) != 0 || h.asked.Load() == 0 {
+		t.Errorf("coverage %+v, the coordinator of h was asked %d times", c, h.asked.Load())
 	}
 }
