--- a/cmd/platform_status_test.go
+++ b/cmd/platform_status_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
@@ -79,7 +80,7 @@
 	defer rl.Close()
 	measureCoverage(m, rl)
 	w := httptest.NewRecorder()
-	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	if want := `fawnwinch_group_led{group=""} 0`; !strings.Contains(w.Body.String(), want) {
 		t.Errorf("metrics lack %q", want)
 	}
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -64,10 +64,10 @@
 func statusOf(report *balance.Report) GroupStatus {
 	s := GroupStatus{Open: report.Open, Whole: report.Whole, Ranks: len(report.Running), Skew: report.Skew}
 	for i := range report.Running {
-		s.Running += int(report.Running[i]) //nolint:gosec // a count of requests
+		s.Running += int(report.Running[i])
 	}
 	for i := range report.Waiting {
-		s.Waiting += int(report.Waiting[i]) //nolint:gosec // a count of requests
+		s.Waiting += int(report.Waiting[i])
 	}
 	return s
 }
