--- a/tests/replay/play_test.go
+++ b/tests/replay/play_test.go
@@ -161,6 +161,8 @@
 	ids     map[string]upstream.Run
 	infos   []peer.Info
 	choose  policy
+	// leaderless bounds what ranks of which nobody tells may get.
+	leaderless balance.Bounds
 	// loads are those that the routers were told last, for policies other than the project's.
 	loads []balance.RankLoad
 	res   result
@@ -170,7 +172,7 @@
 func play(p pattern, choose policy) result {
 	w := &world{
 		p: p, rand: rand.New(rand.NewPCG(p.seed, 7)), come: rand.New(rand.NewPCG(p.seed, 8)), begin: time.Unix(1000, 0), now: time.Unix(1000, 0), choose: choose,
-		ids: map[string]upstream.Run{},
+		ids: map[string]upstream.Run{}, leaderless: balance.GroupBounds(p.figures, balance.GroupLoad{Skew: balance.FirstSkew}, pauseGoal),
 	}
 	w.form()
 	for i := range p.ranks {
@@ -308,7 +310,7 @@
 	return balance.Ask{
 		Engine: w.p.figures, Routers: len(w.routers), Exclude: tried,
 		Bounds:     balance.GroupBounds(w.p.figures, r.pool.GroupLoad(w.now), pauseGoal),
-		Leaderless: balance.GroupBounds(w.p.figures, balance.GroupLoad{Skew: balance.FirstSkew}, pauseGoal),
+		Leaderless: w.leaderless,
 	}
 }
 
