Sight: lines of a request have a digest of what it asks

Cause of the change: ids differ from try to try, so the logs could not tell one request that comes again from many that were at a replica by chance.

--- a/services/agent/handler.go
+++ b/services/agent/handler.go
@@ -22,8 +22,6 @@
 	"fawnwinch.org/fawnwinch/services/dispatch"
 	"fawnwinch.org/fawnwinch/services/once"
 	"fawnwinch.org/fawnwinch/services/share"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Reasons that routers and callers see.
@@ -262,12 +260,9 @@
 	writeEnd(w, answer, 0)
 }
 
-// digest fingerprints what a key stands for: the method, the path and the body.
-func digest(r *http.Request, body []byte) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(r.Method + "\x00" + r.URL.Path + "\x00" + r.URL.RawQuery + "\x00")
-	_, _ = h.Write(body)
-	return h.Sum64()
+// digest tells what a key stands for: the method, the path and the body.
+func digest(r *http.Request, body []byte) request.Digest {
+	return request.NewDigest(body, r.Method, r.URL.Path, r.URL.RawQuery)
 }
 
 // runOnce waits for the account's turn and sends the request to the upstream, once.
--- a/services/once/core.go
+++ b/services/once/core.go
@@ -54,7 +54,7 @@
 	slice  request.Slice
 	epoch  Epoch
 	state  State
-	digest uint64
+	digest request.Digest
 	at     time.Time
 	answer Answer
 	// journaled says that a claim of the key stands in the log.
--- a/services/once/journal.go
+++ b/services/once/journal.go
@@ -249,7 +249,7 @@
 type KeyRecord struct {
 	Key    KeyID
 	State  State
-	Digest uint64
+	Digest request.Digest
 	Age    time.Duration
 	Answer Answer
 }
--- a/services/once/record_test.go
+++ b/services/once/record_test.go
@@ -39,7 +39,7 @@
 		c.Apply(now, services.Page{Now: now, Tail: 1, Records: []services.LogRecord{{At: now, Data: raw}}})
 		return c
 	}
-	ask := func(c *Core, at time.Time, key KeyID, digest uint64) Decision {
+	ask := func(c *Core, at time.Time, key KeyID, digest request.Digest) Decision {
 		return c.Submit(at, Attempt{Token: 7, Request: request.ID(key), Key: key, Epoch: 1, Digest: digest, Deadline: at.Add(time.Minute)})
 	}
 	finish := func(c *Core, key KeyID) {
--- a/services/once/submit.go
+++ b/services/once/submit.go
@@ -18,7 +18,7 @@
 	// Epoch is the owner's epoch that the router knew when it sent the attempt. An attempt that was
 	// meant for another epoch is refused, however late it comes.
 	Epoch    Epoch
-	Digest   uint64
+	Digest   request.Digest
 	Deadline time.Time
 	// AskOnly says that the key must not run for this attempt: it asks what became of an earlier one.
 	AskOnly bool
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -316,6 +316,6 @@
 	if errors.Is(err, context.Canceled) {
 		event = x.r.opts.Logger.Debug()
 	}
-	event.Str("request", string(x.meta.ID)).Str("upstream", string(u.ID)).Str("address", u.Address).Int("attempt", x.attempts).
+	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("account", string(x.account)).Str("upstream", string(u.ID)).Str("address", u.Address).Int("attempt", x.attempts).
 		Str("result", string(res)).Bool("may_run", x.mayRun).Err(err).Msg("attempt-failed")
 }
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -14,6 +14,7 @@
 
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/httpx"
@@ -77,6 +78,8 @@
 	// maxBytes bounds the body.
 	maxBytes int64
 	body     []byte
+	// digest stands for what the request asks, whatever its id: a caller that comes again has another id.
+	digest request.Digest
 	// version and age tell of the catalog by which the request was judged.
 	version catalog.Version
 	age     time.Duration
@@ -147,9 +150,16 @@
 		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
 	}
 	x.body = body
+	x.digest = contentOf(x.req, body)
 	return nil
 }
 
+// contentOf returns the digest of what a request asks.
+func contentOf(req *http.Request, body []byte) request.Digest {
+	path, query, _ := strings.Cut(req.RequestURI, "?")
+	return request.NewDigest(body, req.Method, hostName(req.Host), path, query)
+}
+
 // judge finds the route and the account of a request.
 func (x *exchange) judge() *refusal {
 	x.r.mu.Lock()
@@ -250,7 +260,7 @@
 	}
 	x.r.opts.Metrics.Request(string(x.service), outcome, string(reason), took, x.attempts)
 	x.stream.log(event, x.arrived)
-	event.Str("request", string(x.meta.ID)).Int("status", status).Str("reason", string(reason)).
+	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Int("status", status).Str("reason", string(reason)).
 		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
 		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).
 		Int64("waited_ms", x.waited.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int("events", x.stream.events).Msg(outcome)
