--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -144,7 +144,13 @@
 // ask sends a request to a router and returns the status, the body and the header.
 func ask(ctx context.Context, t *testing.T, address, path, key string) (int, string, http.Header) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("x"))
+	return askBody(ctx, t, address, path, key, "x")
+}
+
+// askBody is ask with a body.
+func askBody(ctx context.Context, t *testing.T, address, path, key, body string) (int, string, http.Header) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,11 +163,11 @@
 		return 0, err.Error(), nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, err.Error(), nil
 	}
-	return resp.StatusCode, string(body), resp.Header
+	return resp.StatusCode, string(answer), resp.Header
 }
 
 // get returns the status and body of a question to a router; 0 if there is no answer.
