A request that crashes the upstreams which run it is known again, and refused

Callers saw: streams refused or late for 20 s at a time, because a group stands still for some four seconds after each end of a rank, and one caller's request ended six or seven in a row. Cause: routers know requests by ids, and each try has a new one; nothing kept what an upstream ran when it ended.

Change: services/quarantine keeps ends by account and content. A broken connection counts only if nobody listens at the upstream's address any more; an answer, or a run that goes on for longer, clears the request. Two ends one after the other: sent once and alone; three: refused with 503 and the time left. Routers tell each other: a mark in greetings, the rest when asked. A request under which two upstreams have ended is not sent a third time by the router itself.

TestCrashingRequest: 4 sends beyond what is allowed before, none now (6 replicas ended in 3 s of tries without a pause).

--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -64,6 +64,11 @@
 		return
 	}
 	c.idleUntil = now.Add(rest)
+	p.rest(c)
+}
+
+// rest keeps a connection, if there is room.
+func (p *Pool) rest(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[c.Address]) >= maxIdle {
@@ -73,6 +78,19 @@
 	p.idle[c.Address] = append(p.idle[c.Address], c)
 }
 
+// Reach tries to open a connection to an address, and keeps it for the next request. An error that is ECONNREFUSED says that
+// nobody listens there.
+func (p *Pool) Reach(ctx context.Context, now time.Time, address string) error {
+	c, err := Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.Opened.Add(1)
+	c.idleUntil = now.Add(defaultRest)
+	p.rest(c)
+	return nil
+}
+
 // Drop closes what rests for an address.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -22,6 +22,7 @@
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 	"fawnwinch.org/fawnwinch/services/relay"
 	"fawnwinch.org/fawnwinch/services/watch"
 
@@ -74,6 +75,10 @@
 	unreported map[service.ID]unreported
 	// sought takes the services whose loads nobody tells.
 	sought chan service.ID
+	// crashMarks holds how far the registers of other routers were taken in, by address, and crashesAhead takes the address of one
+	// that has come further.
+	crashMarks   map[string]quarantine.Mark
+	crashesAhead chan string
 }
 
 // New returns a router that knows nobody.
@@ -83,6 +88,7 @@
 	r := &Router{
 		opts: o, table: peer.NewTable(now, o.Self), news: make(chan struct{}, 1), greeting: map[string]bool{},
 		outage: map[string]time.Time{}, groups: map[group.ID]led{}, unreported: map[service.ID]unreported{}, sought: make(chan service.ID, 1),
+		crashMarks: map[string]quarantine.Mark{}, crashesAhead: make(chan string, 1),
 	}
 	r.catalogs = newFollower(r, feedCatalogs, o.Store.Catalogs(), (*knowledge.State).Catalogs)
 	r.catalogs.take, r.catalogs.ask = r.takeCatalogs, r.askCatalogs
@@ -94,6 +100,7 @@
 	}
 	r.rebound(o.Bounds)
 	o.Relay.OnUnreported(r.seek)
+	o.Relay.OnCrash(r.spread)
 	return r
 }
 
@@ -131,6 +138,7 @@
 	w.Go(func() { r.register(ctx) })
 	w.Go(func() { r.greetAll(ctx) })
 	w.Go(func() { r.seekAll(ctx) })
+	w.Go(func() { r.askCrashes(ctx) })
 	w.Wait()
 }
 
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -15,6 +15,7 @@
 	"fawnwinch.org/fawnwinch/modules/usage"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 )
 
 const (
@@ -166,6 +167,7 @@
 	r.heard(time.Now(), reply)
 	r.catalogs.confirmed(sent, to.Address, reply.Catalogs)
 	r.upstreams.confirmed(sent, to.Address, reply.Upstreams)
+	r.crashesTold(to.Address, reply.Crashes)
 }
 
 // silent notes that a router has not answered.
@@ -182,6 +184,7 @@
 	r.opts.Relay.Know(func(s *knowledge.State) {
 		h.Catalogs, h.Upstreams = extent(now, s.Catalogs()), extent(now, s.Upstreams())
 	})
+	r.opts.Relay.Crashes(func(g *quarantine.Register) { h.Crashes = g.Mark() })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.Greeting = r.table.Greeting(to)
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -238,6 +238,12 @@
 	return ok && s.owners[e.instance.Address] == id && e.instance.State == upstream.StateReady && (e.lapsed.IsZero() || now.Sub(e.lapsed) <= s.lapse)
 }
 
+// Listed reports whether an upstream stands in the store as one that takes work and does not leave.
+func (s *State) Listed(id upstream.ID) bool {
+	e, ok := s.ups[id]
+	return ok && e.instance.State == upstream.StateReady && e.lapsed.IsZero()
+}
+
 // All returns the entry of every upstream that is listed.
 func (s *State) All() []services.Change[upstream.Instance] {
 	var out []services.Change[upstream.Instance]
--- /dev/null
+++ b/services/quarantine/register_test.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/models/upstream"
+)
+
+// begun is when the tests begin.
+var begun = time.Unix(1_800_000_000, 0)
+
+// step is what a register is told at a time.
+type step struct {
+	at time.Duration
+	// crash is the upstream that ended, after the request had run for so long and the answer had been coming for lasted; lives says
+	// that none ended.
+	crash       upstream.ID
+	ran, lasted time.Duration
+	lives       bool
+}
+
+// TestJudge checks from when on a request is watched and refused, and what speaks for it.
+func TestJudge(t *testing.T) {
+	second := time.Second
+	cases := map[string]struct {
+		steps []step
+		at    time.Duration
+		want  Standing
+	}{
+		"one end is chance":                {[]step{{crash: "a"}}, second, StandingFree},
+		"two are watched":                  {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}}, 6 * second, StandingWatched},
+		"three are refused":                {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingRefused},
+		"a rack that loses power is one":   {[]step{{crash: "a", ran: second}, {crash: "b", ran: second}, {at: second, crash: "c", ran: 2 * second}}, second, StandingFree},
+		"the same end told again":          {[]step{{crash: "a"}, {at: second, crash: "a"}, {at: 2 * second, crash: "a"}}, 3 * second, StandingFree},
+		"an answer clears all before":      {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 6 * second, lives: true, lasted: Finished}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
+		"an answer clears what comes soon": {[]step{{lives: true, lasted: Finished}, {crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
+		"but not for long":                 {[]step{{lives: true, lasted: Finished}, {at: 61 * second, crash: "a"}, {at: 65 * second, crash: "b"}, {at: 69 * second, crash: "c"}}, 70 * second, StandingRefused},
+		"a longer run clears":              {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: 2 * second}}, 7 * second, StandingFree},
+		"a run as long does not":           {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: second}}, 7 * second, StandingWatched},
+		"after some time it is watched":    {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + refusedFor, StandingWatched},
+		"and forgotten in the end":         {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + forgottenAfter, StandingFree},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegister(begun)
+			k := Key{Account: "x", Digest: 1}
+			for _, s := range c.steps {
+				if s.lives {
+					r.Ran(begun.Add(s.at), k, s.lasted)
+					continue
+				}
+				r.Add(begun.Add(s.at), Crash{Key: k, Run: upstream.Run{ID: s.crash}, Ran: s.ran, Lasted: s.lasted})
+			}
+			r.Sweep(begun.Add(c.at))
+			if got := r.Judge(begun.Add(c.at), k); got.Standing != c.want {
+				t.Errorf("%s, want %s", got.Standing, c.want)
+			}
+			if got := r.Judge(begun.Add(c.at), Key{Account: "y", Digest: 1}); got.Standing != StandingFree {
+				t.Errorf("the same content of another account is %s", got.Standing)
+			}
+		})
+	}
+}
+// TestTold checks that registers that tell each other what is new agree in the end, whatever the order, and that what clears a request
+// is not undone.
+func TestTold(t *testing.T) {
+	for seed := range uint64(200) {
+		chance := rand.New(rand.NewPCG(seed, 0))
+		now := begun
+		var all [3]*Register
+		var seen [3][3]Mark
+		for i := range all {
+			all[i] = NewRegister(now.Add(time.Duration(i)))
+		}
+		tell := func(from, to int) {
+			for _, c := range all[from].Since(now, seen[to][from]) {
+				all[to].Add(now, c)
+			}
+			seen[to][from] = all[from].Mark()
+		}
+		for i := range 60 {
+			now = now.Add(time.Duration(chance.IntN(2000)) * time.Millisecond)
+			at, k := chance.IntN(3), Key{Account: "x", Digest: request.Digest(chance.IntN(3))}
+			switch chance.IntN(4) {
+			case 0:
+				all[at].Add(now, Crash{Key: k, Run: upstream.Run{ID: upstream.ID(fmt.Sprint(i))}, Ran: 100 * time.Millisecond})
+			case 1:
+				if chance.IntN(4) == 0 {
+					all[at].Ran(now, k, Finished)
+				}
+			default:
+				tell(at, chance.IntN(3))
+			}
+		}
+		for range 2 {
+			for from := range all {
+				for to := range all {
+					tell(from, to)
+				}
+			}
+		}
+		for digest := range request.Digest(3) {
+			k := Key{Account: "x", Digest: digest}
+			a, b, c := all[0].Judge(now, k).Standing, all[1].Judge(now, k).Standing, all[2].Judge(now, k).Standing
+			if a != b || b != c {
+				t.Errorf("seed %d, request %d: %s, %s, %s", seed, digest, a, b, c)
+			}
+		}
+	}
+}
+
+// TestBounds checks that a register keeps the latest requests only, and that a router which starts again is told all.
+func TestBounds(t *testing.T) {
+	r := NewRegister(begun)
+	for i := range 2 * maxKeys {
+		now := begun.Add(time.Duration(i) * time.Millisecond)
+		r.Add(now, Crash{Key: Key{Digest: request.Digest(i)}, Run: upstream.Run{ID: "a"}})
+		r.Ran(now, Key{Digest: request.Digest(10*maxKeys + i)}, Finished)
+	}
+	now := begun.Add(time.Hour / 60)
+	if got := len(r.Since(now, Mark{Start: 1, Position: 1 << 40})); got != maxKeys {
+		t.Errorf("%d requests are told to one that knows another register, want %d", got, maxKeys)
+	}
+	if len(r.runs) > maxRuns {
+		t.Errorf("%d runs are remembered, want %d at most", len(r.runs), maxRuns)
+	}
+	if got := r.Since(now, r.Mark()); len(got) != 0 {
+		t.Errorf("%d are told although nothing is new", len(got))
+	}
+}
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -17,11 +17,15 @@
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 )
 
 const (
 	// maxDials bounds the upstreams that one request tries to connect to.
 	maxDials = 3
+	// maxCrashes is the number of upstreams that may end under a request before it is not sent again: one is most often chance, as
+	// many others ran there; two hardly are.
+	maxCrashes = 2
 	// maxStale bounds the answers to other requests that are skipped on one connection.
 	maxStale = 2
 	// maxAnswer bounds the body of an answer that is kept whole before it is passed on, in bytes.
@@ -35,14 +39,21 @@
 	resp     *http.Response
 	head     services.UpstreamAnswer
 	began    time.Time
-	// started says that the first event has come.
-	started bool
-	stop    func() bool
+	// started says that the first event has come, at startedAt; the latest came at latestAt.
+	started             bool
+	startedAt, latestAt time.Time
+	stop                func() bool
 }
 
 // run sends a request to upstreams until one answers or nothing more may be tried.
 func (x *exchange) run(ctx context.Context) {
+	defer x.r.ended(x)
 	for dials := 0; ; {
+		x.r.ended(x)
+		if no := x.r.barred(time.Now(), x); no != nil {
+			x.giveUp(ctx, *no)
+			return
+		}
 		began := time.Now()
 		u, ok := x.r.acquire(ctx, x)
 		x.waited += time.Since(began)
@@ -51,7 +62,12 @@
 			return
 		}
 		x.last = u.ID
+		sent := time.Now()
 		a, res, err := x.attempt(ctx, u)
+		if errors.Is(err, errBarred) {
+			x.r.release(x.service, u, res, time.Since(began), false)
+			continue
+		}
 		if err == nil {
 			if x.deliver(ctx, a) {
 				return
@@ -59,6 +75,9 @@
 		} else {
 			x.r.release(x.service, u, res, time.Since(began), false)
 			x.logAttempt(u, res, err)
+			if res == balance.ResultBroken {
+				x.r.lookAfter(ctx, x, u, sent, 0)
+			}
 		}
 		x.tried[u.ID] = true
 		if res == balance.ResultUnreached {
@@ -80,7 +99,7 @@
 
 // again reports whether the request may be sent once more, and takes that out of the budget.
 func (x *exchange) again(ctx context.Context) bool {
-	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) {
+	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) || x.crashes >= maxCrashes {
 		return false
 	}
 	if x.paidFor {
@@ -125,6 +144,10 @@
 		conn.Close()
 		return nil, balance.ResultUnreached, fmt.Errorf("upstream %s has begun to leave", u.ID)
 	}
+	if !x.r.begins(time.Now(), x) {
+		conn.Close()
+		return nil, balance.ResultCancelled, errBarred
+	}
 	a := &answer{upstream: u, conn: conn, began: time.Now()}
 	// The end of the caller or of the time ends the upstream's work too.
 	a.stop = context.AfterFunc(ctx, conn.Close)
@@ -137,6 +160,7 @@
 		a.drop()
 		return nil, x.brokenOr(ctx), errors.Join(sent, err)
 	}
+	x.r.answers(time.Now(), a)
 	x.mayRun = wasRunning || a.head.Execution == services.ExecutionDone || a.head.Execution == services.ExecutionFailed
 	return a, balance.ResultOK, nil
 }
@@ -253,6 +277,24 @@
 	return false
 }
 
+// brokeOff notes that an answer broke off.
+func (x *exchange) brokeOff(ctx context.Context, a *answer, err error) {
+	res := x.brokenOr(ctx)
+	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
+	x.logAttempt(a.upstream, res, err)
+	if res == balance.ResultBroken {
+		x.r.lookAfter(ctx, x, a.upstream, a.began, a.lasted(time.Now()))
+	}
+}
+
+// lasted returns how long the events of an answer have been coming at a time; 0 before the first.
+func (a *answer) lasted(now time.Time) time.Duration {
+	if !a.started {
+		return 0
+	}
+	return now.Sub(a.startedAt)
+}
+
 // wholeAnswer is an answer that was read to its end.
 type wholeAnswer struct {
 	upstream upstream.ID
@@ -280,11 +322,10 @@
 	body, err := httpx.ReadAll(a.resp.Body, maxAnswer)
 	if err != nil {
 		a.drop()
-		res = x.brokenOr(ctx)
-		x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
-		x.logAttempt(a.upstream, res, err)
+		x.brokeOff(ctx, a, err)
 		return nil, false
 	}
+	x.r.ran(time.Now(), x, quarantine.Finished)
 	a.keep(x.r.conns)
 	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
 	return &wholeAnswer{upstream: a.upstream.ID, status: a.resp.StatusCode, header: x.r.opts.Protocol.Returned(a.resp.Header), body: body}, true
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -40,6 +40,8 @@
 	ReasonCallerGone  Reason = "caller-left"
 	ReasonBrokeStream Reason = "stream-broke-off"
 	ReasonAnswered    Reason = "answered"
+	ReasonCrashes     Reason = "crashes-upstreams"
+	ReasonWatched     Reason = "may-crash-upstreams"
 )
 
 const (
@@ -94,6 +96,9 @@
 	// failure is the answer of an upstream that has failed, while others are tried.
 	failure *wholeAnswer
 	waited  time.Duration
+	// running says that the request counts as one that runs, and crashes is the number of upstreams that have ended under it.
+	running bool
+	crashes int
 	// comeBack is when room is forecast for a request that found none.
 	comeBack time.Duration
 	stream   streamState
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -22,6 +22,7 @@
 	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 
 	"github.com/rs/zerolog"
 )
@@ -50,6 +51,13 @@
 	active     int
 	// runs holds the run of the upstream to which the connections of an address lead.
 	runs map[string]upstream.Run
+	// crashes holds which requests upstreams have ended under, and onCrash is called when more is known of that.
+	crashes *quarantine.Register
+	onCrash func()
+	// running counts the requests that run, by what they ask.
+	running map[quarantine.Key]int
+	// looks holds the looks at upstreams whose connections broke off.
+	looks map[upstream.Run]*look
 }
 
 // lane is the way to the upstreams of one service.
@@ -66,7 +74,12 @@
 
 // New returns a relay that knows nothing yet.
 func New(o Options) *Relay {
-	return &Relay{opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {}, runs: map[string]upstream.Run{}}
+	r := &Relay{
+		opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {},
+		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(time.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, looks: map[upstream.Run]*look{},
+	}
+	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.Refused(time.Now())) })
+	return r
 }
 
 // Know calls f with the router's knowledge, under the relay's lock.
@@ -191,6 +204,8 @@
 		listed[c.Value.Run()] = true
 		addresses[c.Value.Address] = true
 	}
+	r.crashes.Sweep(now)
+	maps.DeleteFunc(r.looks, func(_ upstream.Run, l *look) bool { return l.old(now) })
 	maps.DeleteFunc(r.runs, func(address string, _ upstream.Run) bool { return !addresses[address] })
 	for _, l := range r.pools {
 		l.pool.Forget(listed)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 
 	"github.com/rs/zerolog"
 )
@@ -67,20 +68,20 @@
 	err := x.relayEvents(a)
 	switch {
 	case err == nil:
+		x.r.ran(time.Now(), x, quarantine.Finished)
 		a.keep(x.r.conns)
 		x.r.release(x.service, a.upstream, balance.ResultOK, time.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonAnswered)
 		return true
 	case x.req.Context().Err() != nil:
+		x.r.ran(time.Now(), x, a.lasted(a.latestAt))
 		a.drop()
 		x.r.release(x.service, a.upstream, balance.ResultCancelled, time.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonCallerGone)
 		panic(http.ErrAbortHandler)
 	}
 	a.drop()
-	res := x.brokenOr(ctx)
-	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
-	x.logAttempt(a.upstream, res, err)
+	x.brokeOff(ctx, a, err)
 	return false
 }
 
@@ -98,8 +99,9 @@
 		if err != nil {
 			return fmt.Errorf("upstream %s: after event %q: %w", a.upstream.ID, x.stream.lastEvent, err)
 		}
+		a.latestAt = time.Now()
 		if !a.started {
-			a.started = true
+			a.started, a.startedAt = true, a.latestAt
 			x.r.started(x.service, a.upstream)
 		}
 		if !x.stream.begun {
--- a/tests/integration/platform_crash_test.go
+++ b/tests/integration/platform_crash_test.go
@@ -32,6 +32,8 @@
 	started int
 	// runs holds when the crashing request reached a replica; each of them ended.
 	runs []time.Time
+	// listed is the replica that has crashed last: what crashes says nothing, and its entry stays for some seconds.
+	listed string
 }
 
 func newDesk(t *testing.T, s *site, replicas int) *desk {
@@ -69,15 +71,19 @@
 	d.s.store.Put(replicaStream, id, fmt.Sprintf(`{"service":"ledger","address":%q,"zone":"a","slots":6,"state":"ready"}`, address))
 }
 
-// crash ends a replica in the middle of a request. Its entry goes when the next has started.
+// crash ends a replica in the middle of a request, and starts another. The entry goes when the next one crashes.
 func (d *desk) crash(id string, server *httptest.Server) {
 	_ = server.Listener.Close()
 	d.mu.Lock()
 	d.runs = append(d.runs, time.Now())
+	lapsed := d.listed
+	d.listed = id
 	d.mu.Unlock()
 	go func() {
 		d.start()
-		d.s.store.Put(replicaStream, id, "")
+		if lapsed != "" {
+			d.s.store.Put(replicaStream, lapsed, "")
+		}
 	}()
 	panic(http.ErrAbortHandler)
 }
@@ -111,9 +117,10 @@
 //
 // and the next try of the same content was let in 4.5 s later like any other.
 func TestCrashingRequest(t *testing.T) {
-	s, routers := threeRouters(t)
-	s.store.Put(replicaStream, "i-1", "")
+	s := newSite(t)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
 	d := newDesk(t, s, 3)
+	routers := s.startThree()
 	order := []*node{routers["a"], routers["b"], routers["c"]}
 	next := 0
 	try := func() (int, http.Header) {
--- a/tests/integration/platform_feeds_test.go
+++ b/tests/integration/platform_feeds_test.go
@@ -23,6 +23,13 @@
 	rp := newReplica(t, "i-1", nil)
 	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
 	s.store.Put(replicaStream, "i-1", rp.entry("ready"))
+	return s, s.startThree()
+}
+
+// startThree starts three routers and waits until they know each other and one of them reads the store for all.
+func (s *site) startThree() map[string]*node {
+	t := s.t
+	t.Helper()
 	routers := map[string]*node{}
 	for _, name := range []string{"a", "b", "c"} {
 		routers[name] = s.router(name)
@@ -36,7 +43,7 @@
 	// Reads that each began for itself have ended after some more of the one that reads for all.
 	first := s.store.Calls()
 	eventually(t, "reads for all", func() bool { return s.store.Calls() >= first+10 })
-	return s, routers
+	return routers
 }
 
 // TestReaderLost takes the router away that reads the configuration for all: the others have a change in
