Quarantine: both errors counted, tries side by side weighed by what else ended then

Change: such ends weigh two if all upstreams that ended then ran the request; a rack that loses power ends others too.

--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// watchedFrom and refusedFrom are the numbers of tries, one after the other, under which upstreams have ended, from which a
-	// request is watched, and refused. Two may be chance for a request whose caller comes again at once; each one more costs a
+	// watchedFrom and refusedFrom are the weights of the ends under a request from which it is watched, and refused; mostly the number
+	// of tries, one after the other, under which upstreams have ended. Two may be chance for a request whose caller comes again at once; each one more costs a
 	// model group some seconds.
 	watchedFrom = 2
 	refusedFrom = 3
--- a/services/quarantine/register.go
+++ b/services/quarantine/register.go
@@ -16,6 +16,8 @@
 	maxKeys = 1024
 	// maxCrashes bounds the ends that are kept of one request: more say nothing more.
 	maxCrashes = 16
+	// together is how far apart upstreams may end that end at about the same time.
+	together = 500 * time.Millisecond
 	// maxRuns bounds the runs that are remembered because they speak for requests of which no end is known yet: another router may
 	// tell of one later. They are remembered for runLife.
 	maxRuns = 2048
@@ -159,10 +161,10 @@
 // Judge tells how to treat a request.
 func (r *Register) Judge(now time.Time, k Key) Verdict {
 	rec, ok := r.records[k]
-	if !ok {
+	if !ok || len(rec.crashes) < watchedFrom {
 		return Verdict{Standing: StandingFree}
 	}
-	n, until := rec.inTurn(), rec.latest.Add(refusedFor)
+	n, until := r.weight(rec), rec.latest.Add(refusedFor)
 	switch {
 	case n < watchedFrom || now.Sub(rec.latest) >= forgottenAfter:
 		return Verdict{Standing: StandingFree}
@@ -172,9 +174,10 @@
 	return Verdict{Standing: StandingRefused, Until: until}
 }
 
-// inTurn returns how many ends that are not cleared came one after the other: each under a try that was sent after the end before.
-// Ends of tries that ran side by side count once: a rack that loses power ends many, whatever runs there.
-func (rec *record) inTurn() int {
+// weight tells how much the ends that are not cleared speak against a request: 1 for each that came after the one before, under a
+// try that was sent later. Ends of tries that ran side by side count as one, because a rack that loses power ends many whatever
+// runs there; but as two if all upstreams that ended then ran the request.
+func (r *Register) weight(rec *record) int {
 	var ends []*crash
 	for _, c := range rec.crashes {
 		if !c.cleared {
@@ -182,15 +185,32 @@
 		}
 	}
 	slices.SortFunc(ends, func(a, b *crash) int { return a.at.Compare(b.at) })
-	n := 0
-	var before time.Time
-	for _, c := range ends {
-		if n == 0 || !c.sent.Before(before) {
+	weight := 0
+	for len(ends) > 0 {
+		n := 1
+		for n < len(ends) && ends[n].sent.Before(ends[0].at) {
 			n++
-			before = c.at
 		}
+		weight++
+		if n > 1 && r.alone(rec, ends[0].at, ends[n-1].at) {
+			weight++
+		}
+		ends = ends[n:]
 	}
-	return n
+	return weight
+}
+
+// alone reports whether every upstream that ended at about a time ran one request.
+func (r *Register) alone(rec *record, from, to time.Time) bool {
+	from, to = from.Add(-together), to.Add(together)
+	for _, other := range r.records {
+		for run, c := range other.crashes {
+			if _, ok := rec.crashes[run]; !ok && !c.at.Before(from) && !c.at.After(to) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // Refused returns the number of requests that are refused.
--- a/services/quarantine/register_test.go
+++ b/services/quarantine/register_test.go
@@ -24,6 +24,8 @@
 	crash       upstream.ID
 	ran, lasted time.Duration
 	lives       bool
+	// other says that another request ran there.
+	other bool
 }
 
 // TestJudge checks from when on a request is watched and refused, and what speaks for it.
@@ -34,18 +36,25 @@
 		at    time.Duration
 		want  Standing
 	}{
-		"one end is chance":                {[]step{{crash: "a"}}, second, StandingFree},
-		"two are watched":                  {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}}, 6 * second, StandingWatched},
-		"three are refused":                {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingRefused},
-		"a rack that loses power is one":   {[]step{{crash: "a", ran: second}, {crash: "b", ran: second}, {at: second, crash: "c", ran: 2 * second}}, second, StandingFree},
-		"the same end told again":          {[]step{{crash: "a"}, {at: second, crash: "a"}, {at: 2 * second, crash: "a"}}, 3 * second, StandingFree},
-		"an answer clears all before":      {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 6 * second, lives: true, lasted: Finished}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
-		"an answer clears what comes soon": {[]step{{lives: true, lasted: Finished}, {crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
-		"but not for long":                 {[]step{{lives: true, lasted: Finished}, {at: 61 * second, crash: "a"}, {at: 65 * second, crash: "b"}, {at: 69 * second, crash: "c"}}, 70 * second, StandingRefused},
-		"a longer run clears":              {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: 2 * second}}, 7 * second, StandingFree},
-		"a run as long does not":           {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: second}}, 7 * second, StandingWatched},
-		"after some time it is watched":    {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + refusedFor, StandingWatched},
-		"and forgotten in the end":         {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + forgottenAfter, StandingFree},
+		"one end is chance":              {[]step{{crash: "a"}}, second, StandingFree},
+		"two are watched":                {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}}, 6 * second, StandingWatched},
+		"three are refused":              {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingRefused},
+		"a rack that loses power is one": {[]step{{crash: "a", ran: second}, {crash: "b", ran: second}, {crash: "c", ran: second, other: true}}, second, StandingFree},
+		"three racks are three": {[]step{
+			{crash: "a", ran: second}, {crash: "b", ran: second}, {crash: "c", ran: second, other: true},
+			{at: 5 * second, crash: "d", ran: second}, {at: 5 * second, crash: "e", ran: second}, {at: 5 * second, crash: "f", ran: second, other: true},
+			{at: 9 * second, crash: "g", ran: second}, {at: 9 * second, crash: "h", ran: second}, {at: 9 * second, crash: "i", ran: second, other: true},
+		}, 10 * second, StandingRefused},
+		"it ran at all that ended together": {[]step{{crash: "a", ran: second}, {crash: "b", ran: second}, {crash: "c", ran: second}}, second, StandingWatched},
+		"and so it did again":               {[]step{{crash: "a", ran: second}, {crash: "b", ran: second}, {at: 5 * second, crash: "c", ran: second}}, 6 * second, StandingRefused},
+		"the same end told again":           {[]step{{crash: "a"}, {at: second, crash: "a"}, {at: 2 * second, crash: "a"}}, 3 * second, StandingFree},
+		"an answer clears all before":       {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 6 * second, lives: true, lasted: Finished}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
+		"an answer clears what comes soon":  {[]step{{lives: true, lasted: Finished}, {crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 10 * second, StandingFree},
+		"but not for long":                  {[]step{{lives: true, lasted: Finished}, {at: 61 * second, crash: "a"}, {at: 65 * second, crash: "b"}, {at: 69 * second, crash: "c"}}, 70 * second, StandingRefused},
+		"a longer run clears":               {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: 2 * second}}, 7 * second, StandingFree},
+		"a run as long does not":            {[]step{{crash: "a", lasted: second}, {at: 5 * second, crash: "b", lasted: second}, {at: 6 * second, lives: true, lasted: second}}, 7 * second, StandingWatched},
+		"after some time it is watched":     {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + refusedFor, StandingWatched},
+		"and forgotten in the end":          {[]step{{crash: "a"}, {at: 5 * second, crash: "b"}, {at: 9 * second, crash: "c"}}, 9*second + forgottenAfter, StandingFree},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -56,7 +65,11 @@
 					r.Ran(begun.Add(s.at), k, s.lasted)
 					continue
 				}
-				r.Add(begun.Add(s.at), Crash{Key: k, Run: upstream.Run{ID: s.crash}, Ran: s.ran, Lasted: s.lasted})
+				told := k
+				if s.other {
+					told.Digest++
+				}
+				r.Add(begun.Add(s.at), Crash{Key: told, Run: upstream.Run{ID: s.crash}, Ran: s.ran, Lasted: s.lasted})
 			}
 			r.Sweep(begun.Add(c.at))
 			if got := r.Judge(begun.Add(c.at), k); got.Standing != c.want {
@@ -68,6 +81,7 @@
 		})
 	}
 }
+
 // TestTold checks that registers that tell each other what is new agree in the end, whatever the order, and that what clears a request
 // is not undone.
 func TestTold(t *testing.T) {
