--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -20,6 +20,7 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	platformstandin "fawnwinch.org/fawnwinch/standin/platform"
@@ -132,7 +133,7 @@
 	if err := d.startPlain(ctx); err != nil {
 		return err
 	}
-	p.SetVMs(time.Now(), d.vms)
+	p.SetVMs(clock.Now(), d.vms)
 	return nil
 }
 
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/log"
 	"fawnwinch.org/fawnwinch/modules/metrics"
@@ -84,7 +85,7 @@
 			},
 			rpc.NewPool,
 		),
-		fx.Invoke(n.serveMetrics, n.reloads.watch, sweepPeers),
+		fx.Invoke(n.serveMetrics, n.reloads.watch, sweepPeers, watchClock),
 	)
 }
 
@@ -97,13 +98,34 @@
 
 // sweepPeers closes connections to other processes that are not used any more, while the process runs.
 func sweepPeers(lc fx.Lifecycle, pool *rpc.Pool) {
+	repeat(lc, sweepEvery, func() { pool.Sweep(clock.Now(), unusedFor) })
+}
+
+// lookEvery is the time between two looks at whether the VM was suspended. Decisions do not wait for one: they notice it by themselves,
+// unless the time of day was set back at the same time.
+const lookEvery = 500 * time.Millisecond
+
+// watchClock logs that the VM was suspended, while the process runs.
+func watchClock(lc fx.Lifecycle, logger zerolog.Logger) {
+	before := time.Duration(0)
+	repeat(lc, lookEvery, func() {
+		total := clock.Suspended()
+		if total > before {
+			logger.Warn().Int64("suspended_ms", (total-before).Milliseconds()).Int64("total_ms", total.Milliseconds()).Msg("vm-was-suspended")
+		}
+		before = total
+	})
+}
+
+// repeat calls f at intervals while the process runs.
+func repeat(lc fx.Lifecycle, every time.Duration, f func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
 				for ctx.Err() == nil {
-					sleep.For(ctx, sweepEvery)
-					pool.Sweep(time.Now(), unusedFor)
+					sleep.For(ctx, every)
+					f()
 				}
 			}()
 			return nil
@@ -185,7 +207,7 @@
 		return e
 	}
 	self := n.self(vm.RoleAgent)
-	a := rank.New(time.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Bootstrap: n.set.Bootstrap, Dial: dial, Logger: logger})
+	a := rank.New(clock.Now(), rank.Options{Self: self, Engine: platform.NewEngine(n.set.Engine), Store: store, Pool: pool, Bootstrap: n.set.Bootstrap, Dial: dial, Logger: logger})
 	measureLeadership(m, a)
 	server := rpc.NewServer(l)
 	if err := server.Register("Rank", rank.NewAPI(a)); err != nil {
@@ -214,7 +236,7 @@
 // measureLeadership serves whether the group of an agent's rank is led, as far as the agent knows.
 func measureLeadership(m *metrics.Metrics, a *rank.Agent) {
 	m.Each("group_led", "1 if the agent hears a coordinator of its rank's group, else 0; the group is empty while the engine has not told it.", "group", false, func() []metrics.Sample {
-		l := a.Leadership(time.Now())
+		l := a.Leadership(clock.Now())
 		led := 0.0
 		if l.Led {
 			led = 1
@@ -222,7 +244,7 @@
 		return []metrics.Sample{{Label: string(l.Group), Value: led}}
 	})
 	m.Each("group_silence_seconds", "Time since the agent heard a coordinator of its rank's group, or learned the group if it never did.", "group", false, func() []metrics.Sample {
-		l := a.Leadership(time.Now())
+		l := a.Leadership(clock.Now())
 		return []metrics.Sample{{Label: string(l.Group), Value: l.Silence.Seconds()}}
 	})
 }
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
@@ -43,7 +44,7 @@
 		age := math.NaN()
 		r.Know(func(s *knowledge.State) {
 			if s.Catalogs().Known() {
-				age = s.CatalogAge(time.Now()).Seconds()
+				age = s.CatalogAge(clock.Now()).Seconds()
 			}
 		})
 		return age
@@ -98,7 +99,7 @@
 	}
 	n.reloads.add(func(set setting.Node) {
 		r.Reload(set.Seeds, set.Bounds)
-		rl.Rebound(time.Now(), set.Bounds)
+		rl.Rebound(clock.Now(), set.Bounds)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -120,7 +121,7 @@
 	each := func(name, help string, count func(relay.Coverage) int) {
 		m.Each(name, help, "service", false, func() []metrics.Sample {
 			var out []metrics.Sample
-			for _, c := range r.Coverage(time.Now()) {
+			for _, c := range r.Coverage(clock.Now()) {
 				out = append(out, metrics.Sample{Label: string(c.Service), Value: float64(count(c))})
 			}
 			return out
@@ -133,15 +134,15 @@
 // stop ends the router without cutting a request: it leaves the directory, serves until every answer
 // that named it has run out and every request has ended, and ends before it is killed.
 func (p *entryProcess) stop(ctx context.Context) error {
-	begun := time.Now()
+	begun := clock.Now()
 	p.logger.Info().Int("active", p.relay.Active()).Msg("stop")
 	p.relay.Leave(begun)
 	p.router.Leave(ctx)
 	last := begun.Add(p.node.set.Grace - killMargin)
-	for now := begun; now.Before(last) && (now.Sub(begun) < addressesHeld || p.relay.Active() > 0); now = time.Now() {
+	for now := begun; now.Before(last) && (now.Sub(begun) < addressesHeld || p.relay.Active() > 0); now = clock.Now() {
 		time.Sleep(drainLook)
 	}
-	p.logger.Info().Int("active", p.relay.Active()).Int64("took_ms", time.Since(begun).Milliseconds()).Msg("stopped")
+	p.logger.Info().Int("active", p.relay.Active()).Int64("took_ms", clock.Since(begun).Milliseconds()).Msg("stopped")
 	err := p.front.Close()
 	p.cancel()
 	p.peers.Close()
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
@@ -124,7 +125,7 @@
 
 func registerRouterMetrics(m *metrics.Metrics, p *routerProcess) {
 	m.Gauge("config_revision", "Revision of the configuration in force.", nil, func() float64 { return float64(p.follower.State().Revision) })
-	m.Gauge("log_contact_age_seconds", "Time since the log last answered.", nil, func() float64 { return time.Since(p.follower.Contact()).Seconds() })
+	m.Gauge("log_contact_age_seconds", "Time since the log last answered.", nil, func() float64 { return clock.Since(p.follower.Contact()).Seconds() })
 	sent := func() float64 { return float64(p.pool.Stats.Sent.Load() + p.rpc.Stats.Sent.Load()) }
 	received := func() float64 { return float64(p.pool.Stats.Received.Load() + p.rpc.Stats.Received.Load()) }
 	m.Counter("control_sent_bytes_total", "Bytes sent to other fawnwinch processes for control.", nil, sent)
@@ -150,7 +151,7 @@
 func (p *routerProcess) becomeReady(ctx context.Context) {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for !p.dir.Ready(time.Now()) {
+	for !p.dir.Ready(clock.Now()) {
 		select {
 		case <-ctx.Done():
 			return
@@ -158,7 +159,7 @@
 		}
 	}
 	p.dir.SetState(membership.RouterReady)
-	p.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindMembership, Name: "router-ready"})
+	p.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindMembership, Name: "router-ready"})
 	p.logger.Info().Msg("router ready")
 }
 
@@ -166,7 +167,7 @@
 // it has run out and every request has ended, and closes then.
 func (p *routerProcess) stop(ctx context.Context) error {
 	p.dir.SetState(membership.RouterLeaving)
-	p.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindDrain, Name: "leaving"})
+	p.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindDrain, Name: "leaving"})
 	p.logger.Info().Msg("leaving")
 	t := time.NewTimer(p.set.AddressTTL + membership.Interval(p.set.Process.Heartbeat).Suspect())
 	defer t.Stop()
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/routers"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/expertswitch"
@@ -64,7 +65,7 @@
 			if err := o.check(); err != nil {
 				return err
 			}
-			from := time.Now().Add(-since)
+			from := clock.Now().Add(-since)
 			for {
 				q := url.Values{"since": {from.Format(time.RFC3339Nano)}, "request": {f.request}, "group": {f.group}, "kind": {f.kind}}
 				var a routers.TimelineAnswer
--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -35,3 +35,13 @@
 
 // Until returns the time that is left until t, which is one of this package's times.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
+
+// Suspended returns for how long the VM was suspended since the process began, as far as its clock can tell.
+func Suspended() time.Duration {
+	s, ok := (*current.Load()).(*System)
+	if !ok {
+		return 0
+	}
+	s.Look()
+	return s.Suspended()
+}
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fawnwinch.org/fawnwinch/modules/clock"
 )
 
 // DialTimeout bounds how long a connection attempt may take.
@@ -79,7 +81,7 @@
 		}
 		return p.finish(address, c, method, done.Error)
 	case <-ctx.Done():
-		if p.release(c) == 0 || time.Since(time.Unix(0, c.received.Load())) > quietMost {
+		if p.release(c) == 0 || clock.Since(time.Unix(0, c.received.Load())) > quietMost {
 			p.drop(address, c)
 		}
 		return fmt.Errorf("call %s at %s: %w", method, address, ctx.Err())
@@ -110,7 +112,7 @@
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	c := &conn{}
-	c.received.Store(time.Now().UnixNano())
+	c.received.Store(clock.Now().UnixNano())
 	c.client = rpc.NewClient(&countingConn{Conn: dialled, stats: &p.Stats, received: &c.received})
 	return p.keep(address, c)
 }
@@ -127,7 +129,7 @@
 		return nil, nil
 	}
 	c.pending++
-	c.used = time.Now()
+	c.used = clock.Now()
 	return c, nil
 }
 
@@ -145,7 +147,7 @@
 	}
 	p.conns[address] = c
 	c.pending++
-	c.used = time.Now()
+	c.used = clock.Now()
 	return c, nil
 }
 
@@ -273,7 +275,7 @@
 	n, err := c.Conn.Read(b)
 	c.stats.Received.Add(uint64(max(n, 0)))
 	if c.received != nil && n > 0 {
-		c.received.Store(time.Now().UnixNano())
+		c.received.Store(clock.Now().UnixNano())
 	}
 	return n, err //nolint:wrapcheck // io.EOF must stay itself
 }
--- a/routers/caller.go
+++ b/routers/caller.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/directory"
@@ -101,7 +102,7 @@
 	}
 	return &dispatch.Request{
 		ID: request.ID(id.String()), Account: caller(c).account, Method: c.Request.Method, Query: c.Request.URL.RawQuery,
-		ContentType: c.GetHeader("Content-Type"), Priority: c.GetHeader("Priority"), Body: body, Deadline: time.Now().Add(d),
+		ContentType: c.GetHeader("Content-Type"), Priority: c.GetHeader("Priority"), Body: body, Deadline: clock.Now().Add(d),
 	}, true
 }
 
@@ -190,11 +191,11 @@
 }
 
 func (w *Web) run(c *gin.Context, r *dispatch.Request) {
-	began := time.Now()
+	began := clock.Now()
 	w.Ring.Add(began, timeline.Event{Kind: timeline.KindRequest, Name: "arrived", Request: string(r.ID), Detail: fmt.Sprintf("account=%s service=%s method=%s path=%s", r.Account, r.Service.ID, r.Method, r.Path)})
 	sink := &stream{c: c, id: r.ID}
 	res := w.Dispatcher.Do(c.Request.Context(), r, sink)
-	now := time.Now()
+	now := clock.Now()
 	w.Metrics.Request(string(r.Service.ID), string(res.Outcome), shortReason(res.Reason), now.Sub(began), res.Attempts)
 	w.Ring.Add(now, timeline.Event{Kind: timeline.KindRequest, Name: "ended", Request: string(r.ID), Detail: fmt.Sprintf("outcome=%s reason=%q attempts=%d", res.Outcome, res.Reason, res.Attempts)})
 	if sink.started {
--- a/routers/directory.go
+++ b/routers/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 
 	"github.com/gin-gonic/gin"
 )
@@ -49,7 +50,7 @@
 		c.Status(http.StatusOK)
 	})
 	g.GET(w.ResolvePath, func(c *gin.Context) {
-		list := e.Addresses(time.Now(), vm.DataCentre(c.Query(w.DataCentre)))
+		list := e.Addresses(clock.Now(), vm.DataCentre(c.Query(w.DataCentre)))
 		if len(list) == 0 {
 			c.Status(http.StatusServiceUnavailable)
 			return
--- a/routers/operator.go
+++ b/routers/operator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/configlog"
@@ -117,7 +118,7 @@
 
 // known refuses a question about the configuration while this router does not know it.
 func (w *Web) known(c *gin.Context) bool {
-	if w.Directory.Ready(time.Now()) {
+	if w.Directory.Ready(clock.Now()) {
 		return true
 	}
 	c.Header("Retry-After", "1")
@@ -126,7 +127,7 @@
 }
 
 func (w *Web) status(c *gin.Context) {
-	c.JSON(http.StatusOK, w.Directory.Status(time.Now()))
+	c.JSON(http.StatusOK, w.Directory.Status(clock.Now()))
 }
 
 // TimelineAnswer is the merged time line.
--- a/routers/router.go
+++ b/routers/router.go
@@ -10,9 +10,9 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/timeline"
@@ -111,7 +111,7 @@
 	switch {
 	case w.Directory.Self().State == membership.RouterLeaving:
 		c.String(http.StatusServiceUnavailable, "leaving\n")
-	case !w.Directory.Ready(time.Now()):
+	case !w.Directory.Ready(clock.Now()):
 		c.String(http.StatusServiceUnavailable, "configuration not known\n")
 	default:
 		c.String(http.StatusOK, "ready\n")
@@ -131,7 +131,7 @@
 }
 
 func (w *Web) endpoints(c *gin.Context) {
-	ranked := rank(time.Now(), w.Directory, caller(c).account, c.Query("near"))
+	ranked := rank(clock.Now(), w.Directory, caller(c).account, c.Query("near"))
 	if len(ranked) == 0 {
 		c.Header("Retry-After", "1")
 		refuse(c, http.StatusServiceUnavailable, "no-router", "no router is ready")
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -19,6 +19,7 @@
 	"fawnwinch.org/fawnwinch/models/intent"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
@@ -228,12 +229,12 @@
 // Stop ends the agent without cutting a request: it leaves, waits until routers know, its slices
 // are handed over and its requests have ended, and closes then. When ctx ends first, what is left is cut.
 func (a *Agent) Stop(ctx context.Context) error {
-	now := time.Now()
+	now := clock.Now()
 	a.stopping.Store(true)
 	a.leave(now, "stop")
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for ctx.Err() == nil && !a.drained(time.Now()) {
+	for ctx.Err() == nil && !a.drained(clock.Now()) {
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/services/agent/api.go
+++ b/services/agent/api.go
@@ -4,9 +4,8 @@
 package agent
 
 import (
-	"time"
-
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/once"
 
@@ -30,7 +29,7 @@
 	if p.a.once == nil || args.Owner != p.a.self || args.Slice < 0 || args.Slice >= once.Slices {
 		return errOtherIncarnation
 	}
-	table, err := p.a.once.Handover(time.Now(), args.Slice)
+	table, err := p.a.once.Handover(clock.Now(), args.Slice)
 	if err != nil {
 		return err
 	}
--- a/services/agent/coordinate.go
+++ b/services/agent/coordinate.go
@@ -14,6 +14,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/directory"
@@ -55,7 +56,7 @@
 		case <-ticker.C:
 		}
 		g, self, ok := s.myGroup()
-		if !ok || !s.leads(time.Now(), g, self) {
+		if !ok || !s.leads(clock.Now(), g, self) {
 			planner, coord = nil, nil
 			continue
 		}
@@ -94,11 +95,11 @@
 }
 
 func (s *switcher) tell(g service.Group, name, detail string) {
-	s.a.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindMap, Name: name, Group: string(g.ID), Detail: detail})
+	s.a.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindMap, Name: name, Group: string(g.ID), Detail: detail})
 }
 
 func (s *switcher) planOnce(ctx context.Context, planner *placement.Planner, coord *expertswitch.Coordinator, g service.Group) error {
-	now := time.Now()
+	now := clock.Now()
 	counts, err := s.a.engine.Popularity(ctx)
 	if err != nil {
 		return fmt.Errorf("ask own engine: %w", err)
@@ -125,7 +126,7 @@
 	res := s.round(ctx, coord, g, plan.Map)
 	s.tell(g, "round", fmt.Sprintf("result=%s reason=%s moves=%d", res, plan.Reason, plan.Moves))
 	if res == expertswitch.ResultSwitched {
-		planner.Switched(time.Now(), m)
+		planner.Switched(clock.Now(), m)
 	}
 	return nil
 }
@@ -134,7 +135,7 @@
 func (s *switcher) states(ctx context.Context, g service.Group) (out []services.EngineState, held bool) {
 	out = make([]services.EngineState, len(g.Ranks))
 	for r, id := range g.Ranks {
-		peer, ok := s.a.links.Peer(time.Now(), id)
+		peer, ok := s.a.links.Peer(clock.Now(), id)
 		if !ok {
 			continue
 		}
@@ -166,7 +167,7 @@
 	rctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := &wire{s: s, g: g, replies: replies, since: map[group.Rank]time.Time{}}
-	w.send(rctx, coord.Start(time.Now(), proposal))
+	w.send(rctx, coord.Start(clock.Now(), proposal))
 	ticker := time.NewTicker(roundTick)
 	defer ticker.Stop()
 	for {
@@ -177,9 +178,9 @@
 		case <-ctx.Done():
 			return expertswitch.ResultGivenUp
 		case a := <-replies:
-			w.send(rctx, coord.Receive(time.Now(), a.from, a.reply))
+			w.send(rctx, coord.Receive(clock.Now(), a.from, a.reply))
 		case <-ticker.C:
-			w.send(rctx, coord.Tick(time.Now()))
+			w.send(rctx, coord.Tick(clock.Now()))
 		}
 	}
 }
@@ -195,7 +196,7 @@
 }
 
 func (w *wire) send(ctx context.Context, list []expertswitch.Send) {
-	now := time.Now()
+	now := clock.Now()
 	for _, m := range list {
 		if m.Message.Kind != w.kind {
 			w.kind, w.since = m.Message.Kind, map[group.Rank]time.Time{}
@@ -210,7 +211,7 @@
 
 // carry sends one message and hands its answer on. Late says that the rank's agent has not answered for long.
 func (w *wire) carry(ctx context.Context, m expertswitch.Send, late bool) {
-	peer, ok := w.s.a.links.Peer(time.Now(), w.g.Ranks[m.To])
+	peer, ok := w.s.a.links.Peer(clock.Now(), w.g.Ranks[m.To])
 	if !ok {
 		return
 	}
--- a/services/agent/handler.go
+++ b/services/agent/handler.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/timeline"
@@ -90,7 +91,7 @@
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
-	now := time.Now()
+	now := clock.Now()
 	c, err := readCall(r, now)
 	w.Header().Set(request.HeaderID, string(c.id))
 	switch {
@@ -120,13 +121,13 @@
 	}
 	defer leave()
 	a.note(c, "sent-to-upstream", "")
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := clock.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	a.pass(ctx, w, r, c)
 }
 
 func (a *Agent) note(c call, name, reason string) {
-	a.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindRequest, Name: name, Request: string(c.id), Detail: "account=" + string(c.account) + " reason=" + reason})
+	a.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindRequest, Name: name, Request: string(c.id), Detail: "account=" + string(c.account) + " reason=" + reason})
 }
 
 // upstreamRequest makes the request to the upstream. Its body cannot be rewound, so that the
--- a/services/agent/links.go
+++ b/services/agent/links.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/configlog"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
@@ -83,7 +84,7 @@
 	defer ticker.Stop()
 	var w sync.WaitGroup
 	for {
-		for _, address := range l.due(time.Now()) {
+		for _, address := range l.due(clock.Now()) {
 			w.Go(func() { l.beat(ctx, address) })
 		}
 		select {
@@ -147,12 +148,12 @@
 }
 
 func (l *links) beat(ctx context.Context, address string) {
-	b := l.message(time.Now(), address)
+	b := l.message(clock.Now(), address)
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var r membership.Reply
 	err := l.a.pool.Call(cctx, address, "Router.Beat", b, &r)
-	now := time.Now()
+	now := clock.Now()
 	l.mu.Lock()
 	k, ok := l.routers[address]
 	if err != nil || !ok {
@@ -244,7 +245,7 @@
 	k.pulling = false
 	l.mu.Unlock()
 	if err == nil {
-		l.a.setConfig(time.Now(), p.State)
+		l.a.setConfig(clock.Now(), p.State)
 	}
 }
 
--- a/services/agent/peers.go
+++ b/services/agent/peers.go
@@ -12,6 +12,7 @@
 
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/once"
@@ -92,7 +93,7 @@
 		addresses = append(addresses, address)
 	}
 	live := map[string]bool{}
-	for _, r := range l.fresh(time.Now()) {
+	for _, r := range l.fresh(clock.Now()) {
 		for _, i := range r.Routers {
 			live[i.Incarnation] = true
 		}
--- a/services/agent/switcher.go
+++ b/services/agent/switcher.go
@@ -15,6 +15,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/directory"
@@ -90,7 +91,7 @@
 }
 
 func (s *switcher) promisedBy(ctx context.Context, id upstream.ID) (expertswitch.Ballot, error) {
-	peer, ok := s.a.links.Peer(time.Now(), id)
+	peer, ok := s.a.links.Peer(clock.Now(), id)
 	if !ok {
 		return 0, fmt.Errorf("%s is not known: %w", id, errRecovering)
 	}
@@ -148,7 +149,7 @@
 	s.mu.Lock()
 	reply.Promised = s.part.Promised()
 	s.mu.Unlock()
-	s.a.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindMap, Name: string(m.Kind), Group: string(m.Group), Detail: fmt.Sprintf("ballot=%d step=%d ok=%t %s", m.Ballot, m.Step, reply.OK, reply.Reason)})
+	s.a.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindMap, Name: string(m.Kind), Group: string(m.Group), Detail: fmt.Sprintf("ballot=%d step=%d ok=%t %s", m.Ballot, m.Step, reply.OK, reply.Reason)})
 	if reply.State, err = s.a.engine.State(ctx); err != nil {
 		return reply, fmt.Errorf("ask own engine: %w", err)
 	}
--- a/services/agent/upstream.go
+++ b/services/agent/upstream.go
@@ -10,6 +10,7 @@
 
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/membership"
@@ -51,7 +52,7 @@
 			failed++
 		}
 		if failed == 0 || failed >= downAfter {
-			a.setUpstream(time.Now(), failed == 0)
+			a.setUpstream(clock.Now(), failed == 0)
 		}
 		select {
 		case <-ctx.Done():
--- a/services/configlog/follower.go
+++ b/services/configlog/follower.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/intent"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
 
@@ -91,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("read configuration stream: %w", err)
 	}
-	f.apply(time.Now(), page)
+	f.apply(clock.Now(), page)
 	return nil
 }
 
--- a/services/directory/beat.go
+++ b/services/directory/beat.go
@@ -12,6 +12,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/configlog"
 	"fawnwinch.org/fawnwinch/services/membership"
@@ -24,7 +25,7 @@
 
 // beat tells every other router about this one and takes in the replies.
 func (d *Directory) beat(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	addresses := d.routers.Addresses(now)
 	b := d.routerBeat(now)
@@ -58,8 +59,8 @@
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	d.mu.Lock()
-	b.Agents = d.outbox.For(time.Now(), address, d.table)
-	b.Known = d.listOf(address, time.Now())
+	b.Agents = d.outbox.For(clock.Now(), address, d.table)
+	b.Known = d.listOf(address, clock.Now())
 	d.mu.Unlock()
 	var r membership.RouterReply
 	if err := d.opts.Pool.Call(cctx, address, "Router.RouterBeat", b, &r); err != nil {
@@ -68,7 +69,7 @@
 		d.mu.Unlock()
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	d.opts.Ring.Clock.Observe(now, r.Stamp)
 	d.mu.Lock()
 	if d.routers.Restarted(r.Info) {
@@ -115,7 +116,7 @@
 	if err := d.opts.Pool.Call(cctx, address, "Router.Config", Nothing{}, &p); err != nil {
 		return
 	}
-	d.opts.Follower.Adopt(time.Now(), address, p)
+	d.opts.Follower.Adopt(clock.Now(), address, p)
 }
 
 func (d *Directory) pullFloors(ctx context.Context, address string) {
@@ -144,7 +145,7 @@
 
 // Beat takes in an agent's heartbeat.
 func (a *API) Beat(b membership.Beat, r *membership.Reply) error {
-	*r = a.d.agentBeat(time.Now(), b)
+	*r = a.d.agentBeat(clock.Now(), b)
 	return nil
 }
 
@@ -208,7 +209,7 @@
 
 // RouterBeat takes in another router's heartbeat.
 func (a *API) RouterBeat(b membership.RouterBeat, r *membership.RouterReply) error {
-	now := time.Now()
+	now := clock.Now()
 	d := a.d
 	d.opts.Ring.Clock.Observe(now, b.Stamp)
 	d.mu.Lock()
@@ -275,7 +276,7 @@
 
 // Settle returns the keys sent without the log and stops sending to earlier owners.
 func (a *API) Settle(s SettleArgs, r *SettleReply) error {
-	now := time.Now()
+	now := clock.Now()
 	d := a.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -293,7 +294,7 @@
 
 // CollectTimeline gathers the events of all known processes and names those that did not answer.
 func (d *Directory) CollectTimeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, []string) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	targets := map[string]string{}
 	for _, a := range d.routers.Addresses(now) {
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
@@ -67,7 +68,7 @@
 	return &Directory{
 		opts: o, table: membership.NewTable(o.Interval), routers: membership.NewRouters(o.Interval, o.Self, o.Seeds),
 		tracker: routing.NewTracker(o.Tracker), register: once.NewRegister(o.Retention),
-		started: time.Now(), lists: map[service.ID]*lists{}, outbox: membership.NewOutbox(), listsOf: map[string]routerList{}, suspects: map[upstream.ID]bool{},
+		started: clock.Now(), lists: map[service.ID]*lists{}, outbox: membership.NewOutbox(), listsOf: map[string]routerList{}, suspects: map[upstream.ID]bool{},
 	}
 }
 
@@ -113,12 +114,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.VMs(list)
-	d.routers.VMs(time.Now(), list)
+	d.routers.VMs(clock.Now(), list)
 }
 
 // keep expires old knowledge and keeps the configuration alive in the log.
 func (d *Directory) keep(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	d.table.Expire(now)
 	for _, run := range d.routers.Expire(now, d.opts.Retention) {
@@ -241,7 +242,7 @@
 func (d *Directory) Gone(e membership.Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.Gone(time.Now(), e.Beat.Upstream, e.Beat.Incarnation)
+	d.table.Gone(clock.Now(), e.Beat.Upstream, e.Beat.Incarnation)
 }
 
 // ErrNoOwner reports a slice that has no live owner at present.
--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/once"
@@ -140,7 +141,7 @@
 	h.Set(request.HeaderID, string(r.ID))
 	h.Set(request.HeaderAccount, string(r.Account))
 	h.Set(request.HeaderService, string(r.Service.ID))
-	h.Set(request.HeaderBudget, strconv.FormatInt(max(1, time.Until(r.Deadline).Milliseconds()), 10))
+	h.Set(request.HeaderBudget, strconv.FormatInt(max(1, clock.Until(r.Deadline).Milliseconds()), 10))
 	if r.ContentType != "" {
 		h.Set("Content-Type", r.ContentType)
 	}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/directory"
@@ -103,7 +104,7 @@
 
 // Do carries a request to its end. The sink is used for streamed answers only.
 func (d *Dispatcher) Do(ctx context.Context, r *Request, sink Sink) Result {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := clock.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	var res Result
 	switch {
@@ -141,7 +142,7 @@
 		}
 		tried[e.Beat.Upstream] = true
 		out := d.attempt(ctx, e, r, attemptOptions{})
-		d.dir.Done(time.Now(), e.Beat.Upstream)
+		d.dir.Done(clock.Now(), e.Beat.Upstream)
 		last = out.result(n, e)
 		d.trace(r, e, out)
 		if out.kind == kindAnswered || ctx.Err() != nil {
@@ -156,7 +157,7 @@
 
 // next picks an upstream that was not tried; when all were tried it begins again.
 func (d *Dispatcher) next(r *Request, tried map[upstream.ID]bool) (membership.Entry, bool) {
-	now := time.Now()
+	now := clock.Now()
 	e, ok := d.dir.Pick(now, r.Service, tried)
 	if !ok && len(tried) > 0 {
 		e, ok = d.dir.Pick(now, r.Service, nil)
@@ -173,7 +174,7 @@
 }
 
 func (d *Dispatcher) trace(r *Request, e membership.Entry, out attemptEnd) {
-	d.ring.Add(time.Now(), timeline.Event{
+	d.ring.Add(clock.Now(), timeline.Event{
 		Kind: timeline.KindRequest, Name: "attempt-end", Request: string(r.ID),
 		Detail: "upstream=" + string(e.Beat.Upstream) + " end=" + string(out.kind) + " reason=" + out.reason,
 	})
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/once"
@@ -28,9 +29,9 @@
 	slice := request.SliceOf(r.Account, r.Key, once.Slices)
 	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoOwner}
 	ask := false
-	giveUp := time.Now().Add(ownerPatience)
-	for n := 1; ctx.Err() == nil && time.Now().Before(giveUp); n++ {
-		own, err := d.dir.Owner(time.Now(), r.Service.ID, slice, once.NewKeyID(r.Account, r.Key))
+	giveUp := clock.Now().Add(ownerPatience)
+	for n := 1; ctx.Err() == nil && clock.Now().Before(giveUp); n++ {
+		own, err := d.dir.Owner(clock.Now(), r.Service.ID, slice, once.NewKeyID(r.Account, r.Key))
 		if errors.Is(err, directory.ErrLogOut) {
 			// No slice changes hands while the log is out: waiting is no use.
 			return late(last, ask)
--- a/services/dispatch/stream.go
+++ b/services/dispatch/stream.go
@@ -15,6 +15,7 @@
 
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
 
@@ -61,7 +62,7 @@
 		}
 		tried[e.Beat.Upstream] = true
 		out := d.streamOnce(ctx, e, r, p, sink)
-		d.dir.Done(time.Now(), e.Beat.Upstream)
+		d.dir.Done(clock.Now(), e.Beat.Upstream)
 		d.trace(r, e, out)
 		last = out.result(n, e)
 		if p.done || out.kind == kindAnswered || out.kind == kindGone || ctx.Err() != nil || !d.mayRetry() {
@@ -79,7 +80,7 @@
 	if err != nil {
 		return attemptEnd{kind: kindNotSent, reason: err.Error()}
 	}
-	d.dir.StreamBegan(time.Now(), e.Beat.Upstream)
+	d.dir.StreamBegan(clock.Now(), e.Beat.Upstream)
 	defer d.dir.StreamEnded(e.Beat.Upstream)
 	sink = &watched{Sink: sink, dir: d.dir, upstream: e.Beat.Upstream}
 	resp, end := d.open(ctx, e, r, attemptOptions{body: body})
@@ -117,7 +118,7 @@
 
 // Part passes one event on.
 func (w *watched) Part(event []byte) error {
-	if now := time.Now(); now.Sub(w.noted) >= progressEvery {
+	if now := clock.Now(); now.Sub(w.noted) >= progressEvery {
 		w.noted = now
 		w.dir.StreamProgress(now, w.upstream)
 	}
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -9,6 +9,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -78,7 +79,7 @@
 
 // Greet takes in a greeting and answers it.
 func (a *API) Greet(h Hello, reply *Hello) error {
-	now := time.Now()
+	now := clock.Now()
 	from := a.r.heard(now, h)
 	*reply = a.r.hello(now, h.Greeting.From)
 	// How old the sender's knowledge is cannot be told from a greeting, which may have been on its way for long; only
@@ -91,7 +92,7 @@
 
 // Catalogs tells what is known here of the feed of catalogs.
 func (a *API) Catalogs(since Since, reply *CatalogNews) error {
-	now := time.Now()
+	now := clock.Now()
 	a.r.opts.Relay.Know(func(s *knowledge.State) {
 		reply.Extent = extent(now, s.Catalogs())
 		if s.Index() == nil || since.Known && since.Version >= s.Index().Version {
@@ -110,7 +111,7 @@
 
 // Upstreams tells what is known here of the feed of upstreams.
 func (a *API) Upstreams(since Since, reply *UpstreamNews) error {
-	now := time.Now()
+	now := clock.Now()
 	a.r.opts.Relay.Know(func(s *knowledge.State) {
 		reply.Extent = extent(now, s.Upstreams())
 		if since.Known {
@@ -126,7 +127,7 @@
 
 // Report takes in the load of a model group.
 func (a *API) Report(report balance.Report, reply *balance.ReportReply) error {
-	*reply = a.r.takeReport(time.Now(), report)
+	*reply = a.r.takeReport(clock.Now(), report)
 	return nil
 }
 
--- a/services/entry/coverage.go
+++ b/services/entry/coverage.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/relay"
 )
 
@@ -44,7 +45,7 @@
 // Groups tells operators which groups of a service tell their load, and which ranks belong to none that does; of all services if
 // none is named.
 func (a *API) Groups(of service.ID, reply *GroupsStatus) error {
-	*reply = a.r.groupsStatus(time.Now(), of)
+	*reply = a.r.groupsStatus(clock.Now(), of)
 	return nil
 }
 
--- a/services/entry/crashes.go
+++ b/services/entry/crashes.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
-	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/quarantine"
 )
 
@@ -22,7 +22,7 @@
 
 // Crashes tells which requests upstreams have ended under: all changes after a mark of this router's register.
 func (a *API) Crashes(since quarantine.Mark, reply *CrashNews) error {
-	now := time.Now()
+	now := clock.Now()
 	a.r.opts.Relay.Crashes(func(g *quarantine.Register) {
 		reply.Mark, reply.Crashes = g.Mark(), g.Since(now, since)
 	})
@@ -68,7 +68,7 @@
 		return
 	}
 	news := 0
-	now := time.Now()
+	now := clock.Now()
 	r.opts.Relay.Crashes(func(g *quarantine.Register) {
 		for _, c := range n.Crashes {
 			if g.Add(now, c) {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/modules/usage"
@@ -83,7 +84,7 @@
 
 // New returns a router that knows nobody.
 func New(o Options) *Router {
-	now := time.Now()
+	now := clock.Now()
 	o.Self.State = peer.StateStarting
 	r := &Router{
 		opts: o, table: peer.NewTable(now, o.Self), news: make(chan struct{}, 1), greeting: map[string]bool{},
@@ -167,7 +168,7 @@
 
 // noteOutage logs the begin and the end of a feed's outage.
 func (r *Router) noteOutage(name string, err error) {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	since, out := r.outage[name]
 	switch {
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -68,7 +69,7 @@
 	defer w.Wait()
 	w.Go(func() { f.askAhead(ctx) })
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		reading, times := f.reading(now)
 		if wait := times.Next(now, reading).Sub(now); wait > 0 {
 			f.rest(ctx, min(wait, restMost))
@@ -122,7 +123,7 @@
 	f.mu.Lock()
 	whole := !mark.Known() || f.trimmed
 	f.mu.Unlock()
-	p := knowledge.Part[T]{Whole: whole, From: mark.Next, AsOf: time.Now()}
+	p := knowledge.Part[T]{Whole: whole, From: mark.Next, AsOf: clock.Now()}
 	var err error
 	if whole {
 		p.Changes, p.Next, err = f.feed.Snapshot(ctx)
@@ -153,7 +154,7 @@
 	defer f.mu.Unlock()
 	if err != nil {
 		f.failures++
-		f.tried = time.Now()
+		f.tried = clock.Now()
 		return
 	}
 	f.failures, f.trimmed = 0, trimmed
@@ -204,7 +205,7 @@
 	}
 	f.most = max(f.most, next)
 	if f.behind.IsZero() {
-		f.behind = time.Now()
+		f.behind = clock.Now()
 	}
 	return true
 }
@@ -231,7 +232,7 @@
 	}
 	cctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	p, err := f.ask(cctx, address)
 	if err != nil {
 		f.logger.Warn().Str("feed", f.name).Str("from", address).Err(err).Msg("feed-not-told")
--- a/services/entry/greet.go
+++ b/services/entry/greet.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/usage"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -36,7 +37,7 @@
 	var w sync.WaitGroup
 	defer w.Wait()
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := clock.Now()
 		r.greet(ctx, &w)
 		r.opts.Relay.Sweep(begun)
 		r.noteCoverage(begun)
@@ -61,7 +62,7 @@
 	case <-ctx.Done():
 		return
 	}
-	gap := time.NewTimer(greetGap - time.Since(begun))
+	gap := time.NewTimer(greetGap - clock.Since(begun))
 	defer gap.Stop()
 	select {
 	case <-gap.C:
@@ -79,7 +80,7 @@
 
 // greet begins to greet the neighbours. A router that hears nobody greets the seeds and those that are registered.
 func (r *Router) greet(ctx context.Context, w *sync.WaitGroup) {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	r.tell(now)
 	r.table.Sweep(now)
@@ -158,13 +159,13 @@
 func (r *Router) greetOne(ctx context.Context, to peer.Target) {
 	cctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	var reply Hello
 	if err := r.opts.Pool.Call(cctx, to.Address, "Router.Greet", r.hello(sent, to.Name), &reply); err != nil {
 		r.silent(to, err)
 		return
 	}
-	r.heard(time.Now(), reply)
+	r.heard(clock.Now(), reply)
 	r.catalogs.confirmed(sent, to.Address, reply.Catalogs)
 	r.upstreams.confirmed(sent, to.Address, reply.Upstreams)
 	r.crashesTold(to.Address, reply.Crashes)
@@ -203,7 +204,7 @@
 func (r *Router) learn(change func(now time.Time)) {
 	r.mu.Lock()
 	before := r.table.Position()
-	change(time.Now())
+	change(clock.Now())
 	changed := r.table.Position() != before
 	r.mu.Unlock()
 	if changed {
--- a/services/entry/news.go
+++ b/services/entry/news.go
@@ -6,10 +6,10 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 )
@@ -24,7 +24,7 @@
 			since = Since{Known: s.Catalogs().Known(), Next: s.Catalogs().Next, Version: base.Version}
 		}
 	})
-	asked := time.Now()
+	asked := clock.Now()
 	var n CatalogNews
 	p := knowledge.Part[catalog.Catalog]{Whole: true}
 	if err := r.opts.Pool.Call(ctx, address, "Router.Catalogs", since, &n); err != nil {
@@ -48,7 +48,7 @@
 // askUpstreams asks another router for the upstreams.
 func (r *Router) askUpstreams(ctx context.Context, address string) (knowledge.Part[upstream.Instance], error) {
 	mark := r.upstreams.mark()
-	asked := time.Now()
+	asked := clock.Now()
 	var n UpstreamNews
 	if err := r.opts.Pool.Call(ctx, address, "Router.Upstreams", Since{Known: mark.Known(), Next: mark.Next}, &n); err != nil {
 		return knowledge.Part[upstream.Instance]{}, fmt.Errorf("ask for upstreams: %w", err)
@@ -66,7 +66,7 @@
 	})
 	if before != after {
 		r.opts.Logger.Info().Uint64("version", uint64(after.Version)).Int("routes", len(after.Routes)).Uint64("offset", uint64(p.Next)).
-			Int64("age_ms", time.Since(p.AsOf).Milliseconds()).Msg("catalog-taken")
+			Int64("age_ms", clock.Since(p.AsOf).Milliseconds()).Msg("catalog-taken")
 	}
 	r.becomeReady()
 	return fit
@@ -74,7 +74,7 @@
 
 func (r *Router) takeUpstreams(p knowledge.Part[upstream.Instance]) knowledge.Fit {
 	var fit knowledge.Fit
-	r.opts.Relay.Know(func(s *knowledge.State) { fit = s.TakeUpstreams(time.Now(), p) })
+	r.opts.Relay.Know(func(s *knowledge.State) { fit = s.TakeUpstreams(clock.Now(), p) })
 	if fit == knowledge.FitNews {
 		r.noteUpstreams(p)
 	}
@@ -87,7 +87,7 @@
 
 // noteUpstreams logs what has become known of upstreams: each, or how many if there are many.
 func (r *Router) noteUpstreams(p knowledge.Part[upstream.Instance]) {
-	age := time.Since(p.AsOf).Milliseconds()
+	age := clock.Since(p.AsOf).Milliseconds()
 	if len(p.Changes) > fewListed {
 		counts := map[upstream.State]int{}
 		for _, c := range p.Changes {
--- a/services/entry/register.go
+++ b/services/entry/register.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -45,7 +46,7 @@
 		sleep.For(ctx, seedPatience)
 	}
 	for ; ctx.Err() == nil; sleep.For(ctx, registerEvery) {
-		now := time.Now()
+		now := clock.Now()
 		if !r.reads(now, feedNodes) {
 			known = registry{}
 			continue
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -11,6 +11,7 @@
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -127,11 +128,11 @@
 	for {
 		select {
 		case id := <-r.sought:
-			if time.Now().Before(pauses[id].until) {
+			if clock.Now().Before(pauses[id].until) {
 				continue
 			}
 			r.seekOne(ctx, id)
-			now := time.Now()
+			now := clock.Now()
 			covered, some := r.covered(now, id)
 			pauses[id] = pauses[id].next(now, covered, some)
 		case <-ctx.Done():
@@ -154,7 +155,7 @@
 // left of which nobody tells. A service may have several groups: one that tells says nothing of the others.
 func (r *Router) seekOne(ctx context.Context, id service.ID) {
 	r.askCoordinators(ctx, id)
-	if all, _ := r.covered(time.Now(), id); all {
+	if all, _ := r.covered(clock.Now(), id); all {
 		return
 	}
 	for _, n := range r.someRouters(seekRouters) {
@@ -166,7 +167,7 @@
 			continue
 		}
 		r.askCoordinators(ctx, id)
-		if all, _ := r.covered(time.Now(), id); all {
+		if all, _ := r.covered(clock.Now(), id); all {
 			return
 		}
 	}
@@ -180,7 +181,7 @@
 		l := r.groups[c.Group]
 		want := balance.Want{Router: r.table.Self(), List: l.list.Number}
 		r.mu.Unlock()
-		if time.Since(l.toldAt) < seekStale {
+		if clock.Since(l.toldAt) < seekStale {
 			continue
 		}
 		var report balance.Report
@@ -189,7 +190,7 @@
 			continue
 		}
 		if report.ID != "" {
-			r.takeReport(time.Now(), report)
+			r.takeReport(clock.Now(), report)
 		}
 	}
 }
@@ -218,7 +219,7 @@
 // someRouters returns some routers that seem to run, chosen by chance.
 func (r *Router) someRouters(most int) []peer.Info {
 	r.mu.Lock()
-	live := r.table.Live(time.Now(), vm.RoleRouter)
+	live := r.table.Live(clock.Now(), vm.RoleRouter)
 	r.mu.Unlock()
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] }) //nolint:gosec // no secret
 	return live[:min(most, len(live))]
--- a/services/once/loops.go
+++ b/services/once/loops.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 
 	"github.com/cenkalti/backoff/v5"
@@ -47,7 +48,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Apply(time.Now(), p)
+	s.core.Apply(clock.Now(), p)
 	s.dispatch()
 	return nil
 }
@@ -86,7 +87,7 @@
 		s.core.Requeue(rec)
 		return err
 	}
-	s.core.Contact(time.Now())
+	s.core.Contact(clock.Now())
 	return nil
 }
 
--- a/services/once/owning.go
+++ b/services/once/owning.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 )
 
@@ -23,7 +24,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.own(ctx, time.Now())
+			s.own(ctx, clock.Now())
 		}
 	}
 }
@@ -74,19 +75,19 @@
 	rec := s.core.TakeRecord(list)
 	s.mu.Unlock()
 	err := s.append(ctx, rec)
-	s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "take", Detail: fmt.Sprintf("slices=%v error=%v", list, err)})
+	s.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "take", Detail: fmt.Sprintf("slices=%v error=%v", list, err)})
 }
 
 func (s *Service) settle(ctx context.Context, v SliceView) {
 	keys, complete := s.peers.Settle(ctx, v.Slice, v.Epoch)
 	if !complete {
-		s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "unsettled", Detail: fmt.Sprintf("slice=%d", v.Slice)})
+		s.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "unsettled", Detail: fmt.Sprintf("slice=%d", v.Slice)})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.core.Settle(time.Now(), v.Slice, v.Epoch, keys) {
-		s.ring.Add(time.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "settled", Detail: fmt.Sprintf("slice=%d epoch=%d keys=%d", v.Slice, v.Epoch, len(keys))})
+	if s.core.Settle(clock.Now(), v.Slice, v.Epoch, keys) {
+		s.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "settled", Detail: fmt.Sprintf("slice=%d epoch=%d keys=%d", v.Slice, v.Epoch, len(keys))})
 	}
 }
 
--- a/services/once/service.go
+++ b/services/once/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/request"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services"
 
@@ -109,7 +110,7 @@
 	a.Token = s.last
 	ch := make(chan Action, 2)
 	s.waiters[a.Token] = ch
-	d := s.core.Submit(time.Now(), a)
+	d := s.core.Submit(clock.Now(), a)
 	s.dispatch()
 	s.mu.Unlock()
 	defer s.forget(a.Token)
@@ -125,7 +126,7 @@
 }
 
 func (s *Service) wait(ctx context.Context, a Attempt, ch chan Action, run func(context.Context) Answer) Answer {
-	timer := time.NewTimer(time.Until(a.Deadline))
+	timer := time.NewTimer(clock.Until(a.Deadline))
 	defer timer.Stop()
 	select {
 	case act := <-ch:
@@ -153,7 +154,7 @@
 // start runs an attempt that was chosen, and waits for it until the caller's time is over.
 func (s *Service) start(ctx context.Context, a Attempt, run func(context.Context) Answer) Answer {
 	s.mu.Lock()
-	ok := s.core.Begin(time.Now(), a)
+	ok := s.core.Begin(clock.Now(), a)
 	s.dispatch()
 	s.mu.Unlock()
 	if !ok {
@@ -165,12 +166,12 @@
 		defer cancel()
 		answer := run(rctx)
 		s.mu.Lock()
-		s.core.Finish(time.Now(), a.Key, answer)
+		s.core.Finish(clock.Now(), a.Key, answer)
 		s.dispatch()
 		s.mu.Unlock()
 		result <- answer
 	})
-	timer := time.NewTimer(time.Until(a.Deadline))
+	timer := time.NewTimer(clock.Until(a.Deadline))
 	defer timer.Stop()
 	select {
 	case answer := <-result:
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -145,7 +146,7 @@
 
 // Status tells a coordinator the load of the rank.
 func (p *API) Status(ask Ask, r *Reply) error {
-	heard := p.a.listen(time.Now(), ask.Lead)
+	heard := p.a.listen(clock.Now(), ask.Lead)
 	if heard == unplaced {
 		return errNoGroup
 	}
@@ -255,7 +256,7 @@
 	if r.Status, err = a.opts.Engine.Status(ctx); err != nil {
 		return err
 	}
-	if err = a.noteStatus(time.Now(), &r.Status); err != nil {
+	if err = a.noteStatus(clock.Now(), &r.Status); err != nil {
 		return err
 	}
 	if !ask.Counts {
--- a/services/rank/claim.go
+++ b/services/rank/claim.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -48,7 +49,7 @@
 func (a *Agent) led() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, _, led := a.candidate.Led(time.Now())
+	_, _, led := a.candidate.Led(clock.Now())
 	return led
 }
 
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -11,6 +11,7 @@
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
@@ -105,7 +106,7 @@
 func newCoordinator(a *Agent, lead election.Lead, s services.RankStatus) *coordinator {
 	fence := fenceOf(lead.Authority)
 	c := &coordinator{
-		a: a, logger: a.opts.Logger.With().Str("group", string(lead.Group)).Logger(), own: lead, fence: fence, version: expertmap.Version(fence), service: a.opts.Self.Service, first: s, reached: time.Now(),
+		a: a, logger: a.opts.Logger.With().Str("group", string(lead.Group)).Logger(), own: lead, fence: fence, version: expertmap.Version(fence), service: a.opts.Self.Service, first: s, reached: clock.Now(),
 		book: balance.NewBook(uint64(fence)), foreign: map[string]time.Time{}, inbox: make(chan answers, inboxSize),
 		outstanding: map[string]bool{}, late: map[string]bool{}, failedRelays: map[string]time.Time{},
 	}
@@ -145,10 +146,10 @@
 	defer cancel()
 	c.sending.Go(func() { c.followNodes(cctx, nodesEvery, claimPause) })
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := clock.Now()
 		c.lookAround()
 		c.look(ctx, true)
-		now := time.Now()
+		now := clock.Now()
 		switch {
 		case c.moved:
 			return "the rank beside it is another one"
@@ -160,7 +161,7 @@
 		c.note(now)
 		c.tellRouters(ctx, now)
 		c.improve(ctx, now)
-		sleep.For(ctx, lookEvery-time.Since(begun))
+		sleep.For(ctx, lookEvery-clock.Since(begun))
 	}
 	return "process stops"
 }
--- a/services/rank/dispatch.go
+++ b/services/rank/dispatch.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -44,7 +44,7 @@
 		key := batch{part: i, kind: s.Order.Kind, version: s.Order.Version, step: s.Order.Step}
 		batches[key] = append(batches[key], dl)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for key, dls := range batches {
 		relay, ok := d.c.parts[key.part].relay(now, d.c.failedRelays)
 		if !ok || len(dls) == 1 {
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -10,6 +10,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/expertmap"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/mapswitch"
@@ -42,37 +43,37 @@
 
 // settle takes back what an earlier coordinator has left behind. It returns false if there was nothing.
 func (d *driver) settle(ctx context.Context, status []services.RankStatus) bool {
-	return d.settleBy(ctx, mapswitch.Settle(time.Now(), d.c.fence+1, d.self(), status), -1)
+	return d.settleBy(ctx, mapswitch.Settle(clock.Now(), d.c.fence+1, d.self(), status), -1)
 }
 
 // settleWithout is settle for a group in which one rank does not answer. It reports whether there was something
 // that can be taken back without that rank.
 func (d *driver) settleWithout(ctx context.Context, silent group.Rank, status []services.RankStatus) bool {
-	return d.settleBy(ctx, mapswitch.SettleWithout(time.Now(), d.c.fence+1, d.self(), silent, status), int(silent))
+	return d.settleBy(ctx, mapswitch.SettleWithout(clock.Now(), d.c.fence+1, d.self(), silent, status), int(silent))
 }
 
 func (d *driver) settleBy(ctx context.Context, m *mapswitch.Machine, silent int) bool {
 	if m == nil {
 		return false
 	}
-	begun := time.Now()
+	begun := clock.Now()
 	stage := d.drive(ctx, m)
 	d.c.logger.Info().Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(d.c.members[d.self()].status.Epoch)).Int("silent_rank", silent).
-		Str("stage", string(stage)).Int64("took_ms", time.Since(begun).Milliseconds()).Msg("map-settle")
+		Str("stage", string(stage)).Int64("took_ms", clock.Since(begun).Milliseconds()).Msg("map-settle")
 	return true
 }
 
 // change brings a new map into force.
 func (d *driver) change(ctx context.Context, status []services.RankStatus, next *expertmap.Map) {
-	began := time.Now()
+	began := clock.Now()
 	m := mapswitch.Start(began, d.c.fence+1, d.self(), status, next.Version, next.Layers)
 	d.goOnFrom(d.c.planner.current, next)
 	stage := d.drive(ctx, m)
 	d.c.logger.Info().Uint64("version", uint64(next.Version)).Uint64("fence", uint64(m.Fence)).Uint64("epoch", uint64(status[0].Epoch)).
 		Str("stage", string(stage)).Float64("skew", d.c.planner.skew).Int("moves", d.c.planner.moves).
-		Int64("took_ms", time.Since(began).Milliseconds()).Int64("held_ms", d.held(m).Milliseconds()).Msg("map-change")
+		Int64("took_ms", clock.Since(began).Milliseconds()).Int64("held_ms", d.held(m).Milliseconds()).Msg("map-change")
 	if stage == mapswitch.StageDone {
-		d.c.pending, d.c.pendingFrom = next.Version, time.Now()
+		d.c.pending, d.c.pendingFrom = next.Version, clock.Now()
 		d.c.planner.loaded(m.HeldAt().Sub(began))
 	}
 	d.c.planner.ended(next, stage == mapswitch.StageDone)
@@ -126,7 +127,7 @@
 	if m.HeldAt().IsZero() {
 		return 0
 	}
-	return time.Since(m.HeldAt())
+	return clock.Since(m.HeldAt())
 }
 
 // self returns the coordinator's own rank.
@@ -148,12 +149,12 @@
 		d.dispatch(ctx, m.Sends(), answers)
 		select {
 		case a := <-answers:
-			m.Answer(time.Now(), a.send, a.answer)
+			m.Answer(clock.Now(), a.send, a.answer)
 		case <-tick.C:
-			if now := time.Now(); !m.Holding() || now.Sub(d.c.lookedAt) > holdLook {
+			if now := clock.Now(); !m.Holding() || now.Sub(d.c.lookedAt) > holdLook {
 				d.observe(ctx, m)
 			}
-			m.Tick(time.Now())
+			m.Tick(clock.Now())
 		case <-ctx.Done():
 		}
 	}
@@ -166,10 +167,10 @@
 
 // observe asks all ranks and tells the machine. Routers go on being told.
 func (d *driver) observe(ctx context.Context, m *mapswitch.Machine) {
-	asked := time.Now()
+	asked := clock.Now()
 	loading := m.Loading()
 	d.c.look(ctx, loading)
-	now := time.Now()
+	now := clock.Now()
 	if loading {
 		d.c.planner.watch(now, d.c.counts())
 		if d.c.planner.outdated(now, driveTick) {
--- a/services/rank/elect.go
+++ b/services/rank/elect.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -45,23 +46,23 @@
 
 // Leads tells whether somebody leads the group of the rank.
 func (p *API) Leads(ask LeadAsk, r *LeadReply) error {
-	own := p.a.groupFor(time.Now(), ask.Group)
+	own := p.a.groupFor(clock.Now(), ask.Group)
 	p.a.mu.Lock()
 	defer p.a.mu.Unlock()
 	if r.Foreign = own != "" && own != ask.Group; r.Foreign {
 		return nil
 	}
-	r.Lead, r.Age, r.Led = p.a.candidate.Led(time.Now())
+	r.Lead, r.Age, r.Led = p.a.candidate.Led(clock.Now())
 	r.Claiming = p.a.claiming
 	return nil
 }
 
 // Run looks for a coordinator until ctx ends, and is one when there is none.
 func (a *Agent) Run(ctx context.Context) {
-	started := time.Now()
+	started := clock.Now()
 	registered := false
 	for ; ctx.Err() == nil; sleep.For(ctx, electTick) {
-		now := time.Now()
+		now := clock.Now()
 		a.noteLeadership(now)
 		if a.groupOf() == "" {
 			// Also after the engine has started anew and told no group for a moment: nobody would stand up for the group any more.
@@ -161,7 +162,7 @@
 	case authority == 0:
 		a.tried(TryClaimerLeads)
 		return
-	case !a.hear(time.Now(), lead):
+	case !a.hear(clock.Now(), lead):
 		a.tried(TryOutranked)
 		return
 	}
@@ -169,7 +170,7 @@
 	c.found.Store(&s)
 	a.lead(c)
 	defer a.ended(authority)
-	a.noteLeadership(time.Now())
+	a.noteLeadership(clock.Now())
 	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Str("group", string(lead.Group)).Int("rank", lead.Rank).Int("others", len(s.agents)).Msg("coordinator-begins")
 	why := c.run(ctx)
 	a.opts.Logger.Info().Uint64("authority", uint64(authority)).Str("group", string(lead.Group)).Str("reason", why).Msg("coordinator-ends")
@@ -187,7 +188,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.leading = nil
-	a.candidate.Ended(time.Now(), au)
+	a.candidate.Ended(clock.Now(), au)
 }
 
 func (a *Agent) failed(end TryEnd, err error) {
@@ -195,24 +196,24 @@
 	a.tried(end)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.candidate.Failed(time.Now())
+	a.candidate.Failed(clock.Now())
 }
 
 // wait gives an agent that is claiming the time to begin.
 func (a *Agent) wait() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.candidate.Wait(time.Now())
+	a.candidate.Wait(clock.Now())
 }
 
 // surroundings returns which processes there are, as it was read lately.
 func (a *Agent) surroundings(ctx context.Context) (surroundings, error) {
-	if time.Since(a.around.at) < claimPause {
+	if clock.Since(a.around.at) < claimPause {
 		return a.around, nil
 	}
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	err := a.around.readNodes(cctx, time.Now(), a.opts)
+	err := a.around.readNodes(cctx, clock.Now(), a.opts)
 	return a.around, err
 }
 
@@ -267,5 +268,5 @@
 	if !r.Led {
 		return false
 	}
-	return a.hear(time.Now().Add(-r.Age), r.Lead) && a.led()
+	return a.hear(clock.Now().Add(-r.Age), r.Lead) && a.led()
 }
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -30,7 +31,7 @@
 // look asks all ranks for their load. It waits for the parts whose answers came in time before; others are taken in
 // when they come.
 func (c *coordinator) look(ctx context.Context, counts bool) {
-	now := time.Now()
+	now := clock.Now()
 	c.noteLook(now)
 	counted := map[string]bool{}
 	if counts {
@@ -52,19 +53,19 @@
 	}
 	c.collect(ctx, waited)
 	c.askDirectly(ctx)
-	c.judge(time.Now())
+	c.judge(clock.Now())
 }
 
 // lookAtSelf takes in the load of the own rank.
 func (c *coordinator) lookAtSelf(counted map[string]bool) {
-	sent := time.Now()
+	sent := clock.Now()
 	var own Reply
 	if err := c.a.status(c.ask(c.a.opts.Self, counted), &own); err == nil {
 		s := own.Status
 		c.moved = s.Group != c.first.Group || s.Rank != c.first.Rank || s.Size != c.first.Size
 		c.take(sent, c.a.opts.Self, own)
 	}
-	c.lost = c.lost || !c.a.hear(time.Now(), c.lead())
+	c.lost = c.lost || !c.a.hear(clock.Now(), c.lead())
 }
 
 // askPart asks the agents of a part. What they answer comes in the inbox.
@@ -132,7 +133,7 @@
 
 // takeAll takes in the answers of a part.
 func (c *coordinator) takeAll(a answers) {
-	now := time.Now()
+	now := clock.Now()
 	if key := a.part[0].Name; !a.direct {
 		c.outstanding[key], c.late[key] = false, now.Sub(a.sent) > lateAfter
 	}
@@ -184,7 +185,7 @@
 
 // askDirectly asks the engines of ranks whose agents have been silent for a while, a few at a time.
 func (c *coordinator) askDirectly(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	for _, n := range c.agents {
 		if c.asking.Load() >= directAtOnce || c.skips(now, n) {
 			continue
@@ -209,7 +210,7 @@
 
 // askEngine asks a rank's engine directly.
 func (c *coordinator) askEngine(ctx context.Context, n peer.Info) answers {
-	sent := time.Now()
+	sent := clock.Now()
 	cctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	s, err := c.a.opts.Dial(n.Engine).Status(cctx)
@@ -240,7 +241,7 @@
 	if m.known && (sent.Before(m.sent) || n.Engine == m.info.Engine && r.Status.Born < m.status.Born) {
 		return
 	}
-	m.info, m.status, m.sent, m.heard, m.known = n, r.Status, sent, time.Now(), true
+	m.info, m.status, m.sent, m.heard, m.known = n, r.Status, sent, clock.Now(), true
 	if r.Start != 0 {
 		m.start = r.Start
 	}
--- a/services/rank/order.go
+++ b/services/rank/order.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/expertmap"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/election"
 )
@@ -34,7 +35,7 @@
 
 // Order carries out an order of a coordinator.
 func (p *API) Order(o Order, r *OrderReply) error {
-	heard := p.a.listen(time.Now(), o.Lead)
+	heard := p.a.listen(clock.Now(), o.Lead)
 	switch {
 	case heard == unplaced:
 		r.Answer = services.RankUnknown // the engine does not answer
@@ -119,7 +120,7 @@
 
 // awaitLoaded waits until the engine has loaded the experts of a map.
 func (a *Agent) awaitLoaded(o services.RankOrder) services.RankAnswer {
-	for end := time.Now().Add(loadTime); time.Now().Before(end); time.Sleep(loadTick) {
+	for end := clock.Now().Add(loadTime); clock.Now().Before(end); time.Sleep(loadTick) {
 		var r Reply
 		if err := a.status(Ask{}, &r); err != nil {
 			continue // the engine is asked again until the end
--- a/services/rank/surroundings.go
+++ b/services/rank/surroundings.go
@@ -10,6 +10,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/sleep"
 	"fawnwinch.org/fawnwinch/services/peer"
 )
@@ -54,7 +55,7 @@
 func (c *coordinator) read(ctx context.Context, s *surroundings) bool {
 	cctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	if now := time.Now(); now.Sub(s.at) >= claimPause {
+	if now := clock.Now(); now.Sub(s.at) >= claimPause {
 		if err := s.readNodes(cctx, now, c.a.opts); err != nil {
 			c.logger.Warn().Err(err).Msg("nodes-unread")
 			return false
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
 
@@ -68,7 +69,7 @@
 				c.logger.Debug().Str("router", n.Name).Err(err).Msg("router-silent")
 				return
 			}
-			c.book.Answered(time.Now(), n, number, list, r)
+			c.book.Answered(clock.Now(), n, number, list, r)
 		})
 	}
 }
@@ -86,7 +87,7 @@
 	if g == nil {
 		return nil
 	}
-	*r = c.book.Want(time.Now(), w, *g)
+	*r = c.book.Want(clock.Now(), w, *g)
 	r.Authority, r.Coordinator = uint64(c.own.Authority), p.a.opts.Self.Address
 	return nil
 }
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -13,6 +13,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpconn"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
@@ -50,22 +51,22 @@
 	defer x.r.ended(x)
 	for dials := 0; ; {
 		x.r.ended(x)
-		if no := x.r.barred(time.Now(), x); no != nil {
+		if no := x.r.barred(clock.Now(), x); no != nil {
 			x.giveUp(ctx, *no)
 			return
 		}
-		began := time.Now()
+		began := clock.Now()
 		u, ok := x.r.acquire(ctx, x)
-		x.waited += time.Since(began)
+		x.waited += clock.Since(began)
 		if !ok {
 			x.giveUp(ctx, x.busy())
 			return
 		}
 		x.last = u.ID
-		sent := time.Now()
+		sent := clock.Now()
 		a, res, err := x.attempt(ctx, u)
 		if errors.Is(err, errBarred) {
-			x.r.release(x.service, u, res, time.Since(began), false)
+			x.r.release(x.service, u, res, clock.Since(began), false)
 			continue
 		}
 		if err == nil {
@@ -73,7 +74,7 @@
 				return
 			}
 		} else {
-			x.r.release(x.service, u, res, time.Since(began), false)
+			x.r.release(x.service, u, res, clock.Since(began), false)
 			x.logAttempt(u, res, err)
 			if res == balance.ResultBroken {
 				x.r.lookAfter(ctx, x, u, sent, 0)
@@ -133,7 +134,7 @@
 // result says what it tells of the upstream.
 func (x *exchange) attempt(ctx context.Context, u upstream.Instance) (*answer, balance.Result, error) {
 	x.r.reach(u)
-	conn, _, err := x.r.conns.Take(ctx, time.Now(), u.Address)
+	conn, _, err := x.r.conns.Take(ctx, clock.Now(), u.Address)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, balance.ResultCancelled, fmt.Errorf("connect to upstream %s: %w", u.ID, err)
@@ -144,11 +145,11 @@
 		conn.Close()
 		return nil, balance.ResultUnreached, fmt.Errorf("upstream %s has begun to leave", u.ID)
 	}
-	if !x.r.begins(time.Now(), x) {
+	if !x.r.begins(clock.Now(), x) {
 		conn.Close()
 		return nil, balance.ResultCancelled, errBarred
 	}
-	a := &answer{upstream: u, conn: conn, began: time.Now()}
+	a := &answer{upstream: u, conn: conn, began: clock.Now()}
 	// The end of the caller or of the time ends the upstream's work too.
 	a.stop = context.AfterFunc(ctx, conn.Close)
 	x.attempts++
@@ -160,7 +161,7 @@
 		a.drop()
 		return nil, x.brokenOr(ctx), errors.Join(sent, err)
 	}
-	x.r.answers(time.Now(), a)
+	x.r.answers(clock.Now(), a)
 	x.mayRun = wasRunning || a.head.Execution == services.ExecutionDone || a.head.Execution == services.ExecutionFailed
 	return a, balance.ResultOK, nil
 }
@@ -181,7 +182,7 @@
 	return &httpconn.Request{
 		Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Body: x.body,
 		Header: x.r.opts.Protocol.Outgoing(x.req.Header, services.Outgoing{
-			Upstream: u.ID, Account: x.account, Left: time.Until(x.deadline), LastEvent: last, Urgency: x.urgency,
+			Upstream: u.ID, Account: x.account, Left: clock.Until(x.deadline), LastEvent: last, Urgency: x.urgency,
 		}),
 	}
 }
@@ -218,7 +219,7 @@
 		a.drop()
 		return
 	}
-	p.Give(time.Now(), a.conn, rest)
+	p.Give(clock.Now(), a.conn, rest)
 }
 
 // deliver passes an answer on, or returns false if another upstream should be tried.
@@ -249,7 +250,7 @@
 	} else {
 		a.keep(x.r.conns)
 	}
-	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
+	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
 	x.logAttempt(a.upstream, res, err)
 }
 
@@ -280,10 +281,10 @@
 // brokeOff notes that an answer broke off.
 func (x *exchange) brokeOff(ctx context.Context, a *answer, err error) {
 	res := x.brokenOr(ctx)
-	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
+	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
 	x.logAttempt(a.upstream, res, err)
 	if res == balance.ResultBroken {
-		x.r.lookAfter(ctx, x, a.upstream, a.began, a.lasted(time.Now()))
+		x.r.lookAfter(ctx, x, a.upstream, a.began, a.lasted(clock.Now()))
 	}
 }
 
@@ -325,9 +326,9 @@
 		x.brokeOff(ctx, a, err)
 		return nil, false
 	}
-	x.r.ran(time.Now(), x, quarantine.Finished)
+	x.r.ran(clock.Now(), x, quarantine.Finished)
 	a.keep(x.r.conns)
-	x.r.release(x.service, a.upstream, res, time.Since(a.began), a.started)
+	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
 	return &wholeAnswer{upstream: a.upstream.ID, status: a.resp.StatusCode, header: x.r.opts.Protocol.Returned(a.resp.Header), body: body}, true
 }
 
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/quarantine"
 )
@@ -133,7 +134,7 @@
 // lookAfter finds out whether an upstream has ended in the middle of a request, and notes what that says of the request. Sent is
 // when it was sent, and lasted how long its answer had been coming. A reset alone says nothing: links and proxies reset connections, and so do upstreams that live.
 func (r *Relay) lookAfter(ctx context.Context, x *exchange, u upstream.Instance, sent time.Time, lasted time.Duration) {
-	broke := time.Now()
+	broke := clock.Now()
 	l := r.lookAt(ctx, u)
 	if l.ended() {
 		r.noteCrash(broke, x, u, quarantine.Crash{Key: x.key(), Run: u.Run(), Ran: broke.Sub(sent), Lasted: lasted})
@@ -168,7 +169,7 @@
 
 // lookAt looks whether an upstream takes connections; requests whose connections broke off together share a look.
 func (r *Relay) lookAt(ctx context.Context, u upstream.Instance) *look {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	l, ok := r.looks[u.Run()]
 	if ok && (l.at.IsZero() || l.ended() || now.Sub(l.at) < lookValid) {
@@ -184,7 +185,7 @@
 	err := r.conns.Reach(cctx, now, u.Address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l.err, l.at = err, time.Now()
+	l.err, l.at = err, clock.Now()
 	close(l.done)
 	return l
 }
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -17,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
 )
@@ -113,7 +113,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	x := &exchange{r: r, w: w, req: req, arrived: time.Now(), meta: r.opts.Protocol.Describe(req.Header), tried: map[upstream.ID]bool{}}
+	x := &exchange{r: r, w: w, req: req, arrived: clock.Now(), meta: r.opts.Protocol.Describe(req.Header), tried: map[upstream.ID]bool{}}
 	r.mu.Lock()
 	r.active++
 	leaving := r.leaving
@@ -130,7 +130,7 @@
 		x.refuse(*no)
 		return
 	}
-	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
+	ctx, cancel := clock.WithDeadline(req.Context(), x.deadline)
 	defer cancel()
 	x.run(ctx)
 }
@@ -254,7 +254,7 @@
 
 // finish logs and counts the end of a request.
 func (x *exchange) finish(status int, reason Reason) {
-	took := time.Since(x.arrived)
+	took := clock.Since(x.arrived)
 	outcome := "refused"
 	event := x.r.opts.Logger.Info()
 	switch {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -15,6 +15,7 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpconn"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
@@ -76,9 +77,9 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		opts: o, conns: httpconn.NewPool(), know: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*lane{}, routers: 1, unreported: func(service.ID) {},
-		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(time.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, looks: map[upstream.Run]*look{},
+		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, looks: map[upstream.Run]*look{},
 	}
-	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.Refused(time.Now())) })
+	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.Refused(clock.Now())) })
 	return r
 }
 
@@ -250,7 +251,7 @@
 
 // release notes the end of an attempt.
 func (r *Relay) release(id service.ID, u upstream.Instance, res balance.Result, took time.Duration, started bool) {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.lane(now, id)
@@ -276,7 +277,7 @@
 func (r *Relay) started(id service.ID, u upstream.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	r.lane(now, id).pool.Started(now, u.Run())
 }
 
@@ -284,12 +285,12 @@
 func (r *Relay) takes(u upstream.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.know.Takes(time.Now(), u.ID)
+	return r.know.Takes(clock.Now(), u.ID)
 }
 
 // mayRetry takes one retry out of the budget of a service.
 func (r *Relay) mayRetry(id service.ID) bool {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.lane(now, id).budget.Take(now)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/quarantine"
 
@@ -68,15 +69,15 @@
 	err := x.relayEvents(a)
 	switch {
 	case err == nil:
-		x.r.ran(time.Now(), x, quarantine.Finished)
+		x.r.ran(clock.Now(), x, quarantine.Finished)
 		a.keep(x.r.conns)
-		x.r.release(x.service, a.upstream, balance.ResultOK, time.Since(a.began), a.started)
+		x.r.release(x.service, a.upstream, balance.ResultOK, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonAnswered)
 		return true
 	case x.req.Context().Err() != nil:
-		x.r.ran(time.Now(), x, a.lasted(a.latestAt))
+		x.r.ran(clock.Now(), x, a.lasted(a.latestAt))
 		a.drop()
-		x.r.release(x.service, a.upstream, balance.ResultCancelled, time.Since(a.began), a.started)
+		x.r.release(x.service, a.upstream, balance.ResultCancelled, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonCallerGone)
 		panic(http.ErrAbortHandler)
 	}
@@ -99,7 +100,7 @@
 		if err != nil {
 			return fmt.Errorf("upstream %s: after event %q: %w", a.upstream.ID, x.stream.lastEvent, err)
 		}
-		a.latestAt = time.Now()
+		a.latestAt = clock.Now()
 		if !a.started {
 			a.started, a.startedAt = true, a.latestAt
 			x.r.started(x.service, a.upstream)
@@ -115,7 +116,7 @@
 		if err := out.Flush(); err != nil {
 			return fmt.Errorf("write to caller: %w", err)
 		}
-		x.stream.passed(time.Now())
+		x.stream.passed(clock.Now())
 		if id, ok := eventID(event); ok {
 			x.stream.lastEvent = id
 		}
--- a/services/relay/waiting.go
+++ b/services/relay/waiting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
@@ -16,7 +17,7 @@
 // false if there is none: at once where waiting is no use.
 func (r *Relay) acquire(ctx context.Context, x *exchange) (upstream.Instance, bool) {
 	r.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	l := r.lane(now, x.service)
 	asked := r.asked(now, l, x)
 	usable := r.know.Usable(now, x.service)
@@ -88,7 +89,7 @@
 
 // afterNotRun forecasts when a request finds room that upstreams did not run.
 func (r *Relay) afterNotRun(x *exchange) time.Duration {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.lane(now, x.service)
--- a/services/share/gate.go
+++ b/services/share/gate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/account"
+	"fawnwinch.org/fawnwinch/modules/clock"
 )
 
 // Gate lets requests through in the order a Queue decides. It is safe for use by several goroutines.
@@ -53,8 +54,8 @@
 	g.last++
 	it.Ticket = g.last
 	g.calls[it.Ticket] = ch
-	g.refuse(g.queue.Enqueue(time.Now(), it))
-	g.advance(time.Now())
+	g.refuse(g.queue.Enqueue(clock.Now(), it))
+	g.advance(clock.Now())
 	g.mu.Unlock()
 	select {
 	case r := <-ch:
@@ -80,15 +81,15 @@
 	case <-ch:
 	default:
 	}
-	g.queue.Done(time.Now(), t)
-	g.advance(time.Now())
+	g.queue.Done(clock.Now(), t)
+	g.advance(clock.Now())
 }
 
 func (g *Gate) leave(t Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Done(time.Now(), t)
-	g.advance(time.Now())
+	g.queue.Done(clock.Now(), t)
+	g.advance(clock.Now())
 }
 
 // advance lets the next requests through. The caller holds the lock.
