--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -105,11 +105,15 @@
 // unless the time of day was set back at the same time.
 const lookEvery = 500 * time.Millisecond
 
-// watchClock logs that the VM was suspended, while the process runs.
+// watchClock logs that the VM was suspended, while the process runs, or that this cannot be told.
 func watchClock(lc fx.Lifecycle, logger zerolog.Logger) {
-	before := time.Duration(0)
+	before, able := clock.Suspended()
+	if !able {
+		logger.Warn().Msg("suspensions-not-counted")
+		return
+	}
 	repeat(lc, lookEvery, func() {
-		total := clock.Suspended()
+		total, _ := clock.Suspended()
 		if total > before {
 			logger.Warn().Int64("suspended_ms", (total-before).Milliseconds()).Int64("total_ms", total.Milliseconds()).Msg("vm-was-suspended")
 		}
--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -36,12 +36,12 @@
 // Until returns the time that is left until t, which is one of this package's times.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
-// Suspended returns for how long the VM was suspended since the process began, as far as its clock can tell.
-func Suspended() time.Duration {
+// Suspended returns for how long the VM was suspended since the process began; false if its clock cannot tell.
+func Suspended() (time.Duration, bool) {
 	s, ok := (*current.Load()).(*System)
-	if !ok {
-		return 0
+	if !ok || s.blind {
+		return 0, false
 	}
 	s.Look()
-	return s.Suspended()
+	return s.Suspended(), true
 }
