--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -74,6 +74,13 @@
 	st.first = len(st.records)
 }
 
+// Records returns the number of records that were added to a stream.
+func (s *Store) Records(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.stream(topic).records)
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/tests/integration/platform_crash_test.go
+++ b/tests/integration/platform_crash_test.go
@@ -30,6 +30,9 @@
 
 	mu      sync.Mutex
 	started int
+	routers map[string]*node
+	// tries counts those of the crashing request.
+	tries int
 	// runs holds when the crashing request reached a replica; each of them ended.
 	runs []time.Time
 	// listed is the replica that has crashed last: what crashes says nothing, and its entry stays for some seconds.
@@ -107,6 +110,31 @@
 	})
 }
 
+// try sends the crashing request to one router after the other.
+func (d *desk) try() (int, http.Header) {
+	d.t.Helper()
+	n := d.routers[string("abc"[d.tries%3])]
+	d.tries++
+	d.serves(n)
+	status, _, header := askBody(d.t.Context(), d.t, n.front, "/peek/x", "k", crashing)
+	return status, header
+}
+
+// refused tries the crashing request until every router has refused it at once.
+func (d *desk) refused() {
+	d.t.Helper()
+	eventually(d.t, "a refusal by every router", func() bool {
+		before, _ := d.crashes()
+		for range len(d.routers) {
+			if status, _ := d.try(); status != http.StatusServiceUnavailable {
+				return false
+			}
+		}
+		after, _ := d.crashes()
+		return after == before
+	})
+}
+
 // TestCrashingRequest has a caller come again and again, at any router, with a request under which each replica that runs it ends. On
 // one evening a tournament's rulings were out for twenty seconds at a time: such a request was sent to replicas four times more after
 // it had crashed three, and eight had ended when its caller gave up. Nothing knew the request again, because routers go by ids and each
@@ -120,16 +148,8 @@
 	s := newSite(t)
 	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
 	d := newDesk(t, s, 3)
-	routers := s.startThree()
-	order := []*node{routers["a"], routers["b"], routers["c"]}
-	next := 0
-	try := func() (int, http.Header) {
-		n := order[next%len(order)]
-		next++
-		d.serves(n)
-		status, _, header := askBody(t.Context(), t, n.front, "/peek/x", "k", crashing)
-		return status, header
-	}
+	d.routers = s.startThree()
+	try := d.try
 	eventually(t, "three crashes", func() bool { try(); n, _ := d.crashes(); return n >= 3 })
 	_, third := d.crashes()
 	for time.Since(third) < learnTime {
@@ -149,3 +169,28 @@
 	n, _ := d.crashes()
 	t.Logf("%d replicas ended, %d of them after every router had to know", n, n-before)
 }
+
+// TestCrashingRequestPowerLoss has all routers lose what they know while such a request comes again and again. Nothing was left of it
+// but in the memory of the routers, so after each loss of power it was sent until it had crashed three more.
+func TestCrashingRequestPowerLoss(t *testing.T) {
+	s := newSite(t)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	d := newDesk(t, s, 3)
+	d.routers = s.startThree()
+	d.refused()
+	poll(learnTime, func() bool { return s.store.Records(quarantineStream) > 0 })
+	before, _ := d.crashes()
+	const losses = 2
+	for range losses {
+		for _, n := range d.routers {
+			n.kill()
+		}
+		for _, n := range d.routers {
+			n.start()
+		}
+		d.refused()
+	}
+	if n, _ := d.crashes(); n > before+mostAfter {
+		t.Errorf("it was sent to replicas %d times after it had crashed three, want %d at most", n-before, mostAfter)
+	}
+}
--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -29,6 +29,8 @@
 const (
 	operatorStream = "keyed.op"
 	replicaStream  = "keyed.servers"
+	// quarantineStream is what routers keep there of requests that crash upstreams.
+	quarantineStream = "keyed.fawnwinch-quarantine"
 )
 
 // replica is a plain replica that answers as the platform's do.
