Refused requests are kept in the platform's store

Callers saw (test): after a loss of power of all routers such a request crashed three replicas more, each time. Cause: what is known of it was in the memory of routers. Ruled out: agents as keepers, which lose power with the routers. Change: the router that registers the others writes an entry for each refused request, one call for all that are new, and drops those that are not refused any more; the one that takes this over reads them, one read. Routers tell each other as before, also while the store is away.

--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -37,6 +37,10 @@
 	Nodes() services.Feed[peer.Info]
 	// PutNodes registers processes.
 	PutNodes(ctx context.Context, nodes []peer.Info) error
+	// Refused returns the feed of the requests that are refused because upstreams ended under them.
+	Refused() services.Feed[quarantine.Entry]
+	// PutRefused keeps entries of such requests, and drops others by name.
+	PutRefused(ctx context.Context, entries []quarantine.Entry, drop []string) error
 }
 
 // Options holds what a Router needs.
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/peer"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 	"fawnwinch.org/fawnwinch/services/relay"
 	"fawnwinch.org/fawnwinch/services/watch"
 
@@ -204,6 +205,12 @@
 func (silent) Catalogs() services.Feed[catalog.Catalog]    { return silentFeed[catalog.Catalog]{} }
 func (silent) Upstreams() services.Feed[upstream.Instance] { return silentFeed[upstream.Instance]{} }
 func (silent) Nodes() services.Feed[peer.Info]             { return silentFeed[peer.Info]{} }
+func (silent) Refused() services.Feed[quarantine.Entry]    { return silentFeed[quarantine.Entry]{} }
+func (silent) PutRefused(ctx context.Context, _ []quarantine.Entry, _ []string) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (silent) PutNodes(ctx context.Context, _ []peer.Info) error {
 	<-ctx.Done()
 	return ctx.Err()
@@ -291,3 +298,64 @@
 		}
 	})
 }
+
+// keeper is a store that keeps refused requests.
+type keeper struct {
+	silent
+
+	entries map[string]quarantine.Entry
+}
+
+func (k *keeper) Refused() services.Feed[quarantine.Entry] { return k }
+
+func (k *keeper) Snapshot(context.Context) ([]services.Change[quarantine.Entry], services.Offset, error) {
+	var out []services.Change[quarantine.Entry]
+	for name, e := range k.entries {
+		out = append(out, services.Change[quarantine.Entry]{Key: name, Value: &e})
+	}
+	return out, 0, nil
+}
+
+func (k *keeper) Changes(context.Context, services.Offset, time.Duration) ([]services.Change[quarantine.Entry], services.Offset, error) {
+	return nil, 0, errWrongRead
+}
+
+func (k *keeper) PutRefused(_ context.Context, entries []quarantine.Entry, drop []string) error {
+	for _, e := range entries {
+		k.entries[e.Name()] = e
+	}
+	for _, name := range drop {
+		delete(k.entries, name)
+	}
+	return nil
+}
+
+// TestKeepRefused checks that refused requests are kept for as long as they are refused, and known to a router that starts anew.
+func TestKeepRefused(t *testing.T) {
+	store := &keeper{entries: map[string]quarantine.Entry{}}
+	start := func() (*Router, *registry) {
+		return New(Options{Self: peer.Info{Name: "a"}, Store: store, Relay: quietRelay(), Logger: zerolog.Nop()}), &registry{}
+	}
+	keep := func(r *Router, known *registry, want int) {
+		t.Helper()
+		if err := r.keepRefused(t.Context(), known); err != nil || len(store.entries) != want {
+			t.Errorf("%d requests are kept, want %d; %v", len(store.entries), want, err)
+		}
+	}
+	k := quarantine.Key{Account: "x", Digest: 1}
+	r, known := start()
+	keep(r, known, 0)
+	r.opts.Relay.Crashes(func(g *quarantine.Register) {
+		for i, id := range []upstream.ID{"a", "b", "c"} {
+			g.Add(time.Now(), quarantine.Crash{Key: k, Run: upstream.Run{ID: id}, Age: time.Duration(3-i) * time.Second})
+		}
+	})
+	keep(r, known, 1)
+	r, known = start()
+	keep(r, known, 1)
+	if got := r.opts.Relay.Refused(time.Now()); got != 1 {
+		t.Errorf("%d requests are refused after a start, want 1", got)
+	}
+	r.opts.Relay.Crashes(func(g *quarantine.Register) { g.Ran(time.Now(), k, quarantine.Finished) })
+	keep(r, known, 0)
+}
--- /dev/null
+++ b/services/entry/refused.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/services/quarantine"
+)
+
+// maxKept bounds the entries that are written with one call.
+const maxKept = 64
+
+// keepRefused keeps the requests that are refused in the store, while this router registers the others: after a loss of all routers
+// nothing else knows them, and each would crash as many upstreams again.
+func (r *Router) keepRefused(ctx context.Context, known *registry) error {
+	if known.refused == nil {
+		if err := r.restoreRefused(ctx, known); err != nil {
+			return err
+		}
+	}
+	put, drop := r.refusedChanges(known)
+	if len(put)+len(drop) == 0 {
+		return nil
+	}
+	if err := r.opts.Store.PutRefused(ctx, put, drop); err != nil {
+		return fmt.Errorf("keep refused requests: %w", err)
+	}
+	for _, e := range put {
+		known.refused[e.Name()] = len(e.Crashes)
+	}
+	for _, name := range drop {
+		delete(known.refused, name)
+	}
+	r.opts.Logger.Info().Int("kept", len(put)).Int("dropped", len(drop)).Msg("refused-requests-kept")
+	return nil
+}
+
+// refusedChanges returns the entries to be kept, and the names of those that are not refused any more: their time is over, or something
+// has cleared them.
+func (r *Router) refusedChanges(known *registry) (put []quarantine.Entry, drop []string) {
+	now := clock.Now()
+	refused := map[string]bool{}
+	r.opts.Relay.Crashes(func(g *quarantine.Register) {
+		for _, e := range g.Refused(now) {
+			name := e.Name()
+			refused[name] = true
+			if known.refused[name] != len(e.Crashes) && len(put) < maxKept {
+				put = append(put, e)
+			}
+		}
+	})
+	for name := range known.refused {
+		if !refused[name] && len(drop) < maxKept {
+			drop = append(drop, name)
+		}
+	}
+	return put, drop
+}
+
+// restoreRefused reads the requests that were refused before.
+func (r *Router) restoreRefused(ctx context.Context, known *registry) error {
+	entries, _, err := r.opts.Store.Refused().Snapshot(ctx)
+	if err != nil {
+		return fmt.Errorf("read refused requests: %w", err)
+	}
+	refused := map[string]int{}
+	now := clock.Now()
+	r.opts.Relay.Crashes(func(g *quarantine.Register) {
+		for _, e := range entries {
+			refused[e.Key] = 0
+			if e.Value != nil {
+				g.Restore(now, *e.Value)
+				refused[e.Key] = len(e.Value.Crashes)
+			}
+		}
+	})
+	if len(refused) > 0 {
+		r.opts.Logger.Info().Int("read", len(refused)).Msg("refused-requests-read")
+		r.spread()
+	}
+	known.refused = refused
+	return nil
+}
--- a/services/entry/register.go
+++ b/services/entry/register.go
@@ -36,6 +36,9 @@
 	pause time.Duration
 	// addresses holds the address of each router by its name.
 	addresses map[string]string
+	// refused holds the entries of refused requests that are kept, by name, with the number of their crashes; nil before they were
+	// read.
+	refused map[string]int
 }
 
 // register registers the routers in the store, this one among them, while that is its turn: coordinators of groups find
@@ -55,6 +58,9 @@
 		if err := r.registerOnce(cctx, now, &known); err != nil {
 			r.opts.Logger.Warn().Err(err).Msg("registration-failed")
 		}
+		if err := r.keepRefused(cctx, &known); err != nil {
+			r.opts.Logger.Warn().Err(err).Msg("refused-requests-not-kept")
+		}
 		cancel()
 	}
 }
--- a/services/quarantine/register.go
+++ b/services/quarantine/register.go
@@ -213,17 +213,6 @@
 	return true
 }
 
-// Refused returns the number of requests that are refused.
-func (r *Register) Refused(now time.Time) int {
-	n := 0
-	for k := range r.records {
-		if r.Judge(now, k).Standing == StandingRefused {
-			n++
-		}
-	}
-	return n
-}
-
 // Since returns what has changed after a mark of this register, and all there is for one of another.
 func (r *Register) Since(now time.Time, m Mark) []Crash {
 	if m.Start != r.start {
@@ -233,13 +222,18 @@
 	for k, rec := range r.records {
 		for u, c := range rec.crashes {
 			if c.changed > m.Position {
-				out = append(out, Crash{Key: k, Run: u, Ran: c.at.Sub(c.sent), Lasted: c.lasted, Age: now.Sub(c.at), Cleared: c.cleared})
+				out = append(out, c.told(now, k, u))
 			}
 		}
 	}
 	return out
 }
 
+// told returns an end as it is told to others.
+func (c *crash) told(now time.Time, k Key, run upstream.Run) Crash {
+	return Crash{Key: k, Run: run, Ran: c.at.Sub(c.sent), Lasted: c.lasted, Age: now.Sub(c.at), Cleared: c.cleared}
+}
+
 // Sweep forgets what is too old.
 func (r *Register) Sweep(now time.Time) {
 	maps.DeleteFunc(r.records, func(_ Key, rec *record) bool { return now.Sub(rec.latest) >= forgottenAfter })
--- a/services/quarantine/register_test.go
+++ b/services/quarantine/register_test.go
@@ -155,3 +155,34 @@
 		t.Errorf("%d are told although nothing is new", len(got))
 	}
 }
+
+// TestRestore checks that a request which is kept is refused again by a register that knows nothing, for as long as it would have been.
+func TestRestore(t *testing.T) {
+	k := Key{Account: "x", Digest: 1}
+	first := NewRegister(begun)
+	for i := range refusedFrom {
+		first.Add(begun.Add(time.Duration(i)*time.Second), Crash{Key: k, Run: upstream.Run{ID: upstream.ID(fmt.Sprint(i))}, Ran: 100 * time.Millisecond})
+	}
+	kept := begun.Add(5 * time.Second)
+	entries := first.Refused(kept)
+	if len(entries) != 1 {
+		t.Fatalf("%d entries, want 1", len(entries))
+	}
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  Standing
+	}{
+		"at once":                       {0, StandingRefused},
+		"by a clock that is behind":     {-time.Minute, StandingRefused},
+		"before its time is over":       {refusedFor / 2, StandingRefused},
+		"after its time is over":        {refusedFor, StandingWatched},
+		"after everything is forgotten": {forgottenAfter, StandingFree},
+	} {
+		now := kept.Add(c.after)
+		r := NewRegister(now)
+		r.Restore(now, entries[0])
+		if got := r.Judge(now, k).Standing; got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -208,5 +208,5 @@
 func (r *Relay) Refused(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashes.Refused(now)
+	return len(r.crashes.Refused(now))
 }
