Transports do not send a request again by themselves, also one without a body

Cause: the library's transport repeats a GET whose kept connection breaks off; the body that forbids it was left out where it is empty. Change: httpx.SetBody, used by routers towards agents and by agents towards upstreams.

--- a/modules/httpx/httpx.go
+++ b/modules/httpx/httpx.go
@@ -5,6 +5,7 @@
 package httpx
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -98,6 +99,14 @@
 	}
 }
 
+// SetBody gives a request a body that cannot be rewound, also where it is empty: a transport sends a GET, or a request with an
+// idempotency key, a second time by itself if it can and the connection breaks off, although the first may have run.
+func SetBody(req *http.Request, body []byte) {
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.GetBody = nil
+	req.ContentLength = int64(len(body))
+}
+
 // Listen opens a TCP port.
 func Listen(address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
--- a/services/agent/handler.go
+++ b/services/agent/handler.go
@@ -4,7 +4,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -141,9 +140,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("make request to upstream: %w", err)
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		req.Body = io.NopCloser(bytes.NewReader(c.body))
-		req.ContentLength = int64(len(c.body))
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		httpx.SetBody(req, nil)
+	} else {
+		httpx.SetBody(req, c.body)
 	}
 	for _, name := range []string{"Content-Type", "Priority", request.HeaderID, request.HeaderAccount, request.HeaderKey} {
 		if v := r.Header.Get(name); v != "" {
--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -101,12 +100,11 @@
 	if r.Query != "" {
 		url += "?" + r.Query
 	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
 	if err != nil {
 		return nil, attemptEnd{kind: kindNotSent, reason: err.Error()}
 	}
-	// A request that may have reached an agent must not be sent again by the transport itself.
-	req.GetBody = nil
+	httpx.SetBody(req, body)
 	setHeaders(req, r, o)
 	resp, err := d.client.Do(req)
 	if err == nil {
