A request under which two upstreams broke off is not sent to a third

Change: two at most. TestCutTwice: 4 sends before, 2 now; TestWholeAnswers, TestStreamResumes, TestNoRetryStorm pass.

--- a/services/dispatch/attempt.go
+++ b/services/dispatch/attempt.go
@@ -58,6 +58,9 @@
 	retryAfter  time.Duration
 }
 
+// broke reports whether the upstream, its agent or the way there broke off while the request may have run.
+func (a attemptEnd) broke() bool { return a.kind == kindCut || a.kind == kindUnknown }
+
 func (a attemptEnd) result(n int, e membership.Entry) Result {
 	r := Result{
 		Reason: a.reason, Status: a.status, ContentType: a.contentType, Body: a.body,
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -75,6 +75,9 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
+	// maxCuts is the number of upstreams that may break off while they run a request before it is not sent again: one is most often
+	// chance, two may mean that the request crashes whatever runs it.
+	maxCuts = 2
 	// dialTimeout bounds a connection attempt to an agent.
 	dialTimeout = 500 * time.Millisecond
 	// defaultRetryAfter is the advice when nothing better is known.
@@ -135,6 +138,7 @@
 func (d *Dispatcher) doWhole(ctx context.Context, r *Request) Result {
 	tried := map[upstream.ID]bool{}
 	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoUpstream}
+	cuts := 0
 	for n := 1; n <= maxAttempts; n++ {
 		e, ok := d.next(r, tried)
 		if !ok {
@@ -148,7 +152,10 @@
 		if out.kind == kindAnswered || ctx.Err() != nil {
 			return last
 		}
-		if !d.mayRetry() {
+		if out.broke() {
+			cuts++
+		}
+		if cuts >= maxCuts || !d.mayRetry() {
 			return last
 		}
 	}
--- a/services/dispatch/stream.go
+++ b/services/dispatch/stream.go
@@ -55,6 +55,7 @@
 	tried := map[upstream.ID]bool{}
 	p := &progress{}
 	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoUpstream}
+	cuts := 0
 	for n := 1; n <= maxAttempts; n++ {
 		e, ok := d.next(r, tried)
 		if !ok {
@@ -65,7 +66,10 @@
 		d.dir.Done(clock.Now(), e.Beat.Upstream)
 		d.trace(r, e, out)
 		last = out.result(n, e)
-		if p.done || out.kind == kindAnswered || out.kind == kindGone || ctx.Err() != nil || !d.mayRetry() {
+		if out.broke() {
+			cuts++
+		}
+		if p.done || out.kind == kindAnswered || out.kind == kindGone || ctx.Err() != nil || cuts >= maxCuts || !d.mayRetry() {
 			break
 		}
 	}
--- a/tests/integration/answers_test.go
+++ b/tests/integration/answers_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// TestCutTwice has each upstream break off while it runs a request. It was sent to four upstreams, one after the other: a request that
+// crashes what runs it would have ended a service with one try of its caller.
+func TestCutTwice(t *testing.T) {
+	c := newCluster(t, options{routers: 1, plains: 4})
+	for _, address := range c.plain {
+		c.put(address+"/control/fault", upstreamstandin.PlainFault{LoseAnswers: true})
+	}
+	resp, raw, err := do(http.MethodGet, c.routers[0]+"/svc/ledger/v1/balance", "small", nil, nil)
+	if err != nil || resp.Header.Get(request.HeaderOutcome) != string(request.OutcomeUnknown) {
+		t.Fatalf("%v %s", err, raw)
+	}
+	sent := 0
+	for _, address := range c.plain {
+		calls := 0
+		if err := getJSON(address+"/control/calls", "", &calls); err != nil {
+			t.Fatal(err)
+		}
+		sent += calls
+	}
+	if sent != 2 {
+		t.Errorf("it was sent to %d upstreams, want 2", sent)
+	}
+}
+
 // TestCallerGone checks that a caller that goes away frees its place at the engine.
 func TestCallerGone(t *testing.T) {
 	c := newCluster(t, options{routers: 1, groups: 1, ranks: 2})
