A group is told as broken as soon as an engine of it refuses connections

Callers saw, after each end of a rank: for 1.5 s requests were sent into a group that stood still, and came back as not run or were cut. Cause: routers go by the state that the other ranks tell, and those say broken only when they have given up to wait. The agent beside the rank knows at once. Change: an agent whose engine refuses connections says so; the coordinator tells the group as not open until the rank answers. Ruled out: each router by its own broken connections, as few routers see them.

TestEngineEnded.

--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
@@ -110,8 +112,10 @@
 	Foreign bool
 	// Authority is the highest that the agent has heard of. If it is not the asker's, the rest is empty.
 	Authority election.Authority
-	Status    services.RankStatus
-	Counts    CountsPart
+	// Ended says that the rank's engine has ended: nobody listens at its address. Status is empty then.
+	Ended  bool
+	Status services.RankStatus
+	Counts CountsPart
 	// Start is that of the agent.
 	Start Start
 }
@@ -253,7 +257,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
 	defer cancel()
 	var err error
-	if r.Status, err = a.opts.Engine.Status(ctx); err != nil {
+	r.Status, err = a.opts.Engine.Status(ctx)
+	if r.Ended = errors.Is(err, syscall.ECONNREFUSED); r.Ended {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	if err = a.noteStatus(clock.Now(), &r.Status); err != nil {
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -50,8 +50,10 @@
 	start Start
 	// heard is the time of the latest status, and sent that of the question for it; asked that of the latest direct question.
 	heard, sent, asked time.Time
-	counts             heldCounts
-	known              bool
+	// ended is the time of the latest question after which the agent has said that the engine has ended.
+	ended  time.Time
+	counts heldCounts
+	known  bool
 }
 
 // coordinator is one agent's time as coordinator.
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -60,7 +60,12 @@
 func (c *coordinator) lookAtSelf(counted map[string]bool) {
 	sent := clock.Now()
 	var own Reply
-	if err := c.a.status(c.ask(c.a.opts.Self, counted), &own); err == nil {
+	err := c.a.status(c.ask(c.a.opts.Self, counted), &own)
+	switch {
+	case err != nil: // it is asked again with the next look
+	case own.Ended:
+		c.noteEnded(sent, c.a.opts.Self)
+	default:
 		s := own.Status
 		c.moved = s.Group != c.first.Group || s.Rank != c.first.Rank || s.Size != c.first.Size
 		c.take(sent, c.a.opts.Self, own)
@@ -147,12 +152,26 @@
 			c.foreign[a.part[i].Name] = now
 		case r.Authority != c.own.Authority:
 			c.lost = c.lost || r.Authority > c.own.Authority
+		case r.Ended:
+			c.noteEnded(a.sent, a.part[i])
 		default:
 			c.take(a.sent, a.part[i], *r)
 		}
 	}
 }
 
+// noteEnded notes that the engine of a rank has ended, as its agent has found after a question that was sent at a time.
+func (c *coordinator) noteEnded(sent time.Time, n peer.Info) {
+	m := c.memberOf(n)
+	if m == nil || sent.Before(m.sent) {
+		return
+	}
+	if m.ended.Before(m.sent) {
+		c.logger.Info().Str("agent", n.Name).Str("engine", n.Engine).Int("rank", int(m.status.Rank)).Msg("engine-ended")
+	}
+	m.ended = sent
+}
+
 // judge notes whether most ranks are in reach.
 func (c *coordinator) judge(now time.Time) {
 	heard := 0
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -6,12 +6,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 
@@ -118,3 +123,46 @@
 	cancel()
 	<-done
 }
+
+// endedEngine is an engine at whose address nobody listens any more.
+type endedEngine struct{ services.RankEngine }
+
+func (endedEngine) Status(context.Context) (services.RankStatus, error) {
+	return services.RankStatus{}, fmt.Errorf("engine e: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
+}
+
+// TestEngineEnded checks that a group is told as broken as soon as an engine of it has ended: the other ranks say so only after they have
+// waited for it, and what routers send them meanwhile is lost time for its callers. It is open again once the rank answers.
+func TestEngineEnded(t *testing.T) {
+	a := New(begin, Options{Logger: zerolog.Nop(), Engine: endedEngine{}})
+	var r Reply
+	if err := a.status(Ask{}, &r); err != nil || !r.Ended {
+		t.Errorf("an agent whose engine refuses connections says %+v, %v", r, err)
+	}
+	c := newCoordinator(a, lead(1), services.RankStatus{Group: "g", Size: 1})
+	n := peer.Info{Name: "side-1", Engine: "e"}
+	answer := Reply{Status: services.RankStatus{Group: "g", Size: 1, Open: true}}
+	steps := []struct {
+		what  string
+		after time.Duration
+		reply *Reply
+		open  bool
+	}{
+		{"it answers", 0, &answer, true},
+		{"it has ended", time.Second, nil, false},
+		{"an answer from before comes late", time.Second / 2, &answer, false},
+		{"it answers again", 2 * time.Second, &answer, true},
+		{"word of its end comes late", time.Second, nil, true},
+	}
+	for _, s := range steps {
+		sent := begin.Add(s.after)
+		if s.reply != nil {
+			c.take(sent, n, *s.reply)
+		} else {
+			c.noteEnded(sent, n)
+		}
+		if g := c.load(clock.Now()); g.Open != s.open || g.Whole != s.open {
+			t.Errorf("%s: open: %t, whole: %t, want %t", s.what, g.Open, g.Whole, s.open)
+		}
+	}
+}
--- a/services/rank/tell.go
+++ b/services/rank/tell.go
@@ -96,6 +96,10 @@
 func (c *coordinator) load(now time.Time) balance.Group {
 	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true}
 	for _, m := range c.members {
+		if m.ended.After(m.sent) {
+			// The others tell that the group is broken only when they give up to wait for the rank, and hold what they get until then.
+			g.Open, g.Whole = false, false
+		}
 		g.Whole = g.Whole && m.known && now.Sub(m.heard) < missingAfter
 		if m.known && now.Sub(m.heard) < 2*directEvery {
 			g.Open = g.Open && m.status.Open
