--- a/services/once/journal.go
+++ b/services/once/journal.go
@@ -259,6 +259,9 @@
 	Slice request.Slice
 	Epoch Epoch
 	Keys  []KeyRecord
+	// Lost says that the asked process no longer knows who owns the slice: the slice is taken as from a
+	// dead owner, without a table.
+	Lost bool
 }
 
 // ErrBusy reports a slice that still has keys pending or running.
@@ -266,10 +269,16 @@
 
 func (e ErrBusy) Error() string { return "slice has requests in progress" }
 
-// Handover freezes a slice and returns its table once nothing in it is in progress.
+// Handover freezes a slice and returns its table once nothing in it is in progress, or a table that is
+// lost if this process lost sight of the journal.
 // The slice stays frozen until a take of it is read.
 func (c *Core) Handover(now time.Time, s request.Slice) (Table, error) {
 	sl := &c.slices[s]
+	if c.started && !sl.known {
+		// A refusal would be asked again for ever: others know the take that this process lost sight of,
+		// and its heartbeats tell them that the owner lives.
+		return Table{Slice: s, Lost: true}, nil
+	}
 	if sl.owner != c.self || !sl.settled {
 		return Table{}, ErrNotOwner{Slice: s}
 	}
@@ -299,7 +308,13 @@
 func (e ErrNotOwner) Error() string { return "slice is not owned here" }
 
 // Receive keeps the table of a slice that this process is about to take.
-func (c *Core) Receive(t Table) { c.handedOver[t.Slice] = t }
+func (c *Core) Receive(t Table) {
+	if t.Lost {
+		delete(c.handedOver, t.Slice)
+		return
+	}
+	c.handedOver[t.Slice] = t
+}
 
 // merge takes in the table of the former owner.
 func (c *Core) merge(now time.Time, s request.Slice, epoch Epoch, t Table) {
--- a/services/once/owning.go
+++ b/services/once/owning.go
@@ -62,6 +62,9 @@
 			s.logger.Debug().Err(err).Int("slice", int(sl)).Msg("handover refused")
 			continue
 		}
+		if t.Lost {
+			s.ring.Add(clock.Now(), timeline.Event{Kind: timeline.KindOwnership, Name: "owner-lost-sight", Detail: fmt.Sprintf("slice=%d owner=%s", sl, owner.Upstream)})
+		}
 		s.mu.Lock()
 		s.core.Receive(t)
 		s.mu.Unlock()
