--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -99,8 +99,8 @@
 	// running says that the request counts as one that runs, and crashes is the number of upstreams that have ended under it.
 	running bool
 	crashes int
-	// comeBack is when room is forecast for a request that found none.
-	comeBack time.Duration
+	// comeBack is when room is forecast for a request that found none, and told what its caller was told of that.
+	comeBack, told time.Duration
 	stream   streamState
 }
 
@@ -243,6 +243,7 @@
 
 // refuse answers a request without an upstream's answer.
 func (x *exchange) refuse(no refusal) {
+	x.told = no.after
 	h := x.w.Header()
 	for name, values := range x.r.opts.Protocol.Refusal(x.meta.ID, no.after) {
 		h[name] = values
@@ -267,8 +268,8 @@
 	x.stream.log(event, x.arrived)
 	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Int("status", status).Str("reason", string(reason)).
 		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
-		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).
-		Int64("waited_ms", x.waited.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int("events", x.stream.events).Msg(outcome)
+		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).Int64("patience_ms", x.meta.Patience.Milliseconds()).
+		Int64("retry_after_ms", x.told.Milliseconds()).Int64("waited_ms", x.waited.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int("events", x.stream.events).Msg(outcome)
 }
 
 // busy returns the refusal for a request that has not run because there is no room.
