--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -149,14 +149,14 @@
 // LoadRouter reads the settings of a router from a file.
 func LoadRouter(path string) (Router, error) {
 	s := DefaultRouter()
-	err := load(path, &s)
+	err := Load(path, &s)
 	return s, err
 }
 
 // LoadAgent reads the settings of an agent from a file.
 func LoadAgent(path string) (Agent, error) {
 	s := DefaultAgent()
-	if err := load(path, &s); err != nil {
+	if err := Load(path, &s); err != nil {
 		return s, err
 	}
 	if s.Once.Lifetime > s.Platform.Retention {
@@ -165,7 +165,9 @@
 	return s, nil
 }
 
-func load(path string, into any) error {
+// Load reads a YAML file into a struct and checks it by its tags. A field that the struct does not have, or a value that does not fit,
+// is an ErrInvalid.
+func Load(path string, into any) error {
 	raw, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -101,7 +101,7 @@
 	crashes int
 	// comeBack is when room is forecast for a request that found none, and told what its caller was told of that.
 	comeBack, told time.Duration
-	stream   streamState
+	stream         streamState
 }
 
 // refusal is an answer of the router's own.
