--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -139,7 +139,8 @@
 }
 
 // lookAfter finds out whether an upstream has ended in the middle of a request, and notes what that says of the request. Sent is
-// when it was sent, and lasted how long its answer had been coming. A reset alone says nothing: links and proxies reset connections, and so do upstreams that live.
+// when it was sent, and lasted how long its answer had been coming. A reset alone says nothing: links and proxies reset connections,
+// and so do upstreams that live.
 func (r *Relay) lookAfter(ctx context.Context, x *exchange, u upstream.Instance, sent time.Time, lasted time.Duration) {
 	broke := clock.Now()
 	l := r.lookAt(ctx, u)
@@ -147,12 +148,14 @@
 		r.noteCrash(broke, x, u, quarantine.Crash{Key: x.key(), Run: u.Run(), Ran: broke.Sub(sent), Lasted: lasted})
 		return
 	}
-	if l.err == nil && lasted > 0 {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if len(l.doubtful) < maxDoubtful {
-			l.doubtful = append(l.doubtful, doubtful{key: x.key(), lasted: lasted})
-		}
+	if l.err != nil || lasted <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Another look may have taken the place of the one that was waited for.
+	if kept, ok := r.looks[u.Run()]; ok && len(kept.doubtful) < maxDoubtful {
+		kept.doubtful = append(kept.doubtful, doubtful{key: x.key(), lasted: lasted})
 	}
 }
 
@@ -184,7 +187,12 @@
 		<-l.done
 		return l
 	}
-	l = &look{done: make(chan struct{})}
+	next := &look{done: make(chan struct{})}
+	if ok {
+		// What ran at the last break may still be found to have lived on.
+		next.doubtful = l.doubtful
+	}
+	l = next
 	r.looks[u.Run()] = l
 	r.mu.Unlock()
 	cctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookTime)
--- a/services/relay/crashes_test.go
+++ b/services/relay/crashes_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,3 +164,18 @@
 		}
 	}
 }
+
+// TestLooksAgain checks that what ran when connections to an upstream broke off is still known after they broke off once more.
+func TestLooksAgain(t *testing.T) {
+	f := newMortal(t, func(*mortal, net.Conn) {})
+	_, r := start(t, newFake(t, nil))
+	now, u := time.Now(), upstream.Instance{ID: "u0", Address: f.address}
+	first := doubtful{key: askedKey("/stream/x"), lasted: time.Second}
+	r.looks[u.Run()] = &look{at: now.Add(-2 * lookValid), doubtful: []doubtful{first}}
+	x := &exchange{r: r, account: "seiryu", digest: askedKey("/stream/y").Digest}
+	r.lookAfter(t.Context(), x, u, now, 2*time.Second)
+	want := []doubtful{first, {key: x.key(), lasted: 2 * time.Second}}
+	if got := r.takeDoubtful(u.Run()); !slices.Equal(got, want) {
+		t.Errorf("kept %+v, want %+v", got, want)
+	}
+}
