Admission: who waits for room waits no longer than lets the answer begin in time

Cause: callers leave a stream that says nothing for two seconds.

Change: the wait ends where the forecast first event (the pass under way and one that reads the prompt) would come after the caller has left. A closed group and plain services keep their bounds.

TestSilence, TestFirstEvent.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -68,10 +68,11 @@
 	// inTimePart is the part of a route's goal that a request may wait for room and still be answered in
 	// time. The rest is needed for the pass under way and for reading the prompt.
 	inTimePart = 0.55
-	// waitMost and waitMostPart bound the wait for room. The rest of the time is needed for the answer, and
-	// callers leave a stream that says nothing for two seconds.
+	// waitMost and waitMostPart bound the wait for room. The rest of the time is needed for the answer.
 	waitMost     = 1200 * time.Millisecond
 	waitMostPart = 0.4
+	// silence is how long callers stay with a stream that says nothing.
+	silence = 2 * time.Second
 	// againMost and againPart are the same for a caller that comes again: it does not come a third time.
 	againMost = 1800 * time.Millisecond
 	againPart = 0.5
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -63,6 +63,57 @@
 	}
 }
 
+// TestSilence replays a group that one slow rank holds up, with more callers than it can take: who waits for room waits no longer than lets
+// the first event come before the caller leaves a stream that says nothing. Callers that were let in after 1.6 s of waiting, before
+// passes of half a second, left at 2 s, and their prompts were read in vain.
+func TestSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engine := &catalog.Engine{Slots: 12, Stride: 4, StepMillis: 4.55, WriterMillis: 0.905, ReadPerSecond: 61_400, Chunk: 512, UsualPrompt: 800, UsualAnswer: 96, ExpertShare: 0.85, FormTime: 600 * time.Millisecond}
+	ranks := func(pace float64) []balance.RankLoad {
+		out := make([]balance.RankLoad, 12)
+		for i := range out {
+			out[i] = balance.RankLoad{Running: 11, Pace: 1}
+		}
+		out[3].Pace = pace
+		return out
+	}
+	cases := map[string]struct {
+		pace   float64
+		closed bool
+		plain  bool
+		again  time.Duration
+	}{
+		"all ranks as usual":       {1, false, false, againMost},
+		"a rank three times slow":  {3, false, false, 0},
+		"a rank twelve times slow": {12, false, false, 0},
+		"a rank thirty times slow": {30, false, false, 0},
+		"the group is closed":      {12, true, false, againMost},
+		"a plain service":          {12, false, true, againMost},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue(balance.NewPool(""))
+			g := balance.Group{ID: "g", Open: !c.closed, Ranks: ranks(c.pace), Skew: 1.3}
+			q.pool.Report(now, g, nil)
+			x := &Request{Route: "r", Arrived: now, Deadline: now.Add(7 * time.Second), Patience: 7 * time.Second, Ask: balance.Ask{Engine: engine}, again: true}
+			if c.plain {
+				x.Ask.Engine = nil
+			}
+			want := c.again
+			if want == 0 {
+				want = max(min(againMost, silence-balance.FirstEvent(engine, g.Load())), 0)
+			}
+			got := q.wait(now, x, false)
+			if got != want {
+				t.Errorf("waits %s, want %s", got, want)
+			}
+			if first := balance.FirstEvent(engine, g.Load()); !c.closed && !c.plain && got > 0 && got+first > silence {
+				t.Errorf("waits %s and then %s for its first event, longer than its caller stays", got, first)
+			}
+		})
+	}
+}
+
 // TestBacklog checks that the wait is forecast by what waits at all routers where a coordinator tells it: one of many routers
 // has too few requests to tell.
 func TestBacklog(t *testing.T) {
--- a/services/admission/forecast.go
+++ b/services/admission/forecast.go
@@ -32,16 +32,28 @@
 // when there is some. Nobody says that no upstream is listed.
 func (q *Queue) wait(now time.Time, x *Request, nobody bool) time.Duration {
 	left := float64(x.Deadline.Sub(now))
+	closed := nobody || q.closed(now, x)
+	most := q.silent(now, x, closed)
 	if x.again {
-		return min(againMost, time.Duration(againPart*left))
+		return min(againMost, time.Duration(againPart*left), most)
 	}
-	most := min(waitMost, time.Duration(waitMostPart*left))
-	if nobody || q.closed(now, x) || q.queueWait(now, x.Ask.Engine, x.Ask.Bounds) > most {
+	most = min(waitMost, time.Duration(waitMostPart*left), most)
+	if closed || q.queueWait(now, x.Ask.Engine, x.Ask.Bounds) > most {
 		return 0
 	}
 	return most
 }
 
+// silent returns how long a request may wait for room and still get its first event before its caller leaves a stream that says
+// nothing. Passes of half a second, which one slow rank makes, take most of that time: callers that were let in later left, and what
+// they had asked for was worked on in vain. While a group is closed nothing is known of its next passes.
+func (q *Queue) silent(now time.Time, x *Request, closed bool) time.Duration {
+	if x.Ask.Engine == nil || closed {
+		return silence
+	}
+	return max(silence-balance.FirstEvent(x.Ask.Engine, q.pool.GroupLoad(now)), 0)
+}
+
 // triedBefore reports whether the caller has less patience left than others of its route had: it was
 // rejected before and comes again.
 func (q *Queue) triedBefore(now time.Time, x *Request) bool {
--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -401,3 +401,28 @@
 		})
 	}
 }
+
+// TestFirstEvent checks the forecast of the time to a first event against passes of an even and of a held-up group.
+func TestFirstEvent(t *testing.T) {
+	engine := &catalog.Engine{Slots: 12, Stride: 4, StepMillis: 4.55, WriterMillis: 0.905, ReadPerSecond: 61_400, Chunk: 512, UsualPrompt: 800, ExpertShare: 0.85}
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	cases := map[string]struct {
+		load        GroupLoad
+		least, most time.Duration
+	}{
+		"nobody writes":     {GroupLoad{Skew: 1, Pace: 1}, ms(40), ms(60)},
+		"half full":         {GroupLoad{Skew: 1.2, Pace: 1, Writers: 6}, ms(80), ms(120)},
+		"full, after shift": {GroupLoad{Skew: 3, Pace: 1, Writers: 11}, ms(200), ms(350)},
+		"a slow rank":       {GroupLoad{Skew: 1.3, Pace: 12, Writers: 11}, ms(500), ms(1000)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := FirstEvent(engine, c.load); got < c.least || got > c.most {
+				t.Errorf("first event after %s, want %s to %s", got, c.least, c.most)
+			}
+		})
+	}
+	if got := FirstEvent(&catalog.Engine{}, GroupLoad{Writers: 6}); got != 0 {
+		t.Errorf("first event after %s of an engine without figures, want 0", got)
+	}
+}
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -88,6 +88,15 @@
 	return Pass(e, PassLoad{Mean: l.Writers, Max: l.Writers, Context: e.UsualPrompt, Skew: max(l.Skew, 1), Pace: l.Pace})
 }
 
+// FirstEvent forecasts how long a request that is sent now takes to its first event: it waits for the pass under way, and the next
+// one reads its prompt. It is 0 if the engine's figures do not tell.
+func FirstEvent(e *catalog.Engine, l GroupLoad) time.Duration {
+	p := PassLoad{Mean: l.Writers, Max: l.Writers, Context: e.UsualPrompt, Skew: max(l.Skew, 1), Pace: l.Pace}
+	under := Pass(e, p)
+	p.Reading = e.UsualPrompt
+	return under + Pass(e, p)
+}
+
 // FirstSkew is the skew that is reckoned with while none is known: a group that has just formed is on its first map, on which 2.2 to
 // 3.6 were seen, and a shift of demand makes about as much.
 const FirstSkew = 3.0
