--- a/services/once/journal.go
+++ b/services/once/journal.go
@@ -279,9 +279,12 @@
 		// and its heartbeats tell them that the owner lives.
 		return Table{Slice: s, Lost: true}, nil
 	}
-	if sl.owner != c.self || !sl.settled {
+	if sl.owner != c.self {
 		return Table{}, ErrNotOwner{Slice: s}
 	}
+	if !sl.settled {
+		return Table{}, ErrUnsettled{Slice: s}
+	}
 	if !sl.frozen {
 		sl.frozen, sl.frozenAt = true, now
 	}
@@ -302,6 +305,11 @@
 	return t, nil
 }
 
+// ErrUnsettled reports a slice whose table cannot be handed over yet: a router that may know of more keys has not told them.
+type ErrUnsettled struct{ Slice request.Slice }
+
+func (e ErrUnsettled) Error() string { return "slice is not settled" }
+
 // ErrNotOwner reports a slice that this process cannot hand over.
 type ErrNotOwner struct{ Slice request.Slice }
 
--- a/services/once/sight_test.go
+++ b/services/once/sight_test.go
@@ -4,6 +4,7 @@
 package once
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -104,3 +105,33 @@
 		t.Errorf("took %d slices, want the %d asked for", n, len(asked))
 	}
 }
+
+// TestHandoverRefused checks that whoever asks for a table is told why there is none: owners are to be told apart that are not one,
+// wait for a router, and have lost sight of the journal.
+func TestHandoverRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	mine, other := request.Slice(1), request.Slice(2)
+	c := NewCore(Config{Lifetime: time.Minute, Capacity: 10, AnswerBytes: 1 << 10}, sightOwner("asked"))
+	log := &shortLog{}
+	log.read(c, now)
+	foreign := NewCore(Config{Lifetime: time.Minute, Capacity: 10, AnswerBytes: 1 << 10}, sightOwner("other"))
+	log.read(foreign, now)
+	log.append(t, now, foreign.TakeRecord([]request.Slice{mine, other}))
+	log.read(c, now)
+	log.append(t, now, c.TakeRecord([]request.Slice{mine}))
+	log.read(c, now)
+	cases := map[string]struct {
+		slice request.Slice
+		want  error
+	}{
+		"taken without a table": {mine, ErrUnsettled{Slice: mine}},
+		"another owns it":       {other, ErrNotOwner{Slice: other}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, err := c.Handover(now, test.slice); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
