--- a/services/once/explore_test.go
+++ b/services/once/explore_test.go
@@ -22,18 +22,26 @@
 	exploreOutage   = 2 * time.Second
 	exploreLifetime = time.Hour
 	exploreSlice    = request.Slice(0)
+	// exploreRetention is how long a journal that forgets keeps its records, and keys are remembered, and exploreTime how long
+	// callers wait there. A key is used for exploreUse: retries come within the keys' lifetime.
+	exploreRetention = 16 * time.Second
+	exploreTime      = 7 * time.Second
+	exploreUse       = 7 * time.Second
+	// exploreBefore is how long an agent stands still before the journal is out of reach.
+	exploreBefore = time.Second
 )
 
 // message is a request on its way from a router to an agent.
 type message struct {
 	attempt Attempt
-	key     int
+	key     string
+	sent    time.Time
 }
 
 // run is an attempt that Begin let through and whose effect is still to come.
 type run struct {
 	key     KeyID
-	request request.ID
+	attempt Attempt
 }
 
 type simAgent struct {
@@ -41,6 +49,7 @@
 	owner   Owner
 	number  int
 	paused  bool
+	wakes   time.Time
 	cut     bool
 	inbox   []message
 	chosen  []Attempt
@@ -75,28 +84,50 @@
 	ranFor  map[request.ID]bool
 	notRun  map[request.ID]string
 	naive   bool
+	// forgets says that the journal drops old records, and outFrom and outTo when it is out of everybody's reach.
+	forgets        bool
+	outFrom, outTo time.Time
+	// lostSight counts the tables of owners that had lost sight of the journal.
+	lostSight int
 	// chaos from 0 to 4 tells how often processes crash, freeze and lose the log.
 	chaos int
 }
 
-func newExplorer(seed uint64, naive bool) *explorer {
+func newExplorer(seed uint64, naive, forgets bool) *explorer {
 	x := &explorer{
-		rnd: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), effects: map[KeyID]int{},
+		forgets: forgets,
+		rnd:     rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), effects: map[KeyID]int{},
 		ranFor: map[request.ID]bool{}, notRun: map[request.ID]string{}, naive: naive, chaos: int(seed % 5),
 	}
 	for i := range 3 {
 		x.agents = append(x.agents, x.newAgent(i))
 	}
 	for range 2 {
-		x.routers = append(x.routers, &simRouter{reg: NewRegister(exploreLifetime), contact: x.now})
+		x.routers = append(x.routers, &simRouter{reg: NewRegister(x.lifetime()), contact: x.now})
 	}
 	return x
 }
 
+func (x *explorer) lifetime() time.Duration {
+	if x.forgets {
+		return exploreRetention
+	}
+	return exploreLifetime
+}
+
+// newKey returns the key of a new request, and how long its caller waits.
+func (x *explorer) newKey() (key string, wait time.Duration) {
+	key = fmt.Sprint(x.rnd.IntN(12))
+	if !x.forgets {
+		return key, time.Hour
+	}
+	return fmt.Sprint(key, " of ", x.now.Truncate(exploreUse).Unix()), exploreTime
+}
+
 func (x *explorer) newAgent(number int) *simAgent {
 	x.born++
 	o := Owner{Upstream: upstream.ID(fmt.Sprint(number)), Incarnation: upstream.Incarnation(fmt.Sprint(x.born))}
-	c := NewCore(Config{Lifetime: exploreLifetime, Capacity: 1000, AnswerBytes: 1 << 20, OutageAfter: exploreOutage}, o)
+	c := NewCore(Config{Lifetime: x.lifetime(), Capacity: 1000, AnswerBytes: 1 << 20, OutageAfter: exploreOutage}, o)
 	return &simAgent{core: c, owner: o, number: number, waiting: map[Token]Attempt{}}
 }
 
@@ -119,12 +150,14 @@
 	case p < 36:
 		a.cut = x.rnd.IntN(3) == 0
 	case p < 38:
-		a.paused = x.rnd.IntN(2) == 0
+		x.pause(a)
 	case p < 39:
 		x.crashAgent(a)
 	case p < 40:
 		x.crashRouter(r)
 	case a.paused:
+	case p >= 88 && x.justBack():
+		x.take(a)
 	case p < 52:
 		x.read(a)
 	case p < 60:
@@ -136,7 +169,7 @@
 	case p < 88:
 		x.effect(a)
 	case p < 89:
-		if x.rnd.IntN(3) == 0 || x.now.Sub(time.Unix(1000, 0)) < 5*time.Second {
+		if x.forgets || x.rnd.IntN(3) == 0 || x.now.Sub(time.Unix(1000, 0)) < 5*time.Second {
 			x.take(a)
 		}
 	case p < 93:
@@ -148,19 +181,53 @@
 	}
 }
 
+// out reports whether nobody reaches the journal.
+func (x *explorer) out() bool { return !x.now.Before(x.outFrom) && x.now.Before(x.outTo) }
+
+// justBack reports whether the journal is within reach again, and has not been for long: then owners change.
+func (x *explorer) justBack() bool {
+	return !x.now.Before(x.outTo) && x.now.Sub(x.outTo) < exploreBefore
+}
+
+// pause stops an agent or lets it go on. With a journal that forgets it may stand still for longer than that keeps its records.
+func (x *explorer) pause(a *simAgent) {
+	if x.now.Before(a.wakes) {
+		return
+	}
+	a.paused = x.rnd.IntN(2) == 0
+	if _, owns := a.core.Owned()[exploreSlice]; !x.forgets || !a.paused || !owns {
+		return
+	}
+	x.outFrom = x.now.Add(exploreBefore)
+	x.outTo = x.outFrom.Add(exploreRetention)
+	a.wakes = x.outTo
+	if x.rnd.IntN(2) == 0 {
+		a.wakes = x.outFrom // it goes on without the journal
+	}
+	for _, o := range x.agents {
+		if o != a {
+			x.append(o, &Record{Version: recordVersion, Kind: RecordClaims, Owner: o.owner}) // other slices go on
+		}
+	}
+}
+
 func (x *explorer) send(r *simRouter) {
 	if r.view == nil {
 		return
 	}
-	n, id, ask := x.rnd.IntN(12), request.ID(""), false
+	n, wait := x.newKey()
+	id, ask, deadline := request.ID(""), false, x.now.Add(wait)
 	if len(r.sent) > 0 && x.rnd.IntN(4) == 0 {
 		asked := r.sent[x.rnd.IntN(len(r.sent))]
-		n, id, ask = asked.key, asked.attempt.Request, true
+		if x.forgets && x.now.Sub(asked.sent) > exploreTime {
+			return // its caller has left
+		}
+		n, id, ask, deadline = asked.key, asked.attempt.Request, true, asked.attempt.Deadline
 	} else {
 		id = request.ID(fmt.Sprint("r", x.sent))
 		x.sent++
 	}
-	key := NewKeyID("account", request.Key(fmt.Sprint(n)))
+	key := NewKeyID("account", request.Key(n))
 	age := x.now.Sub(r.contact)
 	if r.reg.Send(x.now, SliceKey{Slice: exploreSlice}, r.epoch, key, age > exploreOutage/2) != nil {
 		return
@@ -168,8 +235,8 @@
 	if age <= exploreOutage/2 {
 		age = 0
 	}
-	m := message{key: n, attempt: Attempt{
-		Request: id, Key: key, Slice: exploreSlice, Epoch: r.epoch, Digest: 1, Deadline: x.now.Add(time.Hour), AskOnly: ask, RouterLogAge: age,
+	m := message{key: n, sent: x.now, attempt: Attempt{
+		Request: id, Key: key, Slice: exploreSlice, Epoch: r.epoch, Digest: 1, Deadline: deadline, AskOnly: ask, RouterLogAge: age,
 	}}
 	r.view.inbox = append(r.view.inbox, m)
 	if !ask {
@@ -179,7 +246,7 @@
 
 // routerReads lets a router hear of the newest owner that beats, and of the log.
 func (x *explorer) routerReads(r *simRouter) {
-	if !r.cut {
+	if !r.cut && !x.out() {
 		r.contact = x.now
 	}
 	a := x.agents[x.rnd.IntN(len(x.agents))]
@@ -201,7 +268,7 @@
 
 func (x *explorer) crashRouter(r *simRouter) {
 	x.lost = x.lost || x.now.Sub(r.contact) > exploreOutage/2 || !r.reg.Empty(x.now)
-	fresh := &simRouter{reg: NewRegister(exploreLifetime), contact: x.now}
+	fresh := &simRouter{reg: NewRegister(x.lifetime()), contact: x.now}
 	for i, o := range x.routers {
 		if o == r {
 			x.routers[i] = fresh
@@ -215,18 +282,23 @@
 }
 
 func (x *explorer) read(a *simAgent) {
-	if a.cut {
+	if a.cut || x.out() {
 		return
 	}
-	from := int(a.core.Next())
+	first := 0
+	for x.forgets && first < len(x.log) && x.now.Sub(x.log[first].At) > exploreRetention {
+		first++
+	}
+	from := max(int(a.core.Next()), first)
 	to := min(len(x.log), from+x.rnd.IntN(8))
-	a.core.Apply(x.now, services.Page{Tail: services.Offset(len(x.log)), Now: x.now, Records: x.log[from:to]})
+	a.core.Apply(x.now, services.Page{First: services.Offset(first), Tail: services.Offset(len(x.log)), Now: x.now, Records: x.log[from:to]})
+	a.core.Expire(x.now)
 	x.collect(a)
 }
 
 // append adds a record; it reports whether the writer learns that it was added.
 func (x *explorer) append(a *simAgent, rec *Record) bool {
-	if a.cut {
+	if a.cut || x.out() {
 		return false
 	}
 	raw, err := rec.Encode()
@@ -270,7 +342,7 @@
 	}
 	switch d.Kind {
 	case DecisionAnswer:
-		x.told(m.attempt.Request, d.Answer)
+		x.told(m.attempt, d.Answer)
 	case DecisionRun:
 		a.chosen = append(a.chosen, m.attempt)
 	case DecisionWait:
@@ -279,9 +351,10 @@
 	x.collect(a)
 }
 
-func (x *explorer) told(id request.ID, answer Answer) {
-	if answer.Outcome == request.OutcomeNotRun {
-		x.notRun[id] = answer.Reason
+// told notes an answer, if its caller is still there.
+func (x *explorer) told(a Attempt, answer Answer) {
+	if answer.Outcome == request.OutcomeNotRun && x.now.Before(a.Deadline) {
+		x.notRun[a.Request] = answer.Reason
 	}
 }
 
@@ -296,7 +369,7 @@
 			a.chosen = append(a.chosen, at)
 			continue
 		}
-		x.told(at.Request, act.Answer)
+		x.told(at, act.Answer)
 	}
 }
 
@@ -307,9 +380,9 @@
 	at := a.chosen[0]
 	a.chosen = a.chosen[1:]
 	if x.naive || a.core.Begin(x.now, at) {
-		a.runs = append(a.runs, run{key: at.Key, request: at.Request})
+		a.runs = append(a.runs, run{key: at.Key, attempt: at})
 	} else {
-		x.told(at.Request, Answer{Outcome: request.OutcomeNotRun, Reason: "begin"})
+		x.told(at, Answer{Outcome: request.OutcomeNotRun, Reason: "begin"})
 	}
 	x.collect(a)
 }
@@ -324,13 +397,13 @@
 	switch x.rnd.IntN(4) {
 	case 0:
 		answer = Answer{Outcome: request.OutcomeNotRun}
-		x.told(r.request, answer)
+		x.told(r.attempt, answer)
 	case 1:
 		answer = Answer{Outcome: request.OutcomeUnknown}
 		fallthrough
 	default:
 		x.effects[r.key]++
-		x.ranFor[r.request] = true
+		x.ranFor[r.attempt.Request] = true
 	}
 	a.core.Finish(x.now, r.key, answer)
 	x.collect(a)
@@ -348,6 +421,9 @@
 			if err != nil {
 				return
 			}
+			if t.Lost {
+				x.lostSight++
+			}
 			a.core.Receive(t)
 		}
 	}
@@ -372,7 +448,7 @@
 	for t, at := range a.waiting {
 		delete(a.waiting, t)
 		if !a.core.Withdraw(at.Key, t) {
-			x.told(at.Request, Answer{Outcome: request.OutcomeNotRun, Reason: "withdrawn"})
+			x.told(at, Answer{Outcome: request.OutcomeNotRun, Reason: "withdrawn"})
 		}
 		x.collect(a)
 		return
@@ -405,8 +481,8 @@
 	return nil
 }
 
-func explore(seed uint64, steps int, naive bool) (*explorer, error) {
-	x := newExplorer(seed, naive)
+func explore(seed uint64, steps int, naive, forgets bool) (*explorer, error) {
+	x := newExplorer(seed, naive, forgets)
 	for range steps {
 		x.step()
 	}
@@ -418,7 +494,7 @@
 func TestExplore(t *testing.T) {
 	ran := 0
 	for seed := range uint64(exploreSeeds) {
-		x, err := explore(seed, 600, false)
+		x, err := explore(seed, 600, false, false)
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -430,6 +506,24 @@
 	}
 }
 
+// TestExploreForgets runs schedules with a journal that drops records, so that owners lose sight of it.
+func TestExploreForgets(t *testing.T) {
+	const seeds, sights = exploreSeeds / 3, 10
+	ran, lost := 0, 0
+	for seed := range uint64(seeds) {
+		x, err := explore(seed, 2500, false, true)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		ran += len(x.effects)
+		lost += x.lostSight
+	}
+	t.Logf("%d keys ran, %d times an owner had lost sight", ran, lost)
+	if ran < seeds || lost < sights {
+		t.Errorf("%d keys ran, %d times an owner had lost sight: the schedules show little", ran, lost)
+	}
+}
+
 // TestExploreFound repeats schedules that once showed a fault.
 func TestExploreFound(t *testing.T) {
 	seeds := map[string]uint64{
@@ -437,7 +531,7 @@
 	}
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
-			if _, err := explore(seed, 600, false); err != nil {
+			if _, err := explore(seed, 600, false, false); err != nil {
 				t.Error(err)
 			}
 		})
@@ -447,7 +541,7 @@
 // TestExploreNaive checks that the schedules break an owner that runs without its journal.
 func TestExploreNaive(t *testing.T) {
 	for seed := range uint64(200) {
-		if _, err := explore(seed, 600, true); err != nil {
+		if _, err := explore(seed, 600, true, false); err != nil {
 			return
 		}
 	}
