Balance, compare: one forecast of a group's pass, one reader of a trial

Cause: read again. FirstEvent built the load of a pass that GroupLoad.pass builds too; both commands of compare read the trial and its plays with the same lines; the sort of pairs never said that two are equal.

Change: pass takes the tokens that are read; readTrial; cmp.Compare. Behaviour is the same; no test is changed.

--- a/contrib/compare/main.go
+++ b/contrib/compare/main.go
@@ -29,17 +29,23 @@
 	return root
 }
 
+// readTrial reads a trial and what was played of it.
+func readTrial(path string) (*trial, map[cell]play, error) {
+	t, err := loadTrial(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	plays, err := t.plays()
+	return t, plays, err
+}
+
 func newPlan() *cobra.Command {
 	return &cobra.Command{
 		Use:   "plan TRIAL",
 		Short: "Print a line of shell for each play that the journals of the checkouts do not hold yet",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			t, err := loadTrial(args[0])
-			if err != nil {
-				return err
-			}
-			plays, err := t.plays()
+			t, plays, err := readTrial(args[0])
 			if err != nil {
 				return err
 			}
@@ -60,11 +66,7 @@
 		Short: "Print the comparison as a Markdown table",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			t, err := loadTrial(args[0])
-			if err != nil {
-				return err
-			}
-			plays, err := t.plays()
+			t, plays, err := readTrial(args[0])
 			if err != nil {
 				return err
 			}
--- a/contrib/compare/pairs.go
+++ b/contrib/compare/pairs.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -66,6 +67,9 @@
 // difference is a pair of plays.
 type difference struct{ base, variant play }
 
+// gain returns how much more the variant was worth.
+func (d difference) gain() float64 { return d.variant.Worth - d.base.Worth }
+
 func differences(plays map[cell]play, base, v variantName, site string) []difference {
 	var out []difference
 	for c, p := range plays {
@@ -78,7 +82,7 @@
 	}
 	// Sums of floats depend on their order, and maps have none.
 	slices.SortFunc(out, func(a, b difference) int {
-		return int(math.Copysign(1, (a.variant.Worth-a.base.Worth)-(b.variant.Worth-b.base.Worth)))
+		return cmp.Compare(a.gain(), b.gain())
 	})
 	return out
 }
@@ -92,7 +96,7 @@
 			s.Failed++
 			continue
 		}
-		gain := d.variant.Worth - d.base.Worth
+		gain := d.gain()
 		s.Pairs++
 		if gain > 0 {
 			s.Better++
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -83,18 +83,15 @@
 	Writers float64
 }
 
-// pass returns the time of a pass without prompts.
-func (l GroupLoad) pass(e *catalog.Engine) time.Duration {
-	return Pass(e, PassLoad{Mean: l.Writers, Max: l.Writers, Context: e.UsualPrompt, Skew: max(l.Skew, 1), Pace: l.Pace})
+// pass returns the time of a pass in which the busiest rank reads prompts of a number of tokens.
+func (l GroupLoad) pass(e *catalog.Engine, reading float64) time.Duration {
+	return Pass(e, PassLoad{Mean: l.Writers, Max: l.Writers, Context: e.UsualPrompt, Reading: reading, Skew: max(l.Skew, 1), Pace: l.Pace})
 }
 
 // FirstEvent forecasts how long a request that is sent now takes to its first event: it waits for the pass under way, and the next
 // one reads its prompt. It is 0 if the engine's figures do not tell.
 func FirstEvent(e *catalog.Engine, l GroupLoad) time.Duration {
-	p := PassLoad{Mean: l.Writers, Max: l.Writers, Context: e.UsualPrompt, Skew: max(l.Skew, 1), Pace: l.Pace}
-	under := Pass(e, p)
-	p.Reading = e.UsualPrompt
-	return under + Pass(e, p)
+	return l.pass(e, 0) + l.pass(e, e.UsualPrompt)
 }
 
 // FirstSkew is the skew that is reckoned with while none is known: a group that has just formed is on its first map, on which 2.2 to
@@ -114,7 +111,7 @@
 	if mean < fewStreams {
 		return all
 	}
-	all.Unstarted = promptsAtOnce(e, l, min(time.Duration(readPart*float64(goal)), within-l.pass(e)))
+	all.Unstarted = promptsAtOnce(e, l, min(time.Duration(readPart*float64(goal)), within-l.pass(e, 0)))
 	if mean >= e.Slots-1 {
 		return all
 	}
