--- a/services/once/journal.go
+++ b/services/once/journal.go
@@ -250,14 +250,28 @@
 		return false
 	}
 	for _, k := range keys {
-		if _, ok := c.entries[k]; !ok {
-			c.entries[k] = &entry{key: k, slice: s, epoch: epoch, state: StateForeign, at: now}
-		}
+		c.markForeign(now, k, s, epoch)
 	}
 	sl.settled = true
 	return true
 }
 
+// markForeign records that a former owner of a slice may have run a key. An entry of a run at this
+// process stays. One that has not run here, left by an earlier ownership of the slice, says nothing
+// about the runs at the owners since, and its waiting attempts get the outcome unknown.
+func (c *Core) markForeign(now time.Time, key KeyID, s request.KeySlice, epoch Epoch) {
+	e, ok := c.entries[key]
+	if ok && e.state != StateIdle && e.state != StatePending {
+		return
+	}
+	if ok {
+		for _, w := range e.waiting {
+			c.actions = append(c.actions, Action{Kind: ActionResolve, Token: w.token, Answer: unknown(ReasonOtherOwner).Answer})
+		}
+	}
+	c.entries[key] = &entry{key: key, slice: s, epoch: epoch, state: StateForeign, at: now}
+}
+
 // KeyRecord is one key of a table that is handed over.
 type KeyRecord struct {
 	Key    KeyID
