--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -436,3 +436,47 @@
 		t.Errorf("first event after %s of an engine without figures, want 0", got)
 	}
 }
+
+// TestLateAnswerAges checks that a plain upstream gets requests again some time after a single late
+// answer, at a load so light that another upstream could serve all of them: only its own answers can
+// show that it is fast again.
+func TestLateAnswerAges(t *testing.T) {
+	const usual, late = 5 * time.Millisecond, 100 * time.Millisecond
+	cases := map[string]struct {
+		// within is the time after the late answer within which requests must reach the upstream.
+		upstreams int
+		within    time.Duration
+	}{
+		"one other upstream":    {2, 30 * time.Second},
+		"two other upstreams":   {3, 30 * time.Second},
+		"eleven more upstreams": {12, 30 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool("a")
+			var cands []upstream.Instance
+			for i := range c.upstreams {
+				cands = append(cands, upstream.Instance{ID: upstream.ID(fmt.Sprint("u", i)), DataCentre: "a"})
+			}
+			now, took := begin, late
+			reached := 0
+			for ; now.Before(begin.Add(c.within)); now = now.Add(100 * time.Millisecond) {
+				u, ok := p.Pick(now, cands, PickOptions{Routers: 1})
+				if !ok {
+					t.Fatalf("no upstream for a request %s after the late answer", now.Sub(begin))
+				}
+				if now.Equal(begin) {
+					u = cands[0]
+				} else if u.ID == cands[0].ID {
+					reached++
+				}
+				p.Sent(now, u.Run())
+				p.Done(now.Add(took), u.Run(), ResultOK, took, true)
+				took = usual
+			}
+			if reached == 0 {
+				t.Errorf("upstream %s got no request within %s after one late answer", cands[0].ID, c.within)
+			}
+		})
+	}
+}
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -40,13 +40,6 @@
 )
 
 const (
-	// errorHalfLife is the time after which a past failure has half its weight. A replica that
-	// fails part of its requests gets about two requests in that time, so most such replicas are
-	// known before their next request.
-	errorHalfLife = 2500 * time.Millisecond
-	// errorDecay is the smoothing factor of the failure rate: two failures in a row raise it to
-	// about a half.
-	errorDecay = 0.7
 	// errorWeight is the number of waiting requests that a failure rate of 1 is equivalent to.
 	errorWeight = 8.0
 	// reportValid is how long a reported load is used at least. It is used for reportValidIntervals
@@ -54,16 +47,9 @@
 	// and an old report is better than none.
 	reportValid          = 700 * time.Millisecond
 	reportValidIntervals = 2.5
-	// freshFor is how long the reported load decides where requests are sent: about three report
-	// intervals. In replays of a calm group with reports that are one second old, routers that use
-	// the reported loads earn 0.86 of the possible credit, and routers that use their own sends
-	// earn 0.99.
-	freshFor = 250 * time.Millisecond
 	// maxReportValid bounds the validity of a report: an idle router receives reports of a group
 	// only occasionally.
 	maxReportValid = 4 * time.Second
-	// latencyDecay is the smoothing factor of the mean answer time.
-	latencyDecay = 0.8
 	// remotePenalty is the cost of another data centre, as a fraction of a waiting request: traffic
 	// between data centres is billed and takes longer.
 	remotePenalty = 0.4
@@ -72,44 +58,6 @@
 	remoteRequests = 2.0
 )
 
-// state is a router's record of one upstream, from its own requests and from reports.
-type state struct {
-	inFlight int
-	// unstarted counts this router's requests whose answers have not begun. lastReported is the
-	// count last reported to the coordinator, and counted is the part of the latest report that
-	// comes from this router.
-	unstarted, lastReported, counted int
-	// started and ended count this router's answers that have begun and ended since the report.
-	started, ended int
-	report         RankLoad
-	// slots is the number of requests that the report still allows this router to send. allotted
-	// reports whether the report sets slots at all.
-	slots    int
-	allotted bool
-	// group is the rank's group, set by the first report.
-	group group.ID
-	// valid is how long the report is used.
-	reportedAt time.Time
-	valid      time.Duration
-	errors     float64
-	errorsAt   time.Time
-	// latency is the mean answer time in seconds; 0 if unknown.
-	latency float64
-}
-
-func (s *state) errorRate(now time.Time) float64 {
-	return s.errors * math.Exp2(-now.Sub(s.errorsAt).Seconds()/errorHalfLife.Seconds())
-}
-
-func (s *state) recordResult(now time.Time, failed bool) {
-	rate := s.errorRate(now)
-	sample := 0.0
-	if failed {
-		sample = 1
-	}
-	s.errors, s.errorsAt = errorDecay*rate+(1-errorDecay)*sample, now
-}
-
 // Pool holds a router's view of the upstreams of one service, keyed by run: requests, failures and
 // load of an earlier run do not count for the current one. It does no I/O and reads no clock.
 type Pool struct {
@@ -147,14 +95,6 @@
 	return s
 }
 
-// reported reports whether a coordinator has reported the upstream within the validity of its
-// report. fresh reports whether the report is recent enough to use its load.
-func (s *state) reported(now time.Time) bool { return now.Sub(s.reportedAt) < s.valid }
-func (s *state) fresh(now time.Time) bool    { return now.Sub(s.reportedAt) < freshFor }
-
-// allUnstarted estimates the requests of all routers whose answers have not begun.
-func (s *state) allUnstarted() int { return max(s.report.Unstarted-s.counted, 0) + s.unstarted }
-
 // load estimates the requests at an upstream. Routers is the number of routers that send to it.
 func (p *Pool) load(now time.Time, s *state, routers int) float64 {
 	if s.fresh(now) {
@@ -271,25 +211,6 @@
 	return v.ask.Bounds.Rank
 }
 
-// room reports whether an upstream may get one more request of this router. Without a fresh report
-// this depends on the router's own sends and on the estimated requests of other routers. A router
-// that waited for a slow coordinator's report would leave ranks idle, and one that used an old
-// report would send where all others do.
-func (s *state) room(now time.Time, load, others float64, limit int) bool {
-	switch {
-	case s.allotted && s.reported(now) && s.slots > 0:
-		return true
-	case s.allotted && s.fresh(now):
-		return false
-	case limit <= 0:
-		return true
-	case s.fresh(now):
-		return load < float64(limit)
-	default:
-		return float64(s.inFlight)+others < float64(limit)
-	}
-}
-
 // allotted reports whether a fresh report sets how many requests this router may send.
 func (p *Pool) allotted(now time.Time, cands []upstream.Instance) bool {
 	for _, c := range cands {
@@ -314,7 +235,7 @@
 	if !group {
 		// A plain upstream works at its own speed: each waiting request takes as long as those
 		// before it.
-		score = (score + 1) * (s.latency + latencyFloor)
+		score = (score + 1) * (s.answerTime(now) + latencyFloor)
 		if c.DataCentre != p.dataCentre {
 			score *= 1 + remotePenalty
 		}
@@ -378,7 +299,7 @@
 	case ResultOK:
 		s.recordResult(now, false)
 		p.conditions.Served(id)
-		s.latency = latencyDecay*s.latency + (1-latencyDecay)*took.Seconds()
+		s.recordAnswerTime(now, took)
 	case ResultError, ResultBroken:
 		s.recordResult(now, true)
 	case ResultUnsent:
