--- a/services/balance/time_to_accept.go
+++ b/services/balance/time_to_accept.go
@@ -15,10 +15,10 @@
 // conditions that they report, and the upstreams that have asked this router to back off. Addresses
 // maps upstream addresses to runs. Upstreams without a limit are left out.
 func (p *Pool) SendLimits(now time.Time, addresses map[string]upstream.Run) (limits SendLimits, backingOff []string) {
+	limits = SendLimits{}
 	if p.conditions.Empty() {
-		return nil, nil
+		return limits, nil
 	}
-	limits = SendLimits{}
 	for address, run := range addresses {
 		kind, wait := p.conditions.Judge(now, run)
 		switch {
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -9,6 +9,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
@@ -96,6 +97,44 @@
 	// change is available. Both are nil if the requester already has the newest.
 	Change *catalog.Change
 	Whole  *catalog.Catalog
+	// Evacuations holds the latest record of each evacuation. EvacuationsKnown is false in the
+	// messages of versions that do not know evacuations.
+	Evacuations      []EvacuationRecord
+	EvacuationsKnown bool
+}
+
+// EvacuationRecord is the latest state of an evacuation and the offset of its record, in an era of
+// the store.
+type EvacuationRecord struct {
+	DataCentre vm.DataCentre
+	Ended      bool
+	At         services.Offset
+	Era        services.Era
+}
+
+// newEvacuationRecords converts the records of evacuations for sending to other routers.
+func newEvacuationRecords(records []services.Change[catalog.Update]) []EvacuationRecord {
+	out := make([]EvacuationRecord, len(records))
+	for i, c := range records {
+		out[i] = EvacuationRecord{DataCentre: c.Value.Evacuation.DataCentre, Ended: c.Value.Evacuation.Ended, At: c.At.Offset, Era: c.At.Era}
+	}
+	return out
+}
+
+// evacuations converts the records of evacuations received from another router. If it does not know
+// evacuations, those known here are returned, so that they stay as they are.
+func (d *CatalogDelta) evacuations(known []services.Change[catalog.Update]) []services.Change[catalog.Update] {
+	if !d.EvacuationsKnown {
+		return known
+	}
+	out := make([]services.Change[catalog.Update], len(d.Evacuations))
+	for i, e := range d.Evacuations {
+		out[i] = services.Change[catalog.Update]{
+			At:    services.Position{Era: e.Era, Offset: e.At},
+			Value: &catalog.Update{Evacuation: &catalog.Evacuation{DataCentre: e.DataCentre, Ended: e.Ended}},
+		}
+	}
+	return out
 }
 
 // UpstreamDelta is the delta of the feed of upstreams that the requester is missing.
@@ -158,6 +197,7 @@
 	now := clock.Now()
 	a.r.opts.Relay.WithState(func(s *knowledge.State) {
 		reply.Extent = catalogProgress(now, s)
+		reply.Evacuations, reply.EvacuationsKnown = newEvacuationRecords(s.Evacuations()), true
 		if s.Index() == nil || since.Known && since.Version >= s.Version() {
 			return
 		}
--- a/services/entry/coverage_test.go
+++ b/services/entry/coverage_test.go
@@ -37,7 +37,7 @@
 func knowGroups(now time.Time, rl *relay.Relay, groups ...group.ID) {
 	rl.WithState(func(s *knowledge.State) {
 		c := catalog.Catalog{Version: 1, Services: []catalog.Service{{ID: "m", Engine: &catalog.Engine{Slots: 4}}, {ID: "plain"}}}
-		s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Catalog]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+		s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
 		var ups []services.Change[upstream.Instance]
 		for _, g := range groups {
 			for _, address := range ranksOf(g) {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -33,7 +33,7 @@
 
 // Store is the part of the platform's store that a router uses.
 type Store interface {
-	Catalogs() services.Feed[catalog.Catalog]
+	Catalogs() services.Feed[catalog.Update]
 	Upstreams() services.Feed[upstream.Instance]
 	Nodes() services.Feed[peer.Info]
 	// PutNodes registers processes.
@@ -61,7 +61,7 @@
 // Router keeps the state of a relay up to date. It is safe for concurrent use.
 type Router struct {
 	opts      Options
-	catalogs  *follower[catalog.Catalog]
+	catalogs  *follower[catalog.Update]
 	upstreams *follower[upstream.Instance]
 
 	// gossipDue triggers a gossip round.
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -208,7 +208,7 @@
 	return nil, services.Position{}, ctx.Err()
 }
 
-func (silentStore) Catalogs() services.Feed[catalog.Catalog] { return silentFeed[catalog.Catalog]{} }
+func (silentStore) Catalogs() services.Feed[catalog.Update] { return silentFeed[catalog.Update]{} }
 
 func (silentStore) Upstreams() services.Feed[upstream.Instance] {
 	return silentFeed[upstream.Instance]{}
@@ -288,7 +288,7 @@
 		u := upstream.Instance{ID: "u", Service: "s", State: upstream.StateReady}
 		ra.WithState(func(s *knowledge.State) {
 			c := catalog.Catalog{Version: 7, Services: []catalog.Service{{ID: "s"}}, Accounts: []catalog.Account{{ID: "x", Keys: []catalog.Key{"k"}}}}
-			s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Catalog]{Whole: true, Next: position(5), AsOf: old, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+			s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Update]{Whole: true, Next: position(5), AsOf: old, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
 			s.ApplyUpstreams(old, knowledge.Segment[upstream.Instance]{Whole: true, Next: position(9), AsOf: old, Changes: []services.Change[upstream.Instance]{{Key: "u", Value: &u}}})
 		})
 		a.becomeReady()
--- a/services/entry/pull.go
+++ b/services/entry/pull.go
@@ -6,20 +6,24 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 )
 
 // pullCatalogs pulls the newest catalog from another router.
-func (r *Router) pullCatalogs(ctx context.Context, address string) (knowledge.Segment[catalog.Catalog], error) {
+func (r *Router) pullCatalogs(ctx context.Context, address string) (knowledge.Segment[catalog.Update], error) {
 	var base *catalog.Catalog
 	var known DeltaRequest
+	var evacuations []services.Change[catalog.Update]
 	r.opts.Relay.WithState(func(s *knowledge.State) {
+		evacuations = s.Evacuations()
 		if s.Index() != nil {
 			base, known = s.Index().Catalog, deltaRequest(s.Catalogs())
 			known.Version = base.Version
@@ -27,7 +31,7 @@
 	})
 	asked := clock.Now()
 	var n CatalogDelta
-	p := knowledge.Segment[catalog.Catalog]{Whole: true}
+	p := knowledge.Segment[catalog.Update]{Whole: true}
 	if err := r.opts.Pool.Call(ctx, address, "Router.Catalogs", known, &n); err != nil {
 		return p, fmt.Errorf("pull catalogs: %w", err)
 	}
@@ -41,8 +45,9 @@
 		newest = changed
 	}
 	if newest != nil {
-		p.Changes = []services.Change[catalog.Catalog]{{Value: newest}}
+		p.Changes = []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: newest}}}
 	}
+	p.Changes = append(p.Changes, n.evacuations(evacuations)...)
 	return p, nil
 }
 
@@ -57,18 +62,19 @@
 	return knowledge.Segment[upstream.Instance]{Whole: n.Whole, From: mark.Next, Next: n.Extent.position(), AsOf: n.Extent.asOf(asked), Changes: n.changes()}, nil
 }
 
-func (r *Router) applyCatalogs(p knowledge.Segment[catalog.Catalog]) knowledge.Fit {
+func (r *Router) applyCatalogs(p knowledge.Segment[catalog.Update]) knowledge.Fit {
 	var fit knowledge.Fit
 	var before, after *catalog.Index
+	var evacuatedBefore, evacuated []vm.DataCentre
 	var since time.Time
 	var pending, stillPending bool
 	now := clock.Now()
 	r.opts.Relay.WithState(func(s *knowledge.State) {
-		before = s.Index()
+		before, evacuatedBefore = s.Index(), s.Evacuated()
 		_, pending = s.RewritePending()
 		fit = s.ApplyCatalogs(now, p)
 		since, stillPending = s.RewritePending()
-		after = s.Index()
+		after, evacuated = s.Index(), s.Evacuated()
 	})
 	if pending && !stillPending {
 		r.opts.Logger.Info().Stringer("place", p.Next).Uint64("version", uint64(r.version())).Int64("after_ms", now.Sub(since).Milliseconds()).Msg("catalog-proven")
@@ -78,10 +84,28 @@
 		r.opts.Logger.Info().Uint64("version", uint64(after.Version)).Int("routes", len(after.Routes)).Stringer("place", p.Next).
 			Int64("age_ms", clock.Since(p.AsOf).Milliseconds()).Msg("catalog-taken")
 	}
+	r.logEvacuations(p, evacuatedBefore, evacuated)
 	r.becomeReady()
 	return fit
 }
 
+// logEvacuations logs the evacuations that started or ended by a segment of the operator's feed.
+func (r *Router) logEvacuations(p knowledge.Segment[catalog.Update], before, after []vm.DataCentre) {
+	log := func(dc vm.DataCentre, name string) {
+		r.opts.Logger.Info().Str("data_centre", string(dc)).Stringer("place", p.Next).Bool("whole", p.Whole).Int64("age_ms", clock.Since(p.AsOf).Milliseconds()).Msg(name)
+	}
+	for _, dc := range after {
+		if !slices.Contains(before, dc) {
+			log(dc, "evacuation-began")
+		}
+	}
+	for _, dc := range before {
+		if !slices.Contains(after, dc) {
+			log(dc, "evacuation-ended")
+		}
+	}
+}
+
 func (r *Router) applyUpstreams(p knowledge.Segment[upstream.Instance]) knowledge.Fit {
 	var fit knowledge.Fit
 	r.opts.Relay.WithState(func(s *knowledge.State) { fit = s.ApplyUpstreams(clock.Now(), p) })
--- a/services/entry/restore_test.go
+++ b/services/entry/restore_test.go
@@ -84,15 +84,15 @@
 
 func (s *simStore) end() services.Position { return services.Position{Era: s.era}.After(len(s.log)) }
 
-func changesOf(versions []catalog.Version, at services.Position) []services.Change[catalog.Catalog] {
-	var out []services.Change[catalog.Catalog]
+func changesOf(versions []catalog.Version, at services.Position) []services.Change[catalog.Update] {
+	var out []services.Change[catalog.Update]
 	for i, v := range versions {
-		out = append(out, services.Change[catalog.Catalog]{Key: "config", Value: &catalog.Catalog{Version: v}, At: at.After(i)})
+		out = append(out, services.Change[catalog.Update]{Key: "config", Value: &catalog.Update{Catalog: &catalog.Catalog{Version: v}}, At: at.After(i)})
 	}
 	return out
 }
 
-func (s *simStore) Snapshot(ctx context.Context) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (s *simStore) Snapshot(ctx context.Context) ([]services.Change[catalog.Update], services.Position, error) {
 	if err := s.call(ctx); err != nil {
 		return nil, services.Position{}, err
 	}
@@ -104,7 +104,7 @@
 	return changesOf(newest, s.end()), s.end(), nil
 }
 
-func (s *simStore) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (s *simStore) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
 	if err := s.call(ctx); err != nil {
 		return nil, from, err
 	}
@@ -144,7 +144,7 @@
 
 	mu        sync.Mutex
 	state     *knowledge.State
-	f         *follower[catalog.Catalog]
+	f         *follower[catalog.Update]
 	gossipDue chan struct{}
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
@@ -200,14 +200,14 @@
 	return nil
 }
 
-func (c cutFeed) Snapshot(ctx context.Context) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (c cutFeed) Snapshot(ctx context.Context) ([]services.Change[catalog.Update], services.Position, error) {
 	if err := c.reach(); err != nil {
 		return nil, services.Position{}, err
 	}
 	return c.r.d.store.Snapshot(ctx)
 }
 
-func (c cutFeed) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (c cutFeed) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
 	if err := c.reach(); err != nil {
 		return nil, from, err
 	}
@@ -232,7 +232,7 @@
 	r.state, r.gossipDue, r.version = knowledge.New(applyBound), make(chan struct{}, 1), 0
 	r.mu.Unlock()
 	news := r.gossipDue
-	f := &follower[catalog.Catalog]{
+	f := &follower[catalog.Update]{
 		name: feedCatalogs, feed: cutFeed{r}, times: watch.NewTimes(applyBound), logger: zerolog.Nop(), wake: make(chan struct{}, 1), ahead: make(chan string, 1),
 		mark: func() (m knowledge.Watermark) {
 			r.know(func(s *knowledge.State) { m = s.Catalogs() })
@@ -242,7 +242,7 @@
 			r.know(func(s *knowledge.State) { v = s.Version() })
 			return v
 		},
-		apply: func(p knowledge.Segment[catalog.Catalog]) (fit knowledge.Fit) {
+		apply: func(p knowledge.Segment[catalog.Update]) (fit knowledge.Fit) {
 			proven := false
 			r.know(func(s *knowledge.State) {
 				_, unsettled := s.ProofFrom()
@@ -274,7 +274,7 @@
 }
 
 // follower returns that of the latest start; nil before the first.
-func (r *simRouter) follower() *follower[catalog.Catalog] {
+func (r *simRouter) follower() *follower[catalog.Update] {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.f
@@ -310,12 +310,12 @@
 }
 
 // ask pulls the catalog from another router.
-func (r *simRouter) ask(ctx context.Context, name string) (knowledge.Segment[catalog.Catalog], error) {
+func (r *simRouter) ask(ctx context.Context, name string) (knowledge.Segment[catalog.Update], error) {
 	asked := time.Now()
 	time.Sleep(routerLatency)
 	i := slices.IndexFunc(r.d.routers, func(o *simRouter) bool { return o.name == name })
 	e := r.d.routers[i].extent()
-	p := knowledge.Segment[catalog.Catalog]{Whole: true, Next: e.position(), AsOf: e.asOf(asked), Vouch: e.confirmation(asked)}
+	p := knowledge.Segment[catalog.Update]{Whole: true, Next: e.position(), AsOf: e.asOf(asked), Vouch: e.confirmation(asked)}
 	if e.Version > 0 {
 		p.Changes = changesOf([]catalog.Version{e.Version}, e.position())
 	}
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -43,9 +43,11 @@
 	// catalogs and upstreams are the read positions of the two feeds.
 	catalogs, upstreams Watermark
 	// proof records when the catalog was last confirmed as the newest.
-	proof     proof
-	entries   map[upstream.ID]*entry
-	byService map[service.ID][]upstream.ID
+	proof proof
+	// evacuations holds the data centres whose upstreams get no requests.
+	evacuations evacuations
+	entries     map[upstream.ID]*entry
+	byService   map[service.ID][]upstream.ID
 	// owners maps each address to the upstream that uses it.
 	owners map[string]upstream.ID
 	// lapse is how long an upstream whose entry was removed may still be used.
@@ -55,7 +57,7 @@
 // New returns the empty state of a process that has just started. drainTime is how long an upstream
 // serves after it has reported that it leaves, or after its entry was removed.
 func New(drainTime time.Duration) *State {
-	s := &State{entries: map[upstream.ID]*entry{}, owners: map[string]upstream.ID{}, byService: map[service.ID][]upstream.ID{}}
+	s := &State{evacuations: evacuations{}, entries: map[upstream.ID]*entry{}, owners: map[string]upstream.ID{}, byService: map[service.ID][]upstream.ID{}}
 	s.SetDrainTime(drainTime)
 	return s
 }
@@ -68,12 +70,13 @@
 // ApplyCatalogs applies a segment of the feed of catalogs. Versions only increase: an older version
 // than the known one is ignored. A newer version is applied wherever it was found, since it was
 // accepted even if the store has lost it since.
-func (s *State) ApplyCatalogs(now time.Time, p Segment[catalog.Catalog]) Fit {
+func (s *State) ApplyCatalogs(now time.Time, p Segment[catalog.Update]) Fit {
 	before := s.catalogs
 	lost := p.Next.Era < before.Next.Era
 	fit := s.catalogs.advance(p.Whole, p.From, p.Next, p.AsOf)
 	if fit == FitNew || p.Whole || lost {
 		s.adopt(p.Changes) // other segments are read again
+		s.evacuations.apply(p)
 	}
 	if s.catalogs.Known() && (!before.Known() || before.Next.Era != s.catalogs.Next.Era) {
 		s.proof.beginEra(now, s.catalogs.Next.Era)
@@ -88,11 +91,14 @@
 }
 
 // adopt puts a newer catalog in force.
-func (s *State) adopt(changes []services.Change[catalog.Catalog]) {
+func (s *State) adopt(changes []services.Change[catalog.Update]) {
 	for _, c := range changes {
-		if c.Value != nil && (s.index == nil || c.Value.Version > s.index.Version) {
-			s.index = catalog.NewIndex(c.Value)
-			s.past = append(s.past[max(0, len(s.past)+1-maxPastCatalogs):], c.Value)
+		if c.Value == nil || c.Value.Catalog == nil {
+			continue
+		}
+		if newest := c.Value.Catalog; s.index == nil || newest.Version > s.index.Version {
+			s.index = catalog.NewIndex(newest)
+			s.past = append(s.past[max(0, len(s.past)+1-maxPastCatalogs):], newest)
 		}
 	}
 	s.reindex()
@@ -239,7 +245,7 @@
 }
 
 // Usable returns the upstreams of a service that accept new work: those listed, or if there are
-// none, those whose entries have lapsed recently.
+// none, those whose entries have lapsed recently. Upstreams in evacuated data centres are excluded.
 func (s *State) Usable(now time.Time, id service.ID) []upstream.Instance {
 	ids := s.byService[id]
 	listed := make([]upstream.Instance, 0, len(ids)) // called for each request; growing the slice took a sixth of the time of a grant
@@ -247,7 +253,7 @@
 	for _, u := range ids {
 		e := s.entries[u]
 		switch {
-		case e.instance.State != upstream.StateReady, now.Before(e.unusableUntil):
+		case e.instance.State != upstream.StateReady, now.Before(e.unusableUntil), s.evacuations.active(e.instance.DataCentre):
 		case e.removedAt.IsZero():
 			listed = append(listed, e.instance)
 		case now.Sub(e.removedAt) <= s.lapse:
@@ -265,7 +271,7 @@
 func (s *State) AcceptsWork(now time.Time, id upstream.ID) bool {
 	e, ok := s.entries[id]
 	return ok && s.owners[e.instance.Address] == id && e.instance.State == upstream.StateReady && !now.Before(e.unusableUntil) &&
-		(e.removedAt.IsZero() || now.Sub(e.removedAt) <= s.lapse)
+		!s.evacuations.active(e.instance.DataCentre) && (e.removedAt.IsZero() || now.Sub(e.removedAt) <= s.lapse)
 }
 
 // Listed reports whether the store lists an upstream that accepts work and is not leaving.
--- a/services/knowledge/knowledge_test.go
+++ b/services/knowledge/knowledge_test.go
@@ -21,25 +21,25 @@
 // TestCatalog checks that a catalog never reverts, and that only a confirmed end of the feed makes
 // it fresher.
 func TestCatalog(t *testing.T) {
-	segment := func(from, next services.Offset, asOf time.Duration, versions ...catalog.Version) Segment[catalog.Catalog] {
-		p := Segment[catalog.Catalog]{From: position(from), Next: position(next), AsOf: begin.Add(asOf)}
+	segment := func(from, next services.Offset, asOf time.Duration, versions ...catalog.Version) Segment[catalog.Update] {
+		p := Segment[catalog.Update]{From: position(from), Next: position(next), AsOf: begin.Add(asOf)}
 		for _, v := range versions {
-			p.Changes = append(p.Changes, services.Change[catalog.Catalog]{Value: &catalog.Catalog{Version: v}})
+			p.Changes = append(p.Changes, services.Change[catalog.Update]{Value: &catalog.Update{Catalog: &catalog.Catalog{Version: v}}})
 		}
 		return p
 	}
-	told := func(p Segment[catalog.Catalog]) Segment[catalog.Catalog] {
+	told := func(p Segment[catalog.Update]) Segment[catalog.Update] {
 		p.AsOf = time.Time{}
 		return p
 	}
-	whole := func(p Segment[catalog.Catalog]) Segment[catalog.Catalog] {
+	whole := func(p Segment[catalog.Update]) Segment[catalog.Update] {
 		p.Whole = true
 		return p
 	}
 	s := New(2 * time.Second)
 	steps := []struct {
 		name    string
-		segment Segment[catalog.Catalog]
+		segment Segment[catalog.Update]
 		fit     Fit
 		version catalog.Version
 		next    services.Offset
@@ -180,7 +180,7 @@
 	}
 	ups := Segment[upstream.Instance]{Whole: true, Next: position(2), AsOf: begin, Changes: []services.Change[upstream.Instance]{entry("a", "s", 0), entry("b", "else", 1)}}
 	named := &catalog.Catalog{Version: 1, Services: []catalog.Service{{ID: "s"}}}
-	catalogs := Segment[catalog.Catalog]{Whole: true, Next: position(1), AsOf: begin, Changes: []services.Change[catalog.Catalog]{{Key: "c", Value: named}}}
+	catalogs := Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: begin, Changes: []services.Change[catalog.Update]{{Key: "c", Value: &catalog.Update{Catalog: named}}}}
 	orders := map[string][]func(*State){
 		"the catalog first": {func(s *State) { s.ApplyCatalogs(begin, catalogs) }, func(s *State) { s.ApplyUpstreams(begin, ups) }},
 		"the catalog last":  {func(s *State) { s.ApplyUpstreams(begin, ups) }, func(s *State) { s.ApplyCatalogs(begin, catalogs) }},
--- a/services/knowledge/proof_test.go
+++ b/services/knowledge/proof_test.go
@@ -21,19 +21,19 @@
 	ms := func(n int) time.Time { return begin.Add(time.Duration(n) * time.Millisecond) }
 	type step struct {
 		now     int
-		segment Segment[catalog.Catalog]
+		segment Segment[catalog.Update]
 		// proven is the time up to which the catalog is then known to be the newest; negative for
 		// never.
 		proven int
 	}
-	read := func(era services.Era, asOf int, versions ...catalog.Version) Segment[catalog.Catalog] {
-		p := Segment[catalog.Catalog]{Whole: true, Next: at(era, 10), AsOf: ms(asOf)}
+	read := func(era services.Era, asOf int, versions ...catalog.Version) Segment[catalog.Update] {
+		p := Segment[catalog.Update]{Whole: true, Next: at(era, 10), AsOf: ms(asOf)}
 		for _, v := range versions {
-			p.Changes = append(p.Changes, services.Change[catalog.Catalog]{Key: "config", Value: &catalog.Catalog{Version: v}})
+			p.Changes = append(p.Changes, services.Change[catalog.Update]{Key: "config", Value: &catalog.Update{Catalog: &catalog.Catalog{Version: v}}})
 		}
 		return p
 	}
-	vouched := func(p Segment[catalog.Catalog], v catalog.Version, asOf int) Segment[catalog.Catalog] {
+	vouched := func(p Segment[catalog.Update], v catalog.Version, asOf int) Segment[catalog.Update] {
 		p.Vouch = Confirmation{Version: v, AsOf: ms(asOf)}
 		return p
 	}
@@ -54,7 +54,7 @@
 		"a start beside who knows":        {{100, vouched(read(4, 90, 5), 5, 60), 60}},
 		"who vouches for a later version": {{100, vouched(read(4, 90, 5), 6, 60), never}, {200, vouched(read(4, 190, 6), 6, 150), 150}},
 		"who vouches for an older one":    {{100, read(0, 90, 5), 90}, {200, vouched(read(1, 190, 3), 4, 150), 150}},
-		"a first part that says nothing":  {{100, Segment[catalog.Catalog]{From: at(1, 3), Next: at(1, 3), AsOf: ms(90)}, never}},
+		"a first part that says nothing":  {{100, Segment[catalog.Update]{From: at(1, 3), Next: at(1, 3), AsOf: ms(90)}, never}},
 		"an era that is told for the first time": {
 			{100, read(0, 90, 5), 90}, {1000, read(7, 990, 5), 90}, {3010, read(7, 3000), 3000},
 		},
--- a/services/knowledge/restore_test.go
+++ b/services/knowledge/restore_test.go
@@ -19,10 +19,10 @@
 	at := func(era services.Era, o services.Offset) services.Position {
 		return services.Position{Era: era, Offset: o}
 	}
-	segment := func(whole bool, from, next services.Position, ms int, versions ...catalog.Version) Segment[catalog.Catalog] {
-		p := Segment[catalog.Catalog]{Whole: whole, From: from, Next: next, AsOf: begin.Add(time.Duration(ms) * time.Millisecond)}
+	segment := func(whole bool, from, next services.Position, ms int, versions ...catalog.Version) Segment[catalog.Update] {
+		p := Segment[catalog.Update]{Whole: whole, From: from, Next: next, AsOf: begin.Add(time.Duration(ms) * time.Millisecond)}
 		for _, v := range versions {
-			p.Changes = append(p.Changes, services.Change[catalog.Catalog]{Key: "config", Value: &catalog.Catalog{Version: v}})
+			p.Changes = append(p.Changes, services.Change[catalog.Update]{Key: "config", Value: &catalog.Update{Catalog: &catalog.Catalog{Version: v}}})
 		}
 		return p
 	}
@@ -30,7 +30,7 @@
 	known := segment(true, services.Position{}, at(1, 15), 0, 48)
 	copied := segment(true, services.Position{}, at(2, 11), 100, 34)
 	type step struct {
-		segment Segment[catalog.Catalog]
+		segment Segment[catalog.Update]
 		fit     Fit
 		version catalog.Version
 		next    services.Position
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -56,7 +56,7 @@
 	// Nodes lists the registered processes.
 	Nodes() services.Feed[peer.Info]
 	// Catalogs returns the feed of catalogs, which hold the parameters of the engines.
-	Catalogs() services.Feed[catalog.Catalog]
+	Catalogs() services.Feed[catalog.Update]
 }
 
 // Caller calls methods of other processes.
--- a/services/rank/claim_test.go
+++ b/services/rank/claim_test.go
@@ -35,7 +35,7 @@
 	return "nobody", nil
 }
 func (s *claimStore) PutNodes(context.Context, []peer.Info) error { return nil }
-func (s *claimStore) Catalogs() services.Feed[catalog.Catalog]    { return noCatalogs{} }
+func (s *claimStore) Catalogs() services.Feed[catalog.Update]     { return noCatalogs{} }
 func (s *claimStore) Nodes() services.Feed[peer.Info]             { return s }
 func (s *claimStore) Snapshot(context.Context) ([]services.Change[peer.Info], services.Position, error) {
 	a := peer.Info{Name: "side-1", Role: vm.RoleAgent, Address: "1", Service: "m"}
--- a/services/rank/cluster_view.go
+++ b/services/rank/cluster_view.go
@@ -79,8 +79,8 @@
 		return true
 	}
 	for _, k := range catalogs {
-		if k.Value != nil {
-			s.addCatalog(k.Value, c.service)
+		if k.Value != nil && k.Value.Catalog != nil {
+			s.addCatalog(k.Value.Catalog, c.service)
 		}
 	}
 	return true
--- a/services/rank/lead_test.go
+++ b/services/rank/lead_test.go
@@ -444,7 +444,7 @@
 
 func (s simStore) Nodes() services.Feed[peer.Info] { return simNodes{s} }
 
-func (s simStore) Catalogs() services.Feed[catalog.Catalog] { return noCatalogs{} }
+func (s simStore) Catalogs() services.Feed[catalog.Update] { return noCatalogs{} }
 
 type simNodes struct{ s simStore }
 
@@ -463,11 +463,11 @@
 
 type noCatalogs struct{}
 
-func (noCatalogs) Snapshot(context.Context) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (noCatalogs) Snapshot(context.Context) ([]services.Change[catalog.Update], services.Position, error) {
 	return nil, services.Position{}, nil
 }
 
-func (noCatalogs) Changes(context.Context, services.Position, time.Duration) ([]services.Change[catalog.Catalog], services.Position, error) {
+func (noCatalogs) Changes(context.Context, services.Position, time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
 	return nil, services.Position{}, errNoAnswer
 }
 
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -71,8 +71,8 @@
 	return f
 }
 
-func (s *outStore) Catalogs() services.Feed[catalog.Catalog] {
-	return outFeed[catalog.Catalog]{s: s, values: []services.Change[catalog.Catalog]{{Value: &s.catalog}}}
+func (s *outStore) Catalogs() services.Feed[catalog.Update] {
+	return outFeed[catalog.Update]{s: s, values: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &s.catalog}}}}
 }
 
 func (s *outStore) Claim(context.Context, string, string, services.Position) (services.Position, bool, error) {
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -21,6 +21,10 @@
 	svc := r.serviceState(now, x.service)
 	asked := r.admissionRequest(now, svc, x)
 	usable := r.state.Usable(now, x.service)
+	if x.evacuated = len(usable) == 0 && len(r.state.EvacuatedUpstreams(x.service)) > 0; x.evacuated {
+		r.mu.Unlock()
+		return upstream.Instance{}, false
+	}
 	if asked.Ask.Engine != nil && svc.unreported(now, usable) {
 		r.unreported(x.service)
 	}
--- a/services/relay/bench_test.go
+++ b/services/relay/bench_test.go
@@ -38,7 +38,7 @@
 		changes = append(changes, services.Change[upstream.Instance]{Key: string(u.ID), Value: &u})
 	}
 	r.WithState(func(k *knowledge.State) {
-		k.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Catalog]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+		k.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
 		k.ApplyUpstreams(now, knowledge.Segment[upstream.Instance]{Whole: true, Next: position(1), AsOf: now, Changes: changes})
 	})
 	return r
@@ -143,7 +143,7 @@
 		own += (<-arrived).Sub(began)
 		n++
 		r.WithState(func(k *knowledge.State) {
-			k.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Catalog]{From: position(1), Next: position(1), AsOf: time.Now()})
+			k.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Update]{From: position(1), Next: position(1), AsOf: time.Now()})
 		})
 	}
 	b.ReportMetric(float64(own.Microseconds())/float64(n), "own-us/op")
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -33,6 +33,7 @@
 	ReasonBadRequest         Reason = "request-unreadable"
 	ReasonTooLarge           Reason = "body-too-large"
 	ReasonNoRoom             Reason = "no-upstream-with-room"
+	ReasonEvacuated          Reason = "upstreams-evacuated"
 	ReasonNotRun             Reason = "upstreams-did-not-run-it"
 	ReasonUnknown            Reason = "may-have-run"
 	ReasonDeadline           Reason = "deadline"
@@ -57,6 +58,9 @@
 	// of up to retryBusySpread is added, so that callers do not retry at the same time.
 	retryBusy       = 250 * time.Millisecond
 	retryBusySpread = 250 * time.Millisecond
+	// retryEvacuated is the retry advice while all upstreams of a service are in evacuated data
+	// centres. Operators end an evacuation after seconds at least.
+	retryEvacuated = time.Second
 	// defaultTimeout bounds requests for which neither route nor caller sets a timeout.
 	defaultTimeout = 30 * time.Second
 	// streamGrace is how long after the order to stop a process still accepts streams: later ones
@@ -107,7 +111,10 @@
 	// retryAfter is the forecast time until there is room for a request that found none; advised is
 	// the retry advice sent to the caller.
 	retryAfter, advised time.Duration
-	stream              streamState
+	// evacuated reports whether all upstreams were in evacuated data centres when the request was
+	// last to be sent.
+	evacuated bool
+	stream    streamState
 }
 
 // refusal is an answer that the router gives itself.
@@ -282,6 +289,9 @@
 // busy returns the refusal for a request that has not run because there is no room.
 func (x *exchange) busy() refusal {
 	spread := time.Duration(rand.Int64N(int64(retryBusySpread))) //nolint:gosec // no secret
+	if x.evacuated {
+		return refusal{status: http.StatusServiceUnavailable, reason: ReasonEvacuated, retryAfter: retryEvacuated + spread}
+	}
 	after := max(x.retryAfter, retryBusy) + spread
 	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, retryAfter: after}
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -154,7 +154,8 @@
 	Rate float64
 	// Idle reports whether there has been no request for a while.
 	Idle bool
-	// Most bounds the number of requests that the router may send to some ranks.
+	// Most bounds the number of requests that the router may send to some ranks. It is 0 for ranks
+	// in evacuated data centres.
 	Most balance.SendLimits
 	// Resting holds the addresses of the ranks that have refused the router's requests.
 	Resting []string
@@ -189,6 +190,9 @@
 	unstarted := svc.pool.Report(now, g, ids)
 	r.wake(now, svc)
 	most, resting := svc.pool.SendLimits(now, ids)
+	for _, u := range r.state.EvacuatedUpstreams(id) {
+		most[u.Address] = 0
+	}
 	return RouterLoad{
 		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
 		Most: most, Resting: resting,
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -130,8 +130,8 @@
 }
 
 // catalogs returns a full snapshot of the tests' catalog that was current at a time.
-func catalogs(asOf time.Time) knowledge.Segment[catalog.Catalog] {
-	return knowledge.Segment[catalog.Catalog]{Whole: true, Next: position(1), AsOf: asOf, Changes: []services.Change[catalog.Catalog]{{Value: &testCatalog}}}
+func catalogs(asOf time.Time) knowledge.Segment[catalog.Update] {
+	return knowledge.Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: asOf, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &testCatalog}}}}
 }
 
 // newRelay returns a relay without a catalog or upstreams.
@@ -450,7 +450,7 @@
 	c.Version, c.Services = 4, []catalog.Service{{ID: "s", Engine: &catalog.Engine{Slots: 4}}}
 	var addresses []string
 	r.WithState(func(s *knowledge.State) {
-		s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Catalog]{Whole: true, Next: position(2), AsOf: now, Changes: []services.Change[catalog.Catalog]{{Value: &c}}})
+		s.ApplyCatalogs(time.Now(), knowledge.Segment[catalog.Update]{Whole: true, Next: position(2), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
 		for _, u := range s.Usable(now, "s") {
 			addresses = append(addresses, u.Address)
 		}
--- a/services/services.go
+++ b/services/services.go
@@ -83,6 +83,11 @@
 	return Position{Era: p.Era, Offset: p.Offset + Offset(records)} //nolint:gosec // a number of records is not negative
 }
 
+// Previous returns the position one record before p, or p if it is the first of its era.
+func (p Position) Previous() Position {
+	return Position{Era: p.Era, Offset: p.Offset - min(p.Offset, 1)}
+}
+
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Offset) }
 
 // Feed is a stream of the platform's store that keeps the newest value of each key.
