--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -12,6 +12,7 @@
 
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/upstream"
 )
 
 // Version is the version number of a deployment's catalog. A later catalog has a higher version.
@@ -112,6 +113,9 @@
 	ID service.ID
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdRate is the number of requests per second that a cold upstream accepts from all routers
+	// together; 0 if it is not limited.
+	ColdRate upstream.Rate
 }
 
 // Account is a client account with its keys.
--- a/models/upstream/upstream.go
+++ b/models/upstream/upstream.go
@@ -4,7 +4,11 @@
 // Package upstream names the back ends that answer requests.
 package upstream
 
-import "fawnwinch.org/fawnwinch/models/vm"
+import (
+	"time"
+
+	"fawnwinch.org/fawnwinch/models/vm"
+)
 
 // ID identifies one upstream: a rank of a model group or a replica of a plain service.
 type ID string
@@ -49,6 +53,8 @@
 	// Slots is the number of requests that it processes concurrently.
 	Slots int
 	State State
+	// Cold is how much longer the upstream is cold, from the time of the entry on; 0 if it is not.
+	Cold time.Duration
 }
 
 // Run returns the run that the entry describes.
--- a/services/balance/time_to_accept.go
+++ b/services/balance/time_to_accept.go
@@ -24,7 +24,7 @@
 		switch {
 		case wait > 0:
 			limits[address] = 0
-		case kind == condition.KindLimited:
+		case kind == condition.KindLimited || kind == condition.KindCold:
 			limits[address] = p.conditions.Held(now, run)
 		}
 		if kind == condition.KindResting {
@@ -46,7 +46,7 @@
 	var limitedWaits []time.Duration
 	for _, c := range cands {
 		switch kind, wait := p.conditions.Judge(now, c.Run()); kind {
-		case condition.KindLimited:
+		case condition.KindLimited, condition.KindCold:
 			limitedWaits = append(limitedWaits, wait)
 		case condition.KindLeaving, condition.KindResting:
 			unlimitedWait = min(unlimitedWait, wait)
@@ -61,15 +61,16 @@
 	if requests <= len(limitedWaits) {
 		return min(unlimitedWait, limitedWaits[requests-1])
 	}
-	return min(unlimitedWait, p.waitBeyondFirst(cands, limitedWaits, requests))
+	return min(unlimitedWait, p.waitBeyondFirst(now, cands, limitedWaits, requests))
 }
 
 // waitBeyondFirst forecasts when rate-limited upstreams accept more requests than there are
 // upstreams, if all requests came from this router.
-func (p *Pool) waitBeyondFirst(cands []upstream.Instance, limitedWaits []time.Duration, requests int) time.Duration {
+func (p *Pool) waitBeyondFirst(now time.Time, cands []upstream.Instance, limitedWaits []time.Duration, requests int) time.Duration {
 	var rate upstream.Rate
 	for _, c := range cands {
-		rate += p.conditions.Limit(c.Run()).Rate
+		limit, _ := p.conditions.LimitedRate(now, c.Run())
+		rate += limit
 	}
 	if rate <= 0 {
 		return condition.Never
--- a/services/condition/condition.go
+++ b/services/condition/condition.go
@@ -19,6 +19,9 @@
 	KindOut Kind = "out"
 	// KindLimited is an upstream that accepts a limited rate of requests from all routers together.
 	KindLimited Kind = "limited"
+	// KindCold is an upstream that has just started: it accepts a limited rate of requests like a
+	// limited one, for some seconds.
+	KindCold Kind = "cold"
 	// KindResting is an upstream that has asked this router to back off for some time.
 	KindResting Kind = "resting"
 	// KindLeaving is an upstream that accepts no more requests.
--- a/services/condition/permits.go
+++ b/services/condition/permits.go
@@ -113,6 +113,8 @@
 	Run upstream.Run
 	// Limit is the limit known to the router.
 	Limit WireLimit
+	// Cold is the coldness of the upstream known to the router.
+	Cold WireColdness
 	// Wanted is the number of permits; with 0 the request only reports the limit.
 	Wanted int
 }
@@ -128,14 +130,14 @@
 
 // Choose records that a request is chosen for an upstream.
 func (g *Register) Choose(now time.Time, run upstream.Run) {
-	if r, ok := g.records[run]; ok && r.limit.Named {
+	if r, ok := g.records[run]; ok && r.limited(now) {
 		r.permits.take(now)
 	}
 }
 
 // Withdraw records that a request that was chosen for an upstream is not sent.
 func (g *Register) Withdraw(now time.Time, run upstream.Run) {
-	if r, ok := g.records[run]; ok && r.limit.Named {
+	if r, ok := g.records[run]; ok && r.limited(now) {
 		r.permits.release(now)
 	}
 }
@@ -147,7 +149,7 @@
 	switch {
 	case ok && (r.leaving || now.Before(r.backoffUntil)):
 		return PermissionDenied
-	case !ok || !r.limit.Named || r.permits.use():
+	case !ok || !r.limited(now) || r.permits.use():
 		return PermissionGiven
 	}
 	return PermissionAsk
@@ -157,7 +159,7 @@
 func (g *Register) Ask(now time.Time, run upstream.Run) PermitRequest {
 	a := PermitRequest{Run: run}
 	if r, ok := g.records[run]; ok {
-		a.Limit, a.Wanted = r.limit.Wire(now), r.permits.ask(now)
+		a.Limit, a.Cold, a.Wanted = r.limit.Wire(now), r.cold.Wire(now), r.permits.ask(now)
 	}
 	return a
 }
@@ -172,7 +174,7 @@
 	changes := g.learn(r, reply.Limit.ToLimit(asked, now))
 	r.permits.asking = false
 	switch p := &r.permits; {
-	case !r.limit.Named:
+	case !r.limited(now):
 		return PermissionGiven, changes
 	case reply.Given > 0:
 		p.held += reply.Given - 1
--- a/services/condition/register.go
+++ b/services/condition/register.go
@@ -28,6 +28,7 @@
 	skipUntil        time.Time
 	unreachedBackoff time.Duration
 	limit            Limit
+	cold             Coldness
 	permits          permits
 	// unread is the text of the latest parse error, so that each error is reported once.
 	unread string
@@ -138,6 +139,8 @@
 		return KindLeaving, Never
 	case r.limit.Named:
 		return KindLimited, max(backoff, out, r.permits.availableAt(now).Sub(now), 0)
+	case r.cold.Cold(now):
+		return KindCold, max(backoff, out, r.permits.availableAt(now).Sub(now), 0)
 	case backoff > 0:
 		return KindResting, max(backoff, out)
 	case out > 0:
@@ -192,7 +195,7 @@
 
 // empty reports whether the record holds no relevant state.
 func (r *record) empty(now time.Time) bool {
-	relevant := r.leaving || r.limit.Named || r.unread != "" || now.Before(r.backoffUntil) || now.Sub(r.limit.Heard) < unlistedRetention
+	relevant := r.leaving || r.limited(now) || r.unread != "" || now.Before(r.backoffUntil) || now.Sub(r.limit.Heard) < unlistedRetention
 	return !relevant && r.unreachedBackoff == 0 && !now.Before(r.skipUntil)
 }
 
@@ -214,6 +217,8 @@
 			out[KindResting]++
 		case r.limit.Named:
 			out[KindLimited]++
+		case r.cold.Cold(now):
+			out[KindCold]++
 		}
 	}
 	return out
--- a/services/entry/api.go
+++ b/services/entry/api.go
@@ -223,7 +223,7 @@
 				return
 			}
 		}
-		reply.Whole, reply.Changes = true, newUpstreamChanges(s.All())
+		reply.Whole, reply.Changes = true, newUpstreamChanges(s.All(now))
 	})
 	return nil
 }
--- a/services/entry/pull.go
+++ b/services/entry/pull.go
@@ -85,6 +85,9 @@
 			Int64("age_ms", clock.Since(p.AsOf).Milliseconds()).Msg("catalog-taken")
 	}
 	r.logEvacuations(p, evacuatedBefore, evacuated)
+	if before != after {
+		r.opts.Relay.UpdateCold(now)
+	}
 	r.becomeReady()
 	return fit
 }
@@ -108,8 +111,10 @@
 
 func (r *Router) applyUpstreams(p knowledge.Segment[upstream.Instance]) knowledge.Fit {
 	var fit knowledge.Fit
-	r.opts.Relay.WithState(func(s *knowledge.State) { fit = s.ApplyUpstreams(clock.Now(), p) })
+	now := clock.Now()
+	r.opts.Relay.WithState(func(s *knowledge.State) { fit = s.ApplyUpstreams(now, p) })
 	if fit == knowledge.FitNew {
+		r.opts.Relay.UpdateCold(now)
 		r.firstEra(p.Next.Era)
 		r.noteUpstreams(p)
 	}
@@ -135,7 +140,7 @@
 	}
 	for _, c := range p.Changes {
 		r.opts.Logger.Info().Str("upstream", c.Key).Str("state", string(stateOf(c.Value))).Bool("whole", p.Whole).
-			Stringer("place", p.Next).Int64("age_ms", age).Str("address", addressOf(c.Value)).Msg("upstream-listed")
+			Stringer("place", p.Next).Int64("age_ms", age).Str("address", addressOf(c.Value)).Int64("cold_ms", coldOf(c.Value).Milliseconds()).Msg("upstream-listed")
 	}
 }
 
@@ -149,6 +154,14 @@
 	return i.State
 }
 
+// coldOf returns how much longer an upstream is cold.
+func coldOf(i *upstream.Instance) time.Duration {
+	if i == nil {
+		return 0
+	}
+	return i.Cold
+}
+
 func addressOf(i *upstream.Instance) string {
 	if i == nil {
 		return ""
--- a/services/knowledge/entry.go
+++ b/services/knowledge/entry.go
@@ -33,6 +33,13 @@
 	// unusableUntil is the time until which the upstream gets no work: the backup that lists it may
 	// have been made before the upstream ended.
 	unusableUntil time.Time
+	// coldUntil is the time until which the upstream is cold.
+	coldUntil time.Time
+}
+
+// newEntry returns the entry of an upstream that was read at a time.
+func newEntry(now time.Time, i upstream.Instance, at services.Position) *entry {
+	return &entry{instance: i, at: at, coldUntil: now.Add(i.Cold)}
 }
 
 // relisted returns the entry of a run that is listed again at a position. A run that was leaving
@@ -42,7 +49,7 @@
 // not take its address back from a later one, and a run that was removed gets no work for
 // relistDelay.
 func (e *entry) relisted(now time.Time, i upstream.Instance, at services.Position, restored bool) *entry {
-	next := &entry{instance: i, at: at}
+	next := newEntry(now, i, at)
 	if e.instance.State == upstream.StateLeaving {
 		next.instance.State = upstream.StateLeaving
 	}
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -193,7 +193,7 @@
 func (s *State) put(now time.Time, i upstream.Instance, at services.Position, restored bool) {
 	e, ok := s.entries[i.ID]
 	if !ok || i.Born > e.instance.Born {
-		s.entries[i.ID] = &entry{instance: i, at: at}
+		s.entries[i.ID] = newEntry(now, i, at)
 		return
 	}
 	if i.Born == e.instance.Born {
@@ -280,12 +280,33 @@
 	return ok && e.instance.State == upstream.StateReady && e.removedAt.IsZero()
 }
 
-// All returns the entries of all listed upstreams.
-func (s *State) All() []services.Change[upstream.Instance] {
+// All returns the entries of all listed upstreams, with the times for which they are cold from now
+// on.
+func (s *State) All(now time.Time) []services.Change[upstream.Instance] {
 	var out []services.Change[upstream.Instance]
 	for id, e := range s.entries {
 		if e.removedAt.IsZero() {
-			out = append(out, services.Change[upstream.Instance]{Key: string(id), Value: &e.instance, At: e.at})
+			i := e.instance
+			i.Cold = max(e.coldUntil.Sub(now), 0)
+			out = append(out, services.Change[upstream.Instance]{Key: string(id), Value: &i, At: e.at})
+		}
+	}
+	return out
+}
+
+// ColdUpstream is a run of an upstream that is cold until a time.
+type ColdUpstream struct {
+	Service service.ID
+	Run     upstream.Run
+	Until   time.Time
+}
+
+// Cold returns the upstreams that are cold.
+func (s *State) Cold(now time.Time) []ColdUpstream {
+	var out []ColdUpstream
+	for _, e := range s.entries {
+		if now.Before(e.coldUntil) {
+			out = append(out, ColdUpstream{Service: service.ID(e.instance.Service), Run: e.instance.Run(), Until: e.coldUntil})
 		}
 	}
 	return out
--- a/services/quota/ledger.go
+++ b/services/quota/ledger.go
@@ -41,6 +41,7 @@
 // account holds the permits of one run of an upstream.
 type account struct {
 	limit condition.Limit
+	cold  condition.Coldness
 	// saved is the number of permits that may be granted now.
 	saved float64
 	at    time.Time
@@ -73,35 +74,40 @@
 	a.refill(now)
 	// The request was under way for at most the time that its sender waits for the reply.
 	a.limit = a.limit.Merge(ask.Limit.ToLimit(now.Add(-condition.PermitTimeout), now))
+	a.cold = a.cold.Merge(ask.Cold.ToColdness(now))
+	rate, limited := a.rate(now)
 	reply := condition.PermitReply{Limit: a.limit.Wire(now)}
 	switch granted := int(min(a.saved, float64(ask.Wanted))); {
-	case !a.limit.Named:
+	case !limited:
 		reply.Given, a.saved = ask.Wanted, 0
 	case granted > 0:
 		a.saved -= float64(granted)
 		reply.Given = granted
 	case ask.Wanted > 0:
-		reply.Again = a.next(now)
+		reply.Again = a.next(now, rate)
 	}
 	return reply
 }
 
-// rate returns the permits per second.
-func (a *account) rate() float64 { return float64(min(max(a.limit.Rate, minRate), maxRate)) }
+// rate returns the permits per second, and whether permits are limited at all.
+func (a *account) rate(now time.Time) (rate float64, limited bool) {
+	allowed, limited := condition.LimitedRate(now, a.limit, a.cold)
+	return float64(min(max(allowed, minRate), maxRate)), limited
+}
 
 // refill adds the permits for the time since the last refill.
 func (a *account) refill(now time.Time) {
-	if a.limit.Named {
-		most := burst + a.rate()*burstTime.Seconds()
-		a.saved = min(a.saved+a.rate()*max(now.Sub(a.at).Seconds(), 0), most)
+	if rate, limited := a.rate(now); limited {
+		most := burst + rate*burstTime.Seconds()
+		a.saved = min(a.saved+rate*max(now.Sub(a.at).Seconds(), 0), most)
 	}
 	a.at = now
 }
 
 // next returns the retry time of a router without a permit: when the next permit is available, and
 // one permit later than the previous router.
-func (a *account) next(now time.Time) time.Duration {
-	each := time.Duration(float64(time.Second) / a.rate())
+func (a *account) next(now time.Time, rate float64) time.Duration {
+	each := time.Duration(float64(time.Second) / rate)
 	soonest := now.Add(time.Duration((1 - a.saved) * float64(each)))
 	if a.nextRetry = a.nextRetry.Add(each); a.nextRetry.Before(soonest) {
 		a.nextRetry = soonest
--- a/services/quota/ledger_test.go
+++ b/services/quota/ledger_test.go
@@ -128,3 +128,48 @@
 	// 1
 	// 250ms
 }
+
+// TestColdUpstream replays routers that send all their requests to an upstream which has just come
+// back cold and looks idle. In any second, the permits stay below what the users allow: one and a
+// half times its rate, plus five.
+func TestColdUpstream(t *testing.T) {
+	const overage, slack = 1.5, 5
+	for routers := range 4 {
+		n := []int{1, 14, 70, 531}[routers]
+		for _, rate := range []upstream.Rate{2, 17, 90} {
+			l := NewLedger()
+			cold := condition.WireColdness{Rate: rate}
+			nextAsk := make([]time.Duration, n)
+			var given []time.Duration
+			const coldFor = 3 * time.Second
+			for at := time.Duration(0); at < coldFor; at += 5 * time.Millisecond {
+				cold.Left = coldFor - at
+				for i := range nextAsk {
+					if at < nextAsk[i] {
+						continue
+					}
+					reply := l.Grant(begin.Add(at), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Cold: cold, Wanted: 4})
+					nextAsk[i] = at + max(reply.Again, 5*time.Millisecond)
+					for range reply.Given {
+						given = append(given, at)
+					}
+				}
+			}
+			for i := range given {
+				last := i
+				for last < len(given) && given[last] < given[i]+time.Second {
+					last++
+				}
+				if got, most := last-i, float64(rate)*overage+slack; float64(got) > most {
+					t.Fatalf("%d routers, rate %v: %d permits in a second, want at most %.0f", n, rate, got, most)
+				}
+			}
+			if got, want := float64(len(given)), float64(rate)*coldFor.Seconds()*0.8; got < want {
+				t.Errorf("%d routers, rate %v: %.0f permits in %s, want %.0f or more", n, rate, got, coldFor, want)
+			}
+			if reply := l.Grant(begin.Add(coldFor+time.Second), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Wanted: 9}); reply.Given != 9 {
+				t.Errorf("%d permits after the cold time, 9 were wanted", reply.Given)
+			}
+		}
+	}
+}
--- a/services/relay/notices.go
+++ b/services/relay/notices.go
@@ -51,7 +51,7 @@
 func (r *Relay) Conditions(now time.Time) map[condition.Kind]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[condition.Kind]int{condition.KindLimited: 0, condition.KindResting: 0, condition.KindLeaving: 0}
+	out := map[condition.Kind]int{condition.KindLimited: 0, condition.KindCold: 0, condition.KindResting: 0, condition.KindLeaving: 0}
 	for _, svc := range r.pools {
 		for kind, n := range svc.pool.Conditions().Counts(now) {
 			out[kind] += n
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -239,7 +239,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed, addresses := map[upstream.Run]bool{}, map[string]bool{}
-	for _, c := range r.state.All() {
+	for _, c := range r.state.All(now) {
 		listed[c.Value.Run()] = true
 		addresses[c.Value.Address] = true
 	}
