--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -39,7 +39,7 @@
 
 func (n node) newRelay(m *metrics.Metrics, logger zerolog.Logger) *relay.Relay {
 	r := relay.New(relay.Options{
-		DataCentre: n.set.DataCentre, Bounds: n.set.Bounds, Protocol: platform.Headers{}, Metrics: m, Logger: logger,
+		DataCentre: n.set.DataCentre, Regions: n.set.Regions, Bounds: n.set.Bounds, Protocol: platform.Headers{}, Metrics: m, Logger: logger,
 	})
 	m.Gauge("catalog_age_seconds", "Time since the catalog in force was last known to be the newest; NaN before one is known.", nil, func() float64 {
 		age := math.NaN()
@@ -80,14 +80,15 @@
 	}
 	r := entry.New(entry.Options{
 		Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger,
-		Bounds: n.set.Bounds,
+		Bounds: n.set.Bounds, Regions: n.set.Regions,
 	})
 	server := rpc.NewServer(peers)
 	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
 		return wrap(err, "router")
 	}
 	directory := routers.NewDirectory(r, routers.DirectoryNames{
-		ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady, DataCentre: platform.ParamZone, Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
+		ResolvePath: platform.PathResolve, ReadyPath: platform.PathReady, DataCentre: platform.ParamZone, Region: platform.ParamRegion, Host: platform.ParamHost,
+		Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
 	})
 	for _, address := range []string{n.set.Ready, n.set.Directory} {
 		if err := serveHTTP(lc, address, directory); err != nil {
--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
 )
 
 // Version is the version number of a deployment's catalog. A later catalog has a higher version.
@@ -65,6 +66,8 @@
 	Anonymous bool
 	// Resumable reports whether another upstream may continue a stream after its latest event.
 	Resumable bool
+	// Homes lists the regions whose upstreams may get the requests of the route; empty for all.
+	Homes []vm.Region
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -125,6 +128,8 @@
 	// Priority overrides that of the route if Ranked is set.
 	Priority int
 	Ranked   bool
+	// Homes lists the regions whose upstreams may get the account's requests; empty for all.
+	Homes []vm.Region
 }
 
 // Catalog is one version of the configuration in force. It is not modified after its creation.
@@ -175,6 +180,20 @@
 	return best
 }
 
+// HomesOf returns the lists of regions to which the routes of a host restrict their requests.
+func (x *Index) HomesOf(host string) [][]vm.Region {
+	if x == nil {
+		return nil
+	}
+	var out [][]vm.Region
+	for _, r := range x.byHost[strings.ToLower(host)] {
+		if len(r.Homes) > 0 {
+			out = append(out, r.Homes)
+		}
+	}
+	return out
+}
+
 // Account returns the account that holds a key, or nil.
 func (x *Index) Account(k Key) *Account { return x.byKey[k] }
 
--- a/models/catalog/change.go
+++ b/models/catalog/change.go
@@ -51,11 +51,11 @@
 func (r Route) equal(o Route) bool {
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind && slices.Equal(r.Targets, o.Targets) &&
 		r.Timeout == o.Timeout && r.Goal == o.Goal && r.PauseGoal == o.PauseGoal && r.MaxAttempts == o.MaxAttempts &&
-		r.Priority == o.Priority && r.Anonymous == o.Anonymous && r.Resumable == o.Resumable
+		r.Priority == o.Priority && r.Anonymous == o.Anonymous && r.Resumable == o.Resumable && slices.Equal(r.Homes, o.Homes)
 }
 
 func (a Account) equal(o Account) bool {
-	return a.ID == o.ID && a.Priority == o.Priority && a.Ranked == o.Ranked && slices.Equal(a.Keys, o.Keys)
+	return a.ID == o.ID && a.Priority == o.Priority && a.Ranked == o.Ranked && slices.Equal(a.Keys, o.Keys) && slices.Equal(a.Homes, o.Homes)
 }
 
 // diffEntries returns the entries of after that are new or differ, and the names that are only in
--- a/models/catalog/change_test.go
+++ b/models/catalog/change_test.go
@@ -112,3 +112,30 @@
 		panic(v.Kind())
 	}
 }
+
+// TestEqualCoversFields checks that entries which differ in any one field are not taken as equal: a
+// field that the comparison forgets would not reach the other routers.
+func TestEqualCoversFields(t *testing.T) {
+	each := func(of any, equal func(changed any) bool) {
+		typ := reflect.TypeOf(of)
+		for i := range typ.NumField() {
+			changed := reflect.New(typ).Elem()
+			field := changed.Field(i)
+			switch field.Kind() {
+			case reflect.Slice:
+				field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+			case reflect.String:
+				field.SetString("x")
+			case reflect.Bool:
+				field.SetBool(true)
+			default:
+				field.Set(reflect.ValueOf(1).Convert(field.Type()))
+			}
+			if equal(changed.Interface()) {
+				t.Errorf("%s.%s is not compared", typ.Name(), typ.Field(i).Name)
+			}
+		}
+	}
+	each(Route{}, func(changed any) bool { r, _ := changed.(Route); return r.equal(Route{}) })
+	each(Account{}, func(changed any) bool { a, _ := changed.(Account); return a.equal(Account{}) })
+}
--- a/models/vm/vm.go
+++ b/models/vm/vm.go
@@ -10,6 +10,12 @@
 // DataCentre names a data centre.
 type DataCentre string
 
+// Region names a group of data centres that are close to each other.
+type Region string
+
+// Regions maps data centres to their regions.
+type Regions map[DataCentre]Region
+
 // Role says which fawnwinch process runs on a VM.
 type Role string
 
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -15,7 +15,9 @@
 	// Name is the unique name of the VM.
 	Name       string
 	DataCentre vm.DataCentre
-	IP         string
+	// Regions holds the region of each data centre.
+	Regions vm.Regions
+	IP      string
 	// Callers, Ready and Directory are the addresses that a router serves: for callers, for the
 	// platform's readiness checks, and for callers that ask which router to use. Agents have none.
 	Callers, Ready, Directory string
--- a/routers/directory.go
+++ b/routers/directory.go
@@ -9,6 +9,7 @@
 
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/services/entry"
 
 	"github.com/gin-gonic/gin"
 )
@@ -17,16 +18,17 @@
 type Resolver interface {
 	// Ready reports whether the process accepts requests from callers.
 	Ready() bool
-	// Addresses returns the router addresses that callers in a data centre should use.
-	Addresses(now time.Time, dc vm.DataCentre) []string
+	// Addresses returns the router addresses that a caller should use.
+	Addresses(now time.Time, c entry.Caller) []string
 }
 
 // DirectoryNames holds the paths, parameters and fields of the platform's directory protocol.
 type DirectoryNames struct {
 	// ResolvePath and ReadyPath are the paths of the resolve and readiness requests.
 	ResolvePath, ReadyPath string
-	// DataCentre is the query parameter with the caller's data centre.
-	DataCentre string
+	// DataCentre, Region and Host are the query parameters with the caller's data centre and region
+	// and with the host name of its requests.
+	DataCentre, Region, Host string
 	// Addresses and TTL are the names of the fields in the response.
 	Addresses, TTL string
 }
@@ -51,7 +53,9 @@
 		c.Status(http.StatusOK)
 	})
 	g.GET(names.ResolvePath, func(c *gin.Context) {
-		list := r.Addresses(clock.Now(), vm.DataCentre(c.Query(names.DataCentre)))
+		list := r.Addresses(clock.Now(), entry.Caller{
+			DataCentre: vm.DataCentre(c.Query(names.DataCentre)), Region: vm.Region(c.Query(names.Region)), Host: c.Query(names.Host),
+		})
 		if len(list) == 0 {
 			c.Status(http.StatusServiceUnavailable)
 			return
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -170,7 +170,7 @@
 }
 
 // Admit returns the waiting requests for which there is room now. A request that has already tried
-// the only upstream with room does not block the others.
+// the only upstream with room, or may not run there, does not block the others.
 func (q *Queue) Admit(now time.Time, usable []upstream.Instance) []Grant {
 	var out []Grant
 	var skipped []*Request
@@ -180,7 +180,7 @@
 		case ok:
 			q.Leave(x)
 			out = append(out, Grant{Request: x, Upstream: u})
-		case len(x.Ask.Exclude) > 0:
+		case len(x.Ask.Exclude) > 0 || x.Ask.Allows != nil:
 			skipped = append(skipped, x)
 		default:
 			return out
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -114,6 +114,8 @@
 	Leaderless Bounds
 	Routers    int
 	Exclude    map[upstream.ID]bool
+	// Allows reports whether upstreams in a data centre may get the request; nil if all may.
+	Allows func(vm.DataCentre) bool
 }
 
 // Pick returns the upstream with the least load, or false if none has room.
@@ -128,7 +130,7 @@
 		i := (k + p.rotation) % len(cands)
 		c := cands[i]
 		s := p.state(c.Run())
-		if a.Exclude[c.ID] || p.broken(now, s) {
+		if a.Exclude[c.ID] || a.Allows != nil && !a.Allows(c.DataCentre) || p.broken(now, s) {
 			continue
 		}
 		if _, wait := p.conditions.Judge(now, c.Run()); wait > 0 {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -56,6 +56,8 @@
 	Relay  *relay.Relay
 	Logger zerolog.Logger
 	Bounds setting.Bounds
+	// Regions holds the regions of the data centres.
+	Regions vm.Regions
 }
 
 // Router keeps the state of a relay up to date. It is safe for concurrent use.
@@ -296,10 +298,13 @@
 // Ready reports whether the process accepts callers.
 func (r *Router) Ready() bool { return r.Self().State == peer.StateReady }
 
-// Addresses returns the addresses that callers of a data centre should use.
-func (r *Router) Addresses(now time.Time, dc vm.DataCentre) []string {
+// Addresses returns the addresses that a caller should use.
+func (r *Router) Addresses(now time.Time, c Caller) []string {
+	var homes [][]vm.Region
+	r.opts.Relay.WithState(func(s *knowledge.State) { homes = s.Index().HomesOf(c.Host) })
+	inRegion := routersInRegion(r.acceptingRouters(now), r.opts.Regions, c.Region, homes)
 	var out []string
-	for _, n := range routersFor(r.acceptingRouters(now), dc) {
+	for _, n := range routersFor(inRegion, c.DataCentre) {
 		out = append(out, n.Callers)
 	}
 	slices.Sort(out)
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -304,10 +304,10 @@
 		})
 		both := []string{"callers of a", "callers of b"}
 		until(t, "both named", func() bool {
-			return slices.Equal(a.Addresses(time.Now(), ""), both) && slices.Equal(b.Addresses(time.Now(), ""), both)
+			return slices.Equal(a.Addresses(time.Now(), Caller{}), both) && slices.Equal(b.Addresses(time.Now(), Caller{}), both)
 		})
 		b.Leave(t.Context())
-		until(t, "b no longer named", func() bool { return slices.Equal(a.Addresses(time.Now(), ""), both[:1]) })
+		until(t, "b no longer named", func() bool { return slices.Equal(a.Addresses(time.Now(), Caller{}), both[:1]) })
 		if b.Ready() {
 			t.Error("a router that leaves is ready")
 		}
--- a/services/entry/router_selection.go
+++ b/services/entry/router_selection.go
@@ -53,6 +53,37 @@
 	return near
 }
 
+// Caller describes a caller that asks which routers to use.
+type Caller struct {
+	DataCentre vm.DataCentre
+	Region     vm.Region
+	// Host is the host name of its requests.
+	Host string
+}
+
+// routersInRegion returns the routers in a caller's region: another one is farther away, and the
+// bodies of requests that are restricted to some regions must not leave them. If the caller's region
+// has no router, it returns those in a region that all the given lists of regions allow, and all
+// routers if there is none either.
+func routersInRegion(routers []peer.Info, regions vm.Regions, caller vm.Region, homes [][]vm.Region) []peer.Info {
+	within := func(in func(vm.Region) bool) []peer.Info {
+		return slices.DeleteFunc(slices.Clone(routers), func(r peer.Info) bool { return !in(regions[r.DataCentre]) })
+	}
+	if caller == "" {
+		return routers
+	}
+	if near := within(func(region vm.Region) bool { return region == caller }); len(near) > 0 {
+		return near
+	}
+	allowed := within(func(region vm.Region) bool {
+		return !slices.ContainsFunc(homes, func(list []vm.Region) bool { return !slices.Contains(list, region) })
+	})
+	if len(allowed) > 0 {
+		return allowed
+	}
+	return routers
+}
+
 // routersFor returns the routers that the callers of a data centre get: routers there, or of all
 // data centres if it has none.
 func routersFor(routers []peer.Info, dc vm.DataCentre) []peer.Info {
--- a/services/entry/router_selection_test.go
+++ b/services/entry/router_selection_test.go
@@ -85,3 +85,33 @@
 		}
 	}
 }
+
+// TestRoutersInRegion checks which routers callers get that are in another region than some of the
+// routers, or than all that may handle their requests.
+func TestRoutersInRegion(t *testing.T) {
+	regions := vm.Regions{"dc-0": "north", "dc-1": "north", "dc-2": "south", "dc-3": "east"}
+	cases := map[string]struct {
+		caller vm.Region
+		homes  [][]vm.Region
+		want   []vm.DataCentre
+	}{
+		"own region":                       {"north", nil, []vm.DataCentre{"dc-0", "dc-1"}},
+		"own region, which is no home":     {"north", [][]vm.Region{{"south"}}, []vm.DataCentre{"dc-0", "dc-1"}},
+		"no router in the caller's region": {"west", [][]vm.Region{{"south", "east"}}, []vm.DataCentre{"dc-2", "dc-3"}},
+		"two lists":                        {"west", [][]vm.Region{{"south", "east"}, {"east"}}, []vm.DataCentre{"dc-3"}},
+		"no region in both lists":          {"west", [][]vm.Region{{"south"}, {"east"}}, []vm.DataCentre{"dc-0", "dc-1", "dc-2", "dc-3"}},
+		"a home without a router":          {"west", [][]vm.Region{{"atlantis"}}, []vm.DataCentre{"dc-0", "dc-1", "dc-2", "dc-3"}},
+		"a caller without a region":        {"", [][]vm.Region{{"south"}}, []vm.DataCentre{"dc-0", "dc-1", "dc-2", "dc-3"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got []vm.DataCentre
+			for _, r := range routersInRegion(fleet(4, 1, 0), regions, c.caller, c.homes) {
+				got = append(got, r.DataCentre)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("routers in %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -20,8 +20,9 @@
 	now := clock.Now()
 	svc := r.serviceState(now, x.service)
 	asked := r.admissionRequest(now, svc, x)
-	usable := r.state.Usable(now, x.service)
-	if x.evacuated = len(usable) == 0 && len(r.state.EvacuatedUpstreams(x.service)) > 0; x.evacuated {
+	usable := x.allowed(r.state.Usable(now, x.service))
+	x.evacuated = len(usable) == 0 && len(x.allowed(r.state.EvacuatedUpstreams(x.service))) > 0
+	if x.evacuated || len(usable) == 0 && x.homes.restricted() {
 		r.mu.Unlock()
 		return upstream.Instance{}, false
 	}
@@ -94,7 +95,7 @@
 
 // admissionRequest describes a request to the admission queue. The caller holds the lock.
 func (r *Relay) admissionRequest(now time.Time, svc *serviceState, x *exchange) *admission.Request {
-	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried}
+	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows()}
 	if s := r.state.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
 		a.Bounds = balance.GroupBounds(s.Engine, svc.pool.GroupLoad(now), x.route.PauseGoal)
@@ -109,7 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	svc := r.serviceState(now, x.service)
-	return svc.queue.RetryAfterNotRun(now, r.admissionRequest(now, svc, x), r.state.Usable(now, x.service))
+	return svc.queue.RetryAfterNotRun(now, r.admissionRequest(now, svc, x), x.allowed(r.state.Usable(now, x.service)))
 }
 
 // wake admits waiting requests while there is room. The caller holds the lock.
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -82,6 +82,8 @@
 	service  service.ID
 	account  account.ID
 	urgency  int
+	// homes restricts the regions whose upstreams may get the request.
+	homes homes
 	// maxBytes bounds the body.
 	maxBytes int64
 	body     []byte
@@ -204,11 +206,13 @@
 			return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStale, retryAfter: retryStarting}
 		}
 		x.account = a.ID
+		x.homes.restrict(a.Homes)
 		x.urgency = x.route.Priority
 		if a.Ranked {
 			x.urgency = a.Priority
 		}
 	}
+	x.homes.restrict(x.route.Homes)
 	x.service = pickService(x.route)
 	x.r.serviceState(x.arrived, x.service).budget.Request(x.arrived)
 	left := defaultTimeout
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -33,10 +33,13 @@
 // Options holds what a Relay needs.
 type Options struct {
 	DataCentre vm.DataCentre
-	Bounds     setting.Bounds
-	Protocol   services.CallerProtocol
-	Metrics    *metrics.Metrics
-	Logger     zerolog.Logger
+	// Regions holds the regions of the data centres. It decides which upstreams may get requests
+	// that are restricted to some regions.
+	Regions  vm.Regions
+	Bounds   setting.Bounds
+	Protocol services.CallerProtocol
+	Metrics  *metrics.Metrics
+	Logger   zerolog.Logger
 }
 
 // Relay is the part of a router that serves callers. It is safe for use by several goroutines.
