--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -50,6 +50,11 @@
 		})
 		return age
 	})
+	m.Gauge("data_centres_evacuated", "Data centres whose upstreams get no requests because the operator has evacuated them.", nil, func() float64 {
+		n := 0
+		r.WithState(func(s *knowledge.State) { n = len(s.Evacuated()) })
+		return float64(n)
+	})
 	registerCoverageMetrics(m, r)
 	m.Counter("upstream_connections_total", "Connections opened to upstreams.", nil, func() float64 { return float64(r.Connections()) })
 	return r
--- a/cmd/platform_status.go
+++ b/cmd/platform_status.go
@@ -16,6 +16,7 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/modules/setting"
+	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/entry"
 
 	"github.com/spf13/cobra"
@@ -32,8 +33,9 @@
 	c := &cobra.Command{
 		Use:   "status ADDRESS...",
 		Short: "Show the model groups and the store as routers see them; ADDRESS is a router's address for other processes",
-		Long: "Show which groups report their load, their coordinators, and the ranks that no coordinator reports; then how far\n" +
-			"each router has read the platform's store, and whether that was recently restored from a copy.\n" +
+		Long: "Show which groups report their load, their coordinators, and the ranks that no coordinator reports; then the\n" +
+			"data centres that are evacuated, and how many upstreams are cold, limit their requests, rest or leave; then how\n" +
+			"far each router has read the platform's store, and whether that was recently restored from a copy.\n" +
 			"The exit code is 2 if ranks are unreported at a router, and 1 if a router does not answer.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, addresses []string) error {
@@ -84,14 +86,33 @@
 	return nil
 }
 
-// printAll prints the groups and then the state of the store.
+// printAll prints the groups, the upstreams by condition, and the state of the store.
 func printAll(w io.Writer, all []entry.GroupsStatus) error {
 	if err := printGroups(w, all); err != nil {
 		return err
 	}
+	if err := printUpstreams(w, all); err != nil {
+		return err
+	}
 	return printStore(w, all)
 }
 
+// printUpstreams prints a line for each router with the evacuated data centres and the number of
+// upstreams in each condition.
+func printUpstreams(w io.Writer, all []entry.GroupsStatus) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "ROUTER\tEVACUATED\tCOLD\tLIMITED\tRESTING\tLEAVING")
+	for _, s := range all {
+		evacuated := "none"
+		if len(s.Evacuated) > 0 {
+			evacuated = strings.Trim(fmt.Sprint(s.Evacuated), "[]")
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", s.Router, evacuated, s.Conditions[condition.KindCold], s.Conditions[condition.KindLimited],
+			s.Conditions[condition.KindResting], s.Conditions[condition.KindLeaving])
+	}
+	return wrap(t.Flush(), "print upstreams")
+}
+
 // printStore prints a line for each router with its state of the store.
 func printStore(w io.Writer, all []entry.GroupsStatus) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
--- a/cmd/platform_status_test.go
+++ b/cmd/platform_status_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/platform"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/entry"
 	"fawnwinch.org/fawnwinch/services/rank"
 	"fawnwinch.org/fawnwinch/services/relay"
@@ -73,6 +75,25 @@
 	}
 }
 
+// TestPrintUpstreams checks the lines with evacuations and conditions of upstreams.
+func TestPrintUpstreams(t *testing.T) {
+	all := []entry.GroupsStatus{
+		{Router: "a", Evacuated: []vm.DataCentre{"north-1", "north-2"}, Conditions: map[condition.Kind]int{condition.KindCold: 21, condition.KindLeaving: 1}},
+		{Router: "b"},
+	}
+	var out bytes.Buffer
+	if err := printUpstreams(&out, all); err != nil {
+		t.Fatal(err)
+	}
+	want := `ROUTER  EVACUATED        COLD  LIMITED  RESTING  LEAVING
+a       north-1 north-2  21    0        0        1
+b       none             0     0        0        0
+`
+	if got := out.String(); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
+	}
+}
+
 // TestPlatformStatusRefuses checks that the command rejects invalid arguments, and that it fails if
 // a router does not answer.
 func TestPlatformStatusRefuses(t *testing.T) {
--- a/services/entry/coverage.go
+++ b/services/entry/coverage.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/service"
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/services/condition"
+	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/relay"
 )
 
@@ -43,6 +46,10 @@
 	Groups   []GroupStatus
 	Coverage []relay.Coverage
 	Store    StoreStatus
+	// Evacuated holds the evacuated data centres, and Conditions counts the upstreams in each
+	// condition.
+	Evacuated  []vm.DataCentre
+	Conditions map[condition.Kind]int
 }
 
 // Groups returns, for operators, the reported groups of a service and the ranks that no group
@@ -53,7 +60,8 @@
 }
 
 func (r *Router) groupsStatus(now time.Time, of service.ID) GroupsStatus {
-	out := GroupsStatus{Store: r.storeStatus(now)}
+	out := GroupsStatus{Store: r.storeStatus(now), Conditions: r.opts.Relay.Conditions(now)}
+	r.opts.Relay.WithState(func(s *knowledge.State) { out.Evacuated = s.Evacuated() })
 	for _, c := range r.opts.Relay.Coverage(now) {
 		if of == "" || c.Service == of {
 			out.Coverage = append(out.Coverage, c)
--- a/tests/integration/platform_evacuation_test.go
+++ b/tests/integration/platform_evacuation_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -63,6 +65,16 @@
 	s.t.Helper()
 	began := time.Now()
 	eventually(s.t, "requests served by data centre "+other+" alone", func() bool { return s.onlyServedBy(other) })
+	for name, n := range s.routers {
+		p := &process{t: s.t, name: "status", args: []string{"platform", "status", n.control}, logs: filepath.Join(s.dir, "status-"+name+".log")}
+		p.start()
+		<-p.done
+		out, err := os.ReadFile(p.logs)
+		_, upstreams, found := strings.Cut(string(out), "EVACUATED")
+		if row := strings.Fields(upstreams); err != nil || !found || len(row) < 6 || row[4] != name || row[5] != zone {
+			s.t.Errorf("status of %s: %v\n%s", name, err, out)
+		}
+	}
 	if took := time.Since(began); took > evacuationBound {
 		s.t.Errorf("data centre %s got requests for %s after its evacuation, want at most %s", zone, took, evacuationBound)
 	}
