Gossip: few routers of a data centre have neighbours in another one, and the ring has chords

Cause: half of each router's neighbours were in other data centres, so that the entries that cross to them when all routers change grew with the square of the fleet: 1,134 a router at 149 routers, 1,810 at 240. The neighbours were also next to each other in all rings, so that updates went around them. Now ceil(log2 n) routers of a data centre are linked to each other one, and the rest of a router's neighbours are points at halved distances in its own ring. Ruled out: fewer neighbours in all (log2 of the ring): at 149 routers not all agreed within 4 s of a loss of power of 55%. Calls a router as before (25 a second). TestRemoteEntries fails before (211 entries with a bound of 72 at 41 routers, 1,134 with 320 at 149).

--- a/services/peer/gossip_test.go
+++ b/services/peer/gossip_test.go
@@ -62,6 +62,8 @@
 	gossipedAt               uint64
 	inFlight                 map[string]bool
 	calls, entries           int
+	// remote counts the entries sent to other data centres.
+	remote int
 }
 
 // model simulates routers on virtual time.
@@ -194,7 +196,7 @@
 	m.after(modelTimeout, func() { end(func() {}) })
 	g := n.table.GossipFor(to.Name)
 	n.calls++
-	n.entries += len(g.Words)
+	n.count(g, peer)
 	m.send(n, peer, delay, func() {
 		switch {
 		case peer.down && peer.poweredOff:
@@ -204,7 +206,7 @@
 		default:
 			peer.table.Receive(m.now, g)
 			answer := peer.table.GossipFor(g.From)
-			peer.entries += len(answer.Words)
+			peer.count(answer, n)
 			m.changed(peer)
 			m.send(peer, n, delay, func() { end(func() { n.table.Receive(m.now, answer) }) })
 		}
@@ -291,7 +293,7 @@
 
 // BenchmarkGossip simulates deployments up to the planned size and prints what TestGossip logs.
 func BenchmarkGossip(b *testing.B) {
-	for _, routers := range []int{7, 41, 149, 300, 1000} {
+	for _, routers := range []int{7, 41, 149, 300, 531, 1062} {
 		b.Run(fmt.Sprint(routers), func(b *testing.B) {
 			for range b.N {
 				spread(b, newModel(b, routers, 5, 1))
@@ -305,7 +307,7 @@
 	m.startAll()
 	m.advance(startWithin)
 	started := startWithin + m.untilAgreed("start", 3*time.Second)
-	atStart := m.sum((*node).countCalls)
+	atStart, entriesAtStart, remoteAtStart := m.sum((*node).countCalls), m.sum((*node).countEntries), m.sum((*node).countRemote)
 	m.advance(5 * time.Second)
 	calls, words := m.sum((*node).countCalls), m.sum((*node).countEntries)
 	m.advance(10 * time.Second)
@@ -331,15 +333,24 @@
 	m.advance(startWithin)
 	m.untilAgreed("start of half of them", 2*time.Second)
 	perRouter := func(n int) float64 { return float64(n) / float64(len(m.names)) }
-	t.Logf("start %s with %.0f calls a router; calm %.1f calls/s a router; all know of a kill after %s, of a start after %s, of a loss of power after %s, of that of 55%% after %s",
-		started, perRouter(atStart), perRouter(calls)/10, killed, back, outage, half)
-	if most := float64(degree(len(m.names)))/modelRound.Seconds() + 0.1; perRouter(calls)/10 > most {
+	t.Logf("start %s with %.0f calls, %.0f entries and %.0f entries to other data centres a router; calm %.1f calls/s a router; all know of a kill after %s, of a start after %s, of a loss of power after %s, of that of 55%% after %s",
+		started, perRouter(atStart), perRouter(entriesAtStart), perRouter(remoteAtStart), perRouter(calls)/10, killed, back, outage, half)
+	if most := float64(neighboursOf(m))/modelRound.Seconds() + 0.1; perRouter(calls)/10 > most {
 		t.Errorf("%.1f calls a second and router, want %.1f at most", perRouter(calls)/10, most)
 	}
 }
 
+// count counts the entries of a message to another router.
+func (n *node) count(g GossipMessage, to *node) {
+	n.entries += len(g.Words)
+	if to.info.DataCentre != n.info.DataCentre {
+		n.remote += len(g.Words)
+	}
+}
+
 func (n *node) countCalls() int   { return n.calls }
 func (n *node) countEntries() int { return n.entries }
+func (n *node) countRemote() int  { return n.remote }
 
 func (m *model) sum(count func(n *node) int) int {
 	sum := 0
@@ -434,3 +445,53 @@
 }
 
 func heal(m *model) { m.cut = func(_, _ *node) bool { return false } }
+
+// neighboursOf returns the largest number of neighbours that the routers of a calm deployment may
+// have in the mean: all of a small one, else the logarithm of the number of routers.
+func neighboursOf(m *model) int {
+	if n := len(m.names); n <= maxFullMesh {
+		return n - 1
+	}
+	return logarithm(len(m.names))
+}
+
+// TestRemoteEntries has all routers of a calm deployment change at about the same time, as when the
+// store turns many of them away, and counts the entries that cross to other data centres. An entry
+// crosses each link between two of them once, or twice if both ends send at the same time, and the
+// links grow with the logarithm of the routers.
+func TestRemoteEntries(t *testing.T) {
+	cases := map[string]struct{ routers, dataCentres int }{
+		"41 routers":  {41, 3},
+		"149 routers": {149, 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, c.routers, c.dataCentres, 1)
+			m.startAll()
+			m.advance(5 * time.Second)
+			before := m.sum((*node).countRemote)
+			for _, n := range m.nodes {
+				m.after(time.Duration(m.rand.Int64N(int64(startWithin))), func() {
+					i := n.table.Self()
+					i.StoreLost = true
+					n.table.UpdateSelf(m.now, i)
+					m.changed(n)
+				})
+			}
+			m.advance(3 * time.Second)
+			for _, n := range m.nodes {
+				for _, o := range n.table.Live(m.now, vm.RoleRouter) {
+					if !o.StoreLost {
+						t.Fatalf("%s has not learned of the change at %s", n.info.Name, o.Name)
+					}
+				}
+			}
+			links := logarithm(c.routers) * c.dataCentres * (c.dataCentres - 1)
+			got := float64(m.sum((*node).countRemote)-before) / float64(c.routers)
+			if most := float64(2 * links); got > most {
+				t.Errorf("%.0f entries a router to other data centres, want %.0f at most", got, most)
+			}
+		})
+	}
+}
--- a/services/peer/neighbours.go
+++ b/services/peer/neighbours.go
@@ -5,7 +5,7 @@
 
 import (
 	"cmp"
-	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -18,21 +18,14 @@
 // updates need only one hop.
 const maxFullMesh = 12
 
-// degree returns the number of neighbours of each router in a deployment of the given size. Each
-// router is also the neighbour of as many others. With twice the logarithm of neighbours the
-// routers stay connected when any half of them is lost, and updates reach a thousand routers in
-// about three hops.
-func degree(routers int) int {
-	if routers <= maxFullMesh {
-		return routers - 1
-	}
-	return int(math.Ceil(math.Log2(float64(routers))))
-}
+// logarithm returns the binary logarithm of a positive number, rounded up.
+func logarithm(n int) int { return bits.Len(uint(n - 1)) } //nolint:gosec // positive
 
 // chooseNeighbours returns the neighbours of this process. Processes with the same table compute
-// the same neighbours for each other. The routers of each data centre form a hash ring; each router
-// selects its successors there and the routers that would be its successors in the rings of other
-// data centres.
+// the same neighbours for each other. The routers of each data centre form a hash ring, in which
+// each router selects the next ones and ones at halved distances. Few routers of a data centre have
+// neighbours in another one: an update crosses to it on these links only, and traffic between data
+// centres is billed.
 func (t *Table) chooseNeighbours(now time.Time) []*record {
 	if t.chosen && t.chosenAt == t.position {
 		return t.neighbours
@@ -40,10 +33,12 @@
 	rings, routers := t.rings()
 	own := t.nodes[t.self].Info
 	var chosen []*record
-	if n := degree(routers); n == routers-1 {
+	if routers <= maxFullMesh {
 		chosen = flatten(rings, t.self)
 	} else {
-		chosen = append(t.successors(rings[own.DataCentre], (n+1)/2), t.remoteNeighbours(rings, own.DataCentre, n/2)...)
+		limit := logarithm(routers)
+		chosen = t.remoteNeighbours(rings, own, limit)
+		chosen = append(chosen, t.ringNeighbours(rings[own.DataCentre], limit-len(chosen))...)
 	}
 	t.trackNeighbours(now, chosen)
 	t.neighbours, t.chosenAt, t.chosen = chosen, t.position, true
@@ -93,53 +88,75 @@
 // ringPosition returns the position of a router in a ring.
 func ringPosition(name string) uint64 { return xxhash.Sum64String(name) }
 
-// successors returns the successors of this router in a ring.
-func (t *Table) successors(r ring, limit int) []*record {
-	first := 0
-	for first < len(r) && ringPosition(r[first].Info.Name) <= ringPosition(t.self) {
-		first++
-	}
-	var out []*record
+// successor returns the first router of a ring at or after a position, other than this one, or nil.
+func (t *Table) successor(r ring, position uint64) *record {
+	first, _ := slices.BinarySearchFunc(r, position, func(e *record, at uint64) int { return cmp.Compare(ringPosition(e.Info.Name), at) })
 	for i := range r {
-		if e := r[(first+i)%len(r)]; e.Info.Name != t.self && len(out) < limit {
-			out = append(out, e)
+		if e := r[(first+i)%len(r)]; e.Info.Name != t.self {
+			return e
 		}
 	}
-	return out
+	return nil
 }
 
-// remoteNeighbours returns routers of other data centres, selected round-robin over those data
-// centres in the order of their names.
-func (t *Table) remoteNeighbours(rings map[vm.DataCentre]ring, own vm.DataCentre, limit int) []*record {
-	names := make([]vm.DataCentre, 0, len(rings))
-	for dc := range rings {
-		if dc != own {
-			names = append(names, dc)
+// ringNeighbours returns the neighbours of this router in the ring of its data centre, at most
+// limit: the next router, the successors of the points at a half, a quarter and so on of the ring's
+// circumference from its own position, and then the next ones. With those points an update takes a
+// number of hops that grows with the logarithm of the ring; with the next ones only it would go
+// around the ring. A point keeps its successor while others start and stop.
+func (t *Table) ringNeighbours(r ring, limit int) []*record {
+	own := ringPosition(t.self)
+	var out []*record
+	add := func(position uint64) {
+		if e := t.successor(r, position); e != nil && len(out) < limit && !slices.Contains(out, e) {
+			out = append(out, e)
 		}
 	}
-	slices.Sort(names)
-	if len(names) == 0 {
-		return nil
+	add(own + 1)
+	for distance := uint64(1) << 63; distance > 0 && len(out) < limit; distance /= 2 {
+		add(own + distance)
+	}
+	for next := own; len(out) < min(limit, len(r)-1); {
+		e := t.successor(r, next+1)
+		next = ringPosition(e.Info.Name)
+		add(next)
 	}
-	// Routers of a data centre begin with different ones, so that updates reach every data centre
-	// quickly.
-	begin := int(ringPosition(t.self) % uint64(len(names))) //nolint:gosec // a small number
+	return out
+}
+
+// remoteNeighbours returns the neighbours of this router in other data centres: one in each data
+// centre for which it is among the routers of its own that are linked to it, of which there are
+// links.
+func (t *Table) remoteNeighbours(rings map[vm.DataCentre]ring, own Info, links int) []*record {
 	var out []*record
-	for round := 0; len(out) < limit; round++ {
-		found := false
-		for i := range names {
-			f := t.successors(rings[names[(begin+i)%len(names)]], round+1)
-			if len(f) > round && len(out) < limit {
-				out, found = append(out, f[round]), true
-			}
+	for dc, r := range rings {
+		if dc == own.DataCentre || !linked(rings[own.DataCentre], dc, t.self, links) {
+			continue
 		}
-		if !found {
-			break
+		if e := t.successor(r, ringPosition(t.self)); e != nil {
+			out = append(out, e)
 		}
 	}
+	slices.SortFunc(out, func(a, b *record) int { return cmp.Compare(a.Info.Name, b.Info.Name) })
 	return out
 }
 
+// linked reports whether a router is among the given number of routers of a ring that have a
+// neighbour in another data centre: those with the lowest hashes for that data centre.
+func linked(r ring, dc vm.DataCentre, name string, links int) bool {
+	own, lower := linkHash(name, dc), 0
+	for _, e := range r {
+		if h := linkHash(e.Info.Name, dc); h < own || h == own && e.Info.Name < name {
+			lower++
+		}
+	}
+	return lower < links
+}
+
+func linkHash(name string, dc vm.DataCentre) uint64 {
+	return xxhash.Sum64String(name + "/" + string(dc))
+}
+
 // flatten returns the routers of all rings except one router.
 func flatten(rings map[vm.DataCentre]ring, without string) []*record {
 	var out []*record
