Starting routers wait for state from the seeds, and the reader is chosen among routers that are settled

Cause: when all routers start, each at first knows only itself and finds itself the reader of every feed and of the list of processes; 0.5 s later, whatever the size, those without state read the store themselves. Now the reader is chosen among routers that have been ready for a second, else among the seeds; a router that starts waits up to 3 s while a seed or a ready router that reaches the store is in contact, and 0.5 s as before without one. Both decisions stand in services/watch.

--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -66,6 +66,8 @@
 	catalogs  *follower[catalog.Update]
 	upstreams *follower[upstream.Instance]
 
+	// started is the start time of this router.
+	started time.Time
 	// gossipDue triggers a gossip round.
 	gossipDue chan struct{}
 
@@ -104,7 +106,7 @@
 	now := clock.Now()
 	o.Self.State = peer.StateStarting
 	r := &Router{
-		opts: o, table: peer.NewTable(now, o.Self), gossipDue: make(chan struct{}, 1), inFlight: map[string]bool{},
+		opts: o, started: now, table: peer.NewTable(now, o.Self), gossipDue: make(chan struct{}, 1), inFlight: map[string]bool{},
 		outageSince: map[string]time.Time{}, groups: map[group.ID]groupState{}, unreported: map[service.ID]unreported{}, searchRequests: make(chan service.ID, 1),
 		mergedMarks: map[string]Watermarks{}, ahead: make(chan string, 1),
 		ledger: quota.NewLedger(), agentRegistrations: make(chan agentRegistration, maxBatch),
@@ -113,10 +115,6 @@
 	r.catalogs.apply, r.catalogs.pull, r.catalogs.version, r.catalogs.proofFrom = r.applyCatalogs, r.pullCatalogs, r.version, r.proofFrom
 	r.upstreams = newFollower(r, feedUpstreams, o.Store.Upstreams(), (*knowledge.State).Upstreams)
 	r.upstreams.apply, r.upstreams.pull = r.applyUpstreams, r.pullUpstreams
-	if !r.isSeed() {
-		r.catalogs.delayFirstRead(now.Add(seedTimeout))
-		r.upstreams.delayFirstRead(now.Add(seedTimeout))
-	}
 	r.setBounds(o.Bounds)
 	o.Relay.OnUnreported(r.requestSearch)
 	o.Relay.OnCrash(r.triggerGossip)
@@ -124,9 +122,16 @@
 	return r
 }
 
-// seedTimeout is how long a starting router waits for state from the seeds before it reads the
-// store. Every read at start is paid for, and after a loss of power all routers start at once.
-const seedTimeout = 500 * time.Millisecond
+// startWait returns the time until which this router waits for state from others before it reads the
+// store for the first time: zero for a seed.
+func (r *Router) startWait(now time.Time) time.Time {
+	if r.isSeed() {
+		return time.Time{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return watch.StartWait(r.started, r.candidates(now))
+}
 
 // isSeed reports whether this router is a seed, or has no seeds.
 func (r *Router) isSeed() bool {
@@ -140,11 +145,12 @@
 func newFollower[T any](r *Router, name string, feed services.Feed[T], mark func(*knowledge.State) knowledge.Watermark) *follower[T] {
 	return &follower[T]{
 		name: name, feed: feed, logger: r.opts.Logger, wake: make(chan struct{}, 1), ahead: make(chan string, 1),
-		mark:     func() knowledge.Watermark { return r.mark(mark) },
-		isReader: func(now time.Time) bool { return r.isReader(now, name) },
-		notify:   r.triggerGossip,
-		era:      r.era,
-		onRead:   func(err error) { r.noteOutage(name, err) },
+		mark:      func() knowledge.Watermark { return r.mark(mark) },
+		isReader:  func(now time.Time) bool { return r.isReader(now, name) },
+		startWait: r.startWait,
+		notify:    r.triggerGossip,
+		era:       r.era,
+		onRead:    func(err error) { r.noteOutage(name, err) },
 	}
 }
 
@@ -171,20 +177,44 @@
 func (r *Router) isReader(now time.Time, feed string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// A router that cannot reach the store keeps trying by itself, see watch.Times.
-	reader := watch.ReaderOf(feed, r.eligibleRouters(now, func(n peer.Info) bool { return !n.StoreLost }))
-	return reader == r.table.Self().Name
+	self := r.table.Self()
+	var routers []watch.Candidate
+	if self.State != peer.StateLeaving {
+		// A router that cannot reach the store keeps trying by itself, see watch.Times.
+		routers = append(routers, r.candidate(now, self))
+	}
+	routers = append(routers, r.candidates(now)...)
+	return watch.ReaderOf(feed, watch.Candidates(routers)) == self.Name
+}
+
+// candidates returns the other routers that may become the reader of a feed. The caller holds the
+// lock.
+func (r *Router) candidates(now time.Time) []watch.Candidate {
+	var out []watch.Candidate
+	for _, n := range r.table.Live(now, vm.RoleRouter) {
+		if n.State != peer.StateLeaving && !n.StoreLost {
+			out = append(out, r.candidate(now, n))
+		}
+	}
+	return out
+}
+
+// candidate describes a router for the choice of a reader. The caller holds the lock.
+func (r *Router) candidate(now time.Time, n peer.Info) watch.Candidate {
+	return watch.Candidate{
+		Name: n.Name, Ready: n.State == peer.StateReady, Unchanged: r.table.Unchanged(now, n.Name), Seed: slices.Contains(r.opts.Seeds, n.Address),
+	}
 }
 
-// eligibleRouters returns the names of the running routers that are not leaving: this one, and
-// those others that pass the filter. The caller holds the lock.
-func (r *Router) eligibleRouters(now time.Time, suited func(peer.Info) bool) []string {
+// eligibleRouters returns the names of the running routers that are not leaving, including this one.
+// The caller holds the lock.
+func (r *Router) eligibleRouters(now time.Time) []string {
 	var names []string
 	if self := r.table.Self(); self.State != peer.StateLeaving {
 		names = append(names, self.Name)
 	}
 	for _, n := range r.table.Live(now, vm.RoleRouter) {
-		if n.State != peer.StateLeaving && suited(n) {
+		if n.State != peer.StateLeaving {
 			names = append(names, n.Name)
 		}
 	}
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -52,6 +52,9 @@
 	pull func(ctx context.Context, address string) (knowledge.Segment[T], error)
 	// isReader reports whether this router is the reader of the feed.
 	isReader func(now time.Time) bool
+	// startWait returns the time until which the first read waits for state from other routers; nil
+	// if it does not wait.
+	startWait func(now time.Time) time.Time
 	// notify notifies the other routers that this one has advanced.
 	notify func()
 	// onRead is called with the result of each read.
@@ -61,9 +64,8 @@
 	// ahead receives the address of a router that is ahead of this one.
 	ahead chan string
 
-	mu          sync.Mutex
-	times       watch.Times
-	firstReadAt time.Time
+	mu    sync.Mutex
+	times watch.Times
 	// furthest is the furthest position reported by another router, or the start of a new store
 	// era. behind is since when this router has not reached it; zero if it has.
 	furthest progress
@@ -140,16 +142,13 @@
 	f.times = t
 }
 
-// delayFirstRead delays the first read until a time, so that other routers can be asked instead.
-func (f *follower[T]) delayFirstRead(until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.firstReadAt = until
-}
-
 func (f *follower[T]) reading(now time.Time) (watch.FeedState, watch.Times) {
 	mark := f.mark()
 	isReader := f.isReader(now)
+	var patient time.Time
+	if f.startWait != nil && !mark.Known() {
+		patient = f.startWait(now)
+	}
 	if mark.Known() {
 		f.recordFurthest(now, progress{next: services.Position{Era: f.era()}})
 	}
@@ -161,7 +160,7 @@
 		anew = f.behind.Add(maxBehind)
 	}
 	return watch.FeedState{
-		Known: mark.Known(), Anew: anew, AsOf: mark.AsOf, Mine: isReader, Behind: behind || f.trimmed, Patient: f.firstReadAt, Failures: f.failures, Tried: f.failedAt,
+		Known: mark.Known(), Anew: anew, AsOf: mark.AsOf, Mine: isReader, Behind: behind || f.trimmed, Patient: patient, Failures: f.failures, Tried: f.failedAt,
 	}, f.times
 }
 
--- a/services/entry/permits.go
+++ b/services/entry/permits.go
@@ -26,7 +26,7 @@
 func (r *Router) grantor(now time.Time, run upstream.Run) (name, address string, self bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name = watch.ReaderOf(feedPermits+string(run.ID), r.eligibleRouters(now, func(peer.Info) bool { return true }))
+	name = watch.ReaderOf(feedPermits+string(run.ID), r.eligibleRouters(now))
 	return name, r.table.Address(name), name == r.table.Self().Name
 }
 
--- a/services/entry/permits_test.go
+++ b/services/entry/permits_test.go
@@ -63,7 +63,7 @@
 func known(r *Router) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.eligibleRouters(time.Now(), func(peer.Info) bool { return true }))
+	return len(r.eligibleRouters(time.Now()))
 }
 
 // TestOneGrantor checks that routers agree on one permit grantor for an upstream, that together
--- a/services/entry/register.go
+++ b/services/entry/register.go
@@ -53,11 +53,11 @@
 // do so. Coordinators of groups and routers whose seeds are gone find them there.
 func (r *Router) register(ctx context.Context) {
 	var known registry
-	if !r.isSeed() {
-		sleep.For(ctx, seedTimeout)
-	}
 	for ; ctx.Err() == nil; sleep.For(ctx, registerInterval) {
 		now := clock.Now()
+		if now.Before(r.startWait(now)) {
+			continue
+		}
 		if !r.isReader(now, feedNodes) || r.era() > known.era {
 			known = registry{}
 		}
--- a/services/peer/gossip_test.go
+++ b/services/peer/gossip_test.go
@@ -7,11 +7,13 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/services/watch"
 )
 
 // The times of the model are those used in services/entry and the latencies between data centres of
@@ -495,3 +497,61 @@
 		})
 	}
 }
+
+// TestReadersAtStart starts all routers of a deployment at once, as after a loss of power, and counts
+// those that at some moment find themselves the reader of a feed. Each of them calls the store. At
+// most the seeds do at first, and then each router that is chosen when it becomes ready: as routers
+// become ready one by one, a new one has the highest hash of all about as often as the logarithm.
+func TestReadersAtStart(t *testing.T) {
+	cases := map[string]struct{ routers, dataCentres int }{
+		"7 routers":   {7, 3},
+		"41 routers":  {41, 3},
+		"149 routers": {149, 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, c.routers, c.dataCentres, 1)
+			for _, n := range m.nodes {
+				n.info.State = StateStarting
+			}
+			m.startAll()
+			readers := map[string]bool{}
+			for ; m.now.Before(begin.Add(5 * time.Second)); m.advance(100 * time.Millisecond) {
+				for _, n := range m.nodes {
+					if n.down {
+						continue
+					}
+					if n.table.Self().State == StateStarting && m.rand.IntN(4) == 0 && m.now.Sub(begin) > time.Second {
+						i := n.table.Self()
+						i.State = StateReady
+						n.table.UpdateSelf(m.now, i)
+						m.changed(n)
+					}
+					if m.reads(n) {
+						readers[n.info.Name] = true
+					}
+				}
+			}
+			if most := len(m.seeds) + logarithm(c.routers); len(readers) > most || len(readers) == 0 {
+				t.Errorf("%d routers read the feed in the first seconds, want 1 to %d", len(readers), most)
+			}
+		})
+	}
+}
+
+// reads reports whether a router finds itself the reader of a feed, as in services/entry.
+func (m *model) reads(n *node) bool {
+	candidate := func(i Info) watch.Candidate {
+		return watch.Candidate{Name: i.Name, Ready: i.State == StateReady, Unchanged: n.table.Unchanged(m.now, i.Name), Seed: slices.Contains(m.seeds, i.Name)}
+	}
+	var others []watch.Candidate
+	for _, i := range n.table.Live(m.now, vm.RoleRouter) {
+		others = append(others, candidate(i))
+	}
+	self := candidate(n.table.Self())
+	if !self.Seed && m.now.Before(watch.StartWait(begin, others)) {
+		return false
+	}
+	return watch.ReaderOf("feed", watch.Candidates(append(others, self))) == n.info.Name
+}
--- a/services/peer/table.go
+++ b/services/peer/table.go
@@ -240,6 +240,15 @@
 	return out
 }
 
+// Unchanged returns for how long the entry of a process has not changed in this table; 0 if the
+// process is unknown.
+func (t *Table) Unchanged(now time.Time, name string) time.Duration {
+	if e, ok := t.nodes[name]; ok {
+		return now.Sub(e.changedAt)
+	}
+	return 0
+}
+
 // Address returns the address of a process, or "" if it is unknown.
 func (t *Table) Address(name string) string {
 	if e, ok := t.nodes[name]; ok {
--- a/services/watch/watch_test.go
+++ b/services/watch/watch_test.go
@@ -88,3 +88,48 @@
 		t.Errorf("40 feeds have %d readers", len(readers))
 	}
 }
+
+// TestCandidates checks among which routers the reader is chosen.
+func TestCandidates(t *testing.T) {
+	ready := func(name string, unchanged time.Duration) Candidate {
+		return Candidate{Name: name, Ready: true, Unchanged: unchanged}
+	}
+	seed := Candidate{Name: "seed", Seed: true}
+	starting := Candidate{Name: "new", Unchanged: time.Minute}
+	cases := map[string]struct {
+		routers []Candidate
+		want    []string
+	}{
+		"none":                                  {nil, nil},
+		"ready ones":                            {[]Candidate{ready("a", time.Second), ready("b", time.Minute), starting}, []string{"a", "b"}},
+		"one has just become ready":             {[]Candidate{ready("a", time.Second-1), ready("b", time.Minute)}, []string{"b"}},
+		"all have just become ready":            {[]Candidate{ready("a", 0), seed, ready("b", 0)}, []string{"seed"}},
+		"all start":                             {[]Candidate{starting, seed}, []string{"seed"}},
+		"all start, without a seed":             {[]Candidate{starting, ready("a", 0)}, []string{"new", "a"}},
+		"a seed starts again beside the others": {[]Candidate{seed, ready("a", time.Second)}, []string{"a"}},
+	}
+	for name, c := range cases {
+		if got := Candidates(c.routers); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestStartWait checks how long a router that has started waits before it reads the store.
+func TestStartWait(t *testing.T) {
+	started := time.Unix(1000, 0)
+	cases := map[string]struct {
+		others []Candidate
+		want   time.Duration
+	}{
+		"nobody answers":     {nil, contactTimeout},
+		"another one starts": {[]Candidate{{Name: "a"}}, contactTimeout},
+		"a seed runs":        {[]Candidate{{Name: "a"}, {Name: "b", Seed: true}}, maxStartWait},
+		"a router is ready":  {[]Candidate{{Name: "a", Ready: true}}, maxStartWait},
+	}
+	for name, c := range cases {
+		if got := StartWait(started, c.others).Sub(started); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
