--- a/services/peer/neighbours.go
+++ b/services/peer/neighbours.go
@@ -19,7 +19,7 @@
 const maxFullMesh = 12
 
 // logarithm returns the binary logarithm of a positive number, rounded up.
-func logarithm(n int) int { return bits.Len(uint(n - 1)) } //nolint:gosec // positive
+func logarithm(n int) int { return bits.Len(uint(n - 1)) }
 
 // chooseNeighbours returns the neighbours of this process. Processes with the same table compute
 // the same neighbours for each other. The routers of each data centre form a hash ring, in which
