A router without requests does not publish that it is busy

Cause: while all routers start, each uses much of its processor time, publishes that it is busy and a moment later that it is not: two waves of entries through the whole fleet for a flag that only says that another router should be listed beside it.

--- a/services/entry/gossip.go
+++ b/services/entry/gossip.go
@@ -108,15 +108,25 @@
 	r.table.UpdateSelf(now, self)
 }
 
-// busy reports whether this process uses a large fraction of its processor time. The caller holds
-// the lock.
+// busy reports whether this process uses a large fraction of its processor time while it serves
+// callers. The caller holds the lock.
 func (r *Router) busy(now time.Time, self peer.Info) bool {
 	used, err := usage.CPUTime()
 	if err != nil || self.Cores <= 0 {
 		return false // without measurements the process is not considered busy
 	}
-	fraction := r.meter.Observe(now, used) / self.Cores
-	return fraction > busyAbove || self.Busy && fraction > idleBelow
+	return isBusy(r.meter.Observe(now, used)/self.Cores, self.Busy, now.Sub(r.opts.Relay.LastRequest()))
+}
+
+// isBusy reports whether a router that uses a fraction of its processor time is busy, given whether
+// it was before and the time since its latest request. One without requests is not: others need not
+// be listed beside it, and when all routers start, each would publish that it is busy, and a moment
+// later that it is not.
+func isBusy(fraction float64, before bool, idle time.Duration) bool {
+	if idle > busyWithin {
+		return false
+	}
+	return fraction > busyAbove || before && fraction > idleBelow
 }
 
 // maxDiscoveryTargets bounds the registered routers that are contacted in a round although no
--- a/services/entry/router_selection.go
+++ b/services/entry/router_selection.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -26,6 +27,8 @@
 	// to each of the others at once.
 	busyAbove = 0.25
 	idleBelow = 0.1
+	// busyWithin is the time since its latest request within which a router may be busy.
+	busyWithin = 2 * time.Second
 )
 
 // selectRouters returns the routers that the callers of a data centre get: those with the most
--- a/services/entry/router_selection_test.go
+++ b/services/entry/router_selection_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -115,3 +116,25 @@
 		})
 	}
 }
+
+// TestIsBusy checks when a router is busy.
+func TestIsBusy(t *testing.T) {
+	cases := map[string]struct {
+		fraction float64
+		before   bool
+		idle     time.Duration
+		want     bool
+	}{
+		"serves callers":                     {0.3, false, time.Second, true},
+		"serves few":                         {0.2, false, 0, false},
+		"was busy, and is not idle":          {0.2, true, 0, true},
+		"was busy, and is idle":              {0.05, true, 0, false},
+		"starts, without a request":          {0.9, false, 1 << 62, false},
+		"was busy, and gets no more request": {0.9, true, 3 * time.Second, false},
+	}
+	for name, c := range cases {
+		if got := isBusy(c.fraction, c.before, c.idle); got != c.want {
+			t.Errorf("%s: busy: %t, want %t", name, got, c.want)
+		}
+	}
+}
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -131,6 +131,7 @@
 	x := &exchange{r: r, w: w, req: req, arrived: clock.Now(), meta: r.opts.Protocol.ParseRequest(req.Header), tried: map[upstream.ID]bool{}}
 	r.mu.Lock()
 	r.active++
+	r.lastRequest = x.arrived
 	leaving := r.leaving
 	r.mu.Unlock()
 	defer func() {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -58,6 +58,8 @@
 	// a reported load.
 	unreported func(service.ID)
 	active     int
+	// lastRequest is when the latest request arrived; zero for never.
+	lastRequest time.Time
 	// runs holds the run of the upstream to which connections to an address lead.
 	runs map[string]upstream.Run
 	// crashes records the requests during which upstreams ended; onCrash is called when it has
@@ -146,6 +148,13 @@
 	return r.active
 }
 
+// LastRequest returns the time at which the latest request arrived; zero for never.
+func (r *Relay) LastRequest() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastRequest
+}
+
 // RouterLoad is what a router adds to the load report of a group.
 type RouterLoad struct {
 	// Unstarted counts the requests at each rank whose answer has not begun.
