--- a/tests/soak/check_test.go
+++ b/tests/soak/check_test.go
@@ -80,6 +80,7 @@
 	if !draining.IsZero() && now.Sub(draining) > drainTime+tolerance && w.undisturbed(c.router, draining, now) && r.disturbances.none(draining, now) {
 		w.fail("call %s reaches %s through %s %s after the store accepted that it leaves", id, r.id, c.router.name, now.Sub(draining))
 	}
+	w.checkEvacuation(now, r, c.router, id)
 	if b, ok := w.obligation(r, c.router, obligationLeaving); ok && c.sent.Sub(b.at) > drainTime+tolerance {
 		w.fail("call %s reaches %s through %s, which passed on %s earlier that it leaves", id, r.id, c.router.name, c.sent.Sub(b.at))
 	}
--- a/tests/soak/plan_test.go
+++ b/tests/soak/plan_test.go
@@ -195,6 +195,7 @@
 		}
 	}},
 	{"the store is restored from a copy", 3, func(w *world, rng *rand.Rand, duration time.Duration) { w.restoreStore(rng, duration) }},
+	{"a data centre is evacuated", 3, func(w *world, rng *rand.Rand, duration time.Duration) { w.evacuate(rng, duration) }},
 }
 
 // firstFaults is the number of faults that the first plans were drawn from. A seed that found a
--- a/tests/soak/replica_test.go
+++ b/tests/soak/replica_test.go
@@ -56,6 +56,7 @@
 	proxy       *toxiproxy.Proxy
 	// engine answers the requests to a rank of a model group; nil for plain services.
 	engine http.Handler
+	zone   string
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -88,7 +89,10 @@
 	w.replicas++
 	n := w.replicas
 	w.mu.Unlock()
-	r := &replica{w: w, id: fmt.Sprintf("i-%d", n), service: service, listener: l, engine: engine, rand: rand.New(rand.NewPCG(w.seed, uint64(n)))}
+	r := &replica{w: w, id: fmt.Sprintf("i-%d", n), service: service, listener: l, engine: engine, zone: firstZone, rand: rand.New(rand.NewPCG(w.seed, uint64(n)))}
+	if engine == nil && n%2 == 0 {
+		r.zone = secondZone
+	}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(l) }()
 	r.proxy = w.newProxy("to "+r.id, l.Addr().String())
@@ -127,7 +131,7 @@
 func (r *replica) putEntry(state string) {
 	entry := ""
 	if state != "" {
-		entry = fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":6,"state":%q}`, r.service, r.proxy.Listen, state)
+		entry = fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":6,"state":%q}`, r.service, r.proxy.Listen, r.zone, state)
 	}
 	r.w.store.Put(replicaStream, r.id, entry)
 }
--- a/tests/soak/restore_test.go
+++ b/tests/soak/restore_test.go
@@ -47,4 +47,5 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.store.Put(operatorStream, "config", w.newest)
+	w.putEvacuation()
 }
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -89,6 +89,8 @@
 	configs  []config
 	// newest is the text of the newest configuration.
 	newest string
+	// evacuatedAt is when the second data centre was evacuated; zero if it is not.
+	evacuatedAt time.Time
 	// obligations holds the notices of replicas that oblige routers, and backOffRequests the number
 	// of requests that arrived during each requested back-off.
 	obligations     map[obligationKey]obligation
