--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -193,6 +193,54 @@
 	<-done
 }
 
+// TestIncompletePull checks that a router reads a feed in full after it has received a segment from
+// a router of an earlier version, which does not pass on all kinds of records.
+func TestIncompletePull(t *testing.T) {
+	s := &script[int]{reads: make(chan read[int])}
+	ctx, cancel := context.WithCancel(t.Context())
+	var mu sync.Mutex
+	mark := knowledge.Watermark{Next: position(4), AsOf: time.Now().Add(time.Hour)}
+	taken := make(chan knowledge.Segment[int], 1)
+	f := &follower[int]{
+		feed: s, wake: make(chan struct{}, 1), ahead: make(chan string, 1), times: watch.NewTimes(2 * time.Second),
+		isReader: func(time.Time) bool { return false },
+		era:      func() services.Era { return 0 },
+		notify:   func() {},
+		onRead:   func(error) {},
+		logger:   zerolog.Nop(),
+		mark: func() knowledge.Watermark {
+			mu.Lock()
+			defer mu.Unlock()
+			return mark
+		},
+		apply: func(p knowledge.Segment[int]) knowledge.Fit {
+			mu.Lock()
+			defer mu.Unlock()
+			mark.Next = p.Next
+			taken <- p
+			return knowledge.FitNew
+		},
+		pull: func(context.Context, string) (knowledge.Segment[int], error) {
+			return knowledge.Segment[int]{Whole: true, Next: position(5), Incomplete: true}, nil
+		},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	f.pullIfAhead("a", FeedProgress{Known: true, Next: 5})
+	if p := <-taken; !p.Incomplete || p.Next != position(5) {
+		t.Errorf("applied %+v", p)
+	}
+	s.reads <- read[int]{whole: true, next: position(5)}
+	if p := <-taken; p.Incomplete || !p.Whole {
+		t.Errorf("read %+v after an incomplete segment, want the whole feed", p)
+	}
+	cancel()
+	<-done
+}
+
 // silentStore is a store that never answers.
 type silentStore struct{}
 
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -72,6 +72,7 @@
 	// era. behind is since when this router has not reached it; zero if it has.
 	furthest progress
 	behind   time.Time
+	// trimmed reports whether the next read must be a full one.
 	trimmed  bool
 	failures int
 	failedAt time.Time
@@ -223,8 +224,8 @@
 // failureSpread bounds the random pause after a failed read.
 const failureSpread = 150 * time.Millisecond
 
-// recordResult records the result of a read. trimmed reports whether the records from the watermark
-// on are no longer kept.
+// recordResult records the result of a read. trimmed reports whether the next read must be a full
+// one, because the records from the watermark on are no longer kept or some before it are missing.
 func (f *follower[T]) recordResult(trimmed bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -349,6 +350,9 @@
 		return
 	}
 	fit := f.advance(p)
+	if p.Incomplete && fit == knowledge.FitNew {
+		f.recordResult(true, nil)
+	}
 	f.logger.Info().Str("feed", f.name).Str("from", address).Stringer("next", p.Next).Int64("age_ms", asked.Sub(p.AsOf).Milliseconds()).
 		Bool("whole", p.Whole).Int("records", len(p.Changes)).Str("fit", string(fit)).Msg("feed-pulled")
 	f.wakeUp()
--- a/services/entry/pull.go
+++ b/services/entry/pull.go
@@ -35,6 +35,7 @@
 	if err := r.opts.Pool.Call(ctx, address, "Router.Catalogs", known, &n); err != nil {
 		return p, fmt.Errorf("pull catalogs: %w", err)
 	}
+	p.Incomplete = !n.EvacuationsKnown
 	p.Next, p.AsOf, p.Vouch = n.Extent.position(), n.Extent.asOf(asked), n.Extent.confirmation(asked)
 	newest := n.Whole
 	if n.Change != nil {
--- a/services/knowledge/segment.go
+++ b/services/knowledge/segment.go
@@ -22,6 +22,9 @@
 	Changes []services.Change[T]
 	// Vouch is the confirmation of the newest catalog by the router that sent the segment.
 	Vouch Confirmation
+	// Incomplete reports whether the router that sent the segment does not know all kinds of records,
+	// so that the feed has to be read in full to know those up to Next.
+	Incomplete bool
 }
 
 // Watermark is the read position of a feed.
