--- a/tests/integration/platform_cold_test.go
+++ b/tests/integration/platform_cold_test.go
@@ -19,6 +19,9 @@
 	coldSlack   = 5
 	// coldNotice is the time in which routers learn that a replica has turned cold.
 	coldNotice = time.Second
+	// coldWork is how long a replica works on a request. With some requests at each replica, routers
+	// use all of them, whatever their mean answer times.
+	coldWork = 50 * time.Millisecond
 )
 
 // setCold writes the entry of a replica that is cold for some more time.
@@ -46,7 +49,9 @@
 			s.store.Put(operatorStream, "config", strings.Replace(operatorConfig(3, "k"), `{"name":"ledger"}`, fmt.Sprintf(`{"name":"ledger","coldStartS":5,"coldPerS":%d}`, coldRate), 1))
 			var replicas []*noticeReplica
 			for i := range 3 {
-				replicas = append(replicas, newNoticeReplica(t, s, fmt.Sprint("i-", i)))
+				k := newNoticeReplica(t, s, fmt.Sprint("i-", i))
+				k.work = coldWork
+				replicas = append(replicas, k)
 			}
 			routers := s.startThree()
 			for _, n := range routers {
--- a/tests/integration/platform_limits_test.go
+++ b/tests/integration/platform_limits_test.go
@@ -28,6 +28,8 @@
 // noticeReplica is a plain replica that adds notices about itself to the headers of its answers.
 type noticeReplica struct {
 	id, address string
+	// work is how long it works on each request.
+	work time.Duration
 
 	mu sync.Mutex
 	// setNotice sets the headers of its notice, and status is the status of its answers.
@@ -47,9 +49,11 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		arrived := time.Now()
+		time.Sleep(k.work)
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.arrivals = append(k.arrivals, time.Now())
+		k.arrivals = append(k.arrivals, arrived)
 		w.Header().Set("X-Fawnwinch-Request-Id", r.Header.Get("X-Fawnwinch-Request-Id"))
 		k.setNotice(w.Header())
 		if k.status != http.StatusOK {
@@ -83,6 +87,7 @@
 func (k *noticeReplica) arrivalsAfter(without time.Duration) []time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	slices.SortFunc(k.arrivals, time.Time.Compare) // they are recorded when the work is done
 	i := slices.IndexFunc(k.arrivals, func(at time.Time) bool { return at.Sub(k.since) >= without })
 	if i < 0 {
 		return nil
