--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -127,17 +127,12 @@
 	}
 }
 
-// TestNonReader checks that a router that is not the reader does not read the store while others
-// send it updates. It pulls from those that are ahead, and reads by itself when they do not answer
-// for a while.
-func TestNonReader(t *testing.T) {
-	s := &script[int]{reads: make(chan read[int])}
-	ctx, cancel := context.WithCancel(t.Context())
+// nonReader returns the follower of a router that is not the reader of a feed and knows it up to
+// position 4. Applied segments are sent to taken.
+func nonReader(s *script[int], taken chan<- knowledge.Segment[int]) *follower[int] {
 	var mu sync.Mutex
 	mark := knowledge.Watermark{Next: position(4), AsOf: time.Now().Add(time.Hour)}
-	taken := make(chan knowledge.Segment[int], 1)
-	answers := make(chan error)
-	f := &follower[int]{
+	return &follower[int]{
 		feed: s, wake: make(chan struct{}, 1), ahead: make(chan string, 1), times: watch.NewTimes(2 * time.Second),
 		isReader: func(time.Time) bool { return false },
 		era:      func() services.Era { return 0 },
@@ -152,16 +147,27 @@
 		apply: func(p knowledge.Segment[int]) knowledge.Fit {
 			mu.Lock()
 			defer mu.Unlock()
-			if mark.Next.Before(p.From) {
+			if !p.Whole && mark.Next.Before(p.From) {
 				return knowledge.FitGap
 			}
 			mark.Next = p.Next
 			taken <- p
 			return knowledge.FitNew
 		},
-		pull: func(context.Context, string) (knowledge.Segment[int], error) {
-			return knowledge.Segment[int]{From: position(4), Next: position(5)}, <-answers
-		},
+	}
+}
+
+// TestNonReader checks that a router that is not the reader does not read the store while others
+// send it updates. It pulls from those that are ahead, and reads by itself when they do not answer
+// for a while.
+func TestNonReader(t *testing.T) {
+	s := &script[int]{reads: make(chan read[int])}
+	ctx, cancel := context.WithCancel(t.Context())
+	taken := make(chan knowledge.Segment[int], 1)
+	answers := make(chan error)
+	f := nonReader(s, taken)
+	f.pull = func(context.Context, string) (knowledge.Segment[int], error) {
+		return knowledge.Segment[int]{From: position(4), Next: position(5)}, <-answers
 	}
 	done := make(chan struct{})
 	go func() {
@@ -198,31 +204,10 @@
 func TestIncompletePull(t *testing.T) {
 	s := &script[int]{reads: make(chan read[int])}
 	ctx, cancel := context.WithCancel(t.Context())
-	var mu sync.Mutex
-	mark := knowledge.Watermark{Next: position(4), AsOf: time.Now().Add(time.Hour)}
 	taken := make(chan knowledge.Segment[int], 1)
-	f := &follower[int]{
-		feed: s, wake: make(chan struct{}, 1), ahead: make(chan string, 1), times: watch.NewTimes(2 * time.Second),
-		isReader: func(time.Time) bool { return false },
-		era:      func() services.Era { return 0 },
-		notify:   func() {},
-		onRead:   func(error) {},
-		logger:   zerolog.Nop(),
-		mark: func() knowledge.Watermark {
-			mu.Lock()
-			defer mu.Unlock()
-			return mark
-		},
-		apply: func(p knowledge.Segment[int]) knowledge.Fit {
-			mu.Lock()
-			defer mu.Unlock()
-			mark.Next = p.Next
-			taken <- p
-			return knowledge.FitNew
-		},
-		pull: func(context.Context, string) (knowledge.Segment[int], error) {
-			return knowledge.Segment[int]{Whole: true, Next: position(5), Incomplete: true}, nil
-		},
+	f := nonReader(s, taken)
+	f.pull = func(context.Context, string) (knowledge.Segment[int], error) {
+		return knowledge.Segment[int]{Whole: true, Next: position(5), Incomplete: true}, nil
 	}
 	done := make(chan struct{})
 	go func() {
