--- a/modules/clock/clocktest/clocktest.go
+++ b/modules/clock/clocktest/clocktest.go
@@ -1,8 +1,8 @@
 // Copyright 2026 The Fawnwinch Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Package clocktest simulates suspensions of the VM in tests: the clock of the process advances,
-// but timers do not.
+// Package clocktest simulates time in tests: suspensions of the VM, where the clock of the process
+// advances but timers do not, and bubbles, where time advances once all goroutines wait.
 package clocktest
 
 import (
--- a/services/entry/agent_registration_test.go
+++ b/services/entry/agent_registration_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
 	"fawnwinch.org/fawnwinch/services/peer"
 
 	"github.com/rs/zerolog"
@@ -61,7 +62,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			clocktest.Bubble(t, func(t *testing.T) {
 				store := &countingStore{err: c.err, nodes: map[string]peer.Info{}}
 				r := New(Options{Self: peer.Info{Name: "a"}, Store: store, Relay: quietRelay(), Logger: zerolog.Nop()})
 				ctx, cancel := context.WithCancel(t.Context())
--- a/services/entry/restore_test.go
+++ b/services/entry/restore_test.go
@@ -12,10 +12,10 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 	"fawnwinch.org/fawnwinch/services/watch"
@@ -413,7 +413,7 @@
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { returnsBySchedule(t, newPlayedRouters(t, 6, seed)) })
+			clocktest.Bubble(t, func(t *testing.T) { returnsBySchedule(t, newPlayedRouters(t, 6, seed)) })
 		})
 	}
 }
@@ -482,7 +482,7 @@
 	for _, routers := range []int{6, 32, 149} {
 		for name, outage := range map[string]time.Duration{"at once": 0, "after an outage": 2500 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%d routers, %s", routers, name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				clocktest.Bubble(t, func(t *testing.T) {
 					d := newPlayedRouters(t, routers, 1)
 					defer d.stop()
 					d.advance(3 * time.Second)
@@ -534,7 +534,7 @@
 		most := max(outage+operatorTime+watch.NewTimes(applyBound).Own-(keyBound-keyMargin), 0)
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
+			clocktest.Bubble(t, func(t *testing.T) {
 				d := newPlayedRouters(t, 6, 1)
 				defer d.stop()
 				d.advance(3 * time.Second)
--- a/services/rank/lead_test.go
+++ b/services/rank/lead_test.go
@@ -19,6 +19,7 @@
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/vm"
+	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
 
@@ -489,7 +490,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { oneLeader(t, newDeployment(t, 1, c.ranks, c.dataCentres, c.cost, 1)) })
+			clocktest.Bubble(t, func(t *testing.T) { oneLeader(t, newDeployment(t, 1, c.ranks, c.dataCentres, c.cost, 1)) })
 		})
 	}
 }
@@ -581,7 +582,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
+			clocktest.Bubble(t, func(t *testing.T) {
 				groupsLed(t, newDeployment(t, c.groups, c.ranks, 3, 400*time.Microsecond, 1), c.late)
 			})
 		})
@@ -698,7 +699,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
+			clocktest.Bubble(t, func(t *testing.T) {
 				d := newDeployment(t, 1, ranks, 3, 400*time.Microsecond, 1)
 				defer d.finish()
 				d.startAll(true)
@@ -745,7 +746,7 @@
 		for _, ranks := range []int{12, 129} {
 			t.Run(fmt.Sprintf("%s, %d ranks", name, ranks), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
+				clocktest.Bubble(t, func(t *testing.T) {
 					d := newDeployment(t, 1, ranks, 3, 400*time.Microsecond, 3)
 					defer d.finish()
 					d.claims[g] = make([]string, 40)
@@ -792,7 +793,7 @@
 	for _, ranks := range []int{12, 129} {
 		t.Run(fmt.Sprint(ranks, " ranks"), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
+			clocktest.Bubble(t, func(t *testing.T) {
 				d := newDeployment(t, 1, ranks, 3, 400*time.Microsecond, 3)
 				defer d.finish()
 				d.startAll(true)
