Silent ranks: routers send nothing to a rank that its coordinator does not hear

Requests to a frozen VM stay on their way and reach the replica when it resumes, seconds after their callers have left.

Change: a rank that has not answered for 400 ms (missingAfter) is reported as silent, gets no allotment and is not chosen; a rank that a valid report no longer lists is left alone for 10 s. An engine whose agent alone is silent is asked directly from 400 ms on, once a second as before, and stays in use by its answers. If more than a third of the ranks is silent, none is marked.

--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -144,11 +144,11 @@
 
 // leastLoaded returns the rank for the next allotted request, or -1 if there is none. A stream at a
 // slow rank makes the pass longer for all ranks, so its load is weighted by the pace; with
-// skipSlow, slow ranks get none.
+// skipSlow, slow ranks get none. Silent ranks never get any.
 func leastLoaded(ranks []RankLoad, loads []float64, unstarted []int, b Bounds, skipSlow bool) int {
 	best, bestLoad := -1, math.Inf(1)
 	for i := range ranks {
-		if loads[i] >= float64(b.Rank) || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
+		if loads[i] >= float64(b.Rank) || ranks[i].Silent || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
 			continue
 		}
 		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
--- a/services/balance/allotment_test.go
+++ b/services/balance/allotment_test.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// TestAllotSilent checks that the share of a silent rank goes to the others.
+func TestAllotSilent(t *testing.T) {
+	ranks := []RankLoad{{Address: "a", Pace: 1}, {Address: "b", Pace: 1, Silent: true}, {Address: "c", Pace: 1}}
+	allotted := NewAllotter().Allot(ranks, Bounds{Rank: 4, Mean: 2}, Allotment{}, []Demand{{Router: "r", Requests: 9}}, nil)["r"]
+	if allotted["a"] != 3 || allotted["b"] != 0 || allotted["c"] != 3 {
+		t.Errorf("allotted %v, want three requests to each rank that is heard", allotted)
+	}
+}
+
 // TestAllotLimits checks that routers get no allotments at ranks to which they may not send, and
 // that this capacity goes to other routers.
 func TestAllotLimits(t *testing.T) {
--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -411,6 +411,54 @@
 	}
 }
 
+// TestPickSilent checks that a rank gets no requests while its coordinator reports, but does not
+// hear it, and that it gets requests again when it is heard, when the coordinator is silent itself,
+// and when the rank has been missing for long.
+func TestPickSilent(t *testing.T) {
+	cands, ids := candidates(2)
+	listed := RankLoad{Address: "a0", Pace: 1}
+	other := RankLoad{Address: "a1", Running: 5, Pace: 1}
+	silent := RankLoad{Address: "a0", Pace: 1, Silent: true}
+	cases := map[string]struct {
+		// reports are the ranks of one report per second; at is when the request is sent.
+		reports [][]RankLoad
+		at      time.Duration
+		want    upstream.ID
+	}{
+		"heard":                           {[][]RankLoad{{listed, other}}, 0, "u0"},
+		"reported as silent":              {[][]RankLoad{{listed, other}, {silent, other}}, time.Second, "u1"},
+		"no longer listed":                {[][]RankLoad{{listed, other}, {other}}, time.Second, "u1"},
+		"heard again":                     {[][]RankLoad{{silent, other}, {listed, other}}, time.Second, "u0"},
+		"the coordinator is silent":       {[][]RankLoad{{listed, {Address: "a1", Pace: 1, Silent: true}}}, maxReportValid + time.Second, "u1"},
+		"missing for long: it is cut off": {missingFor(unheardTimeout, listed, other), unheardTimeout, "u0"},
+		"missing for a bit less":          {missingFor(unheardTimeout-time.Second, listed, other), unheardTimeout - time.Second, "u1"},
+		"of a group that is not reported": {[][]RankLoad{{other}}, 0, "u0"},
+		"both are silent":                 {[][]RankLoad{{silent, {Address: "a1", Silent: true}}}, 0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool("")
+			p.SetRandom(func() float64 { return 0 })
+			for second, ranks := range c.reports {
+				p.Report(begin.Add(time.Duration(second)*time.Second), Group{ID: "g", Open: true, Ranks: ranks}, ids)
+			}
+			ask := PickOptions{Engine: engine, Bounds: Bounds{Rank: 10, Mean: 8}, Routers: 1}
+			if got, _ := p.Pick(begin.Add(c.at), cands, ask); got.ID != c.want {
+				t.Errorf("picked %q, want %q", got.ID, c.want)
+			}
+		})
+	}
+}
+
+// missingFor returns reports, one per second, of which only the first lists a rank.
+func missingFor(d time.Duration, rank, other RankLoad) [][]RankLoad {
+	reports := [][]RankLoad{{rank, other}}
+	for range int(d / time.Second) {
+		reports = append(reports, []RankLoad{other})
+	}
+	return reports
+}
+
 // TestFirstEvent checks the forecast time to the first event against passes of an even and of a
 // delayed group.
 func TestFirstEvent(t *testing.T) {
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -76,6 +76,9 @@
 	Unstarted int
 	// Pace is the rank's step time relative to the normal one; 1 is normal.
 	Pace float64
+	// Silent reports whether neither the rank's agent nor its engine answers the coordinator. Its VM
+	// may be frozen.
+	Silent bool
 }
 
 // Unstarted maps rank addresses to the number of the router's requests whose answers have not
@@ -178,6 +181,23 @@
 	return len(groups) > 0
 }
 
+// unheardTimeout is how long a rank that its coordinator no longer lists is left alone. A VM that
+// freezes is back within seconds. A rank that is missing for longer is cut off from its
+// coordinator, and routers that still reach it may use it.
+const unheardTimeout = 10 * time.Second
+
+// silent reports whether the coordinator of the rank's group reports, but does not hear the rank.
+// Requests that are sent to a frozen VM stay on their way: the rank receives them when the VM
+// resumes, although their callers have disconnected by then.
+func (p *Pool) silent(now time.Time, s *state) bool {
+	g, ok := p.groups[s.group]
+	if !ok || now.Sub(g.at) >= g.valid {
+		return false
+	}
+	listed := s.reportedAt.Equal(g.at)
+	return listed && s.report.Silent || !listed && now.Sub(s.reportedAt) < unheardTimeout
+}
+
 // broken reports whether the rank's group is reported broken.
 func (p *Pool) broken(now time.Time, s *state) bool {
 	g, ok := p.groups[s.group]
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -28,6 +28,8 @@
 	Running, Waiting, Unstarted []uint
 	// Slow holds the pace of the ranks that are slower than normal.
 	Slow map[int]float64
+	// Silent holds the positions in the list of the ranks that do not answer the coordinator.
+	Silent []int
 	// Backlog is the group's backlog.
 	Backlog Backlog
 	// Allotted reports whether Places is set.
@@ -114,6 +116,9 @@
 			}
 			r.Slow[i] = load.Pace
 		}
+		if load.Silent {
+			r.Silent = append(r.Silent, i)
+		}
 	}
 	if r.Allotted {
 		r.Places = l.counts(g.Places)
@@ -129,7 +134,7 @@
 	}
 	g := Group{Service: r.Service, ID: r.ID, Open: r.Open, Whole: r.Whole, Skew: r.Skew, Backlog: r.Backlog, Ranks: make([]RankLoad, n)}
 	for i, address := range l.Addresses {
-		g.Ranks[i] = RankLoad{Address: address, Running: int(r.Running[i]), Waiting: int(r.Waiting[i]), Unstarted: int(r.Unstarted[i]), Pace: max(r.Slow[i], 1)}
+		g.Ranks[i] = RankLoad{Address: address, Running: int(r.Running[i]), Waiting: int(r.Waiting[i]), Unstarted: int(r.Unstarted[i]), Pace: max(r.Slow[i], 1), Silent: slices.Contains(r.Silent, i)}
 	}
 	if r.Allotted {
 		g.Places = l.byAddress(r.Places)
--- a/services/balance/report_test.go
+++ b/services/balance/report_test.go
@@ -23,6 +23,8 @@
 	}
 	allotted := g
 	allotted.Places = Allotment{"b": 2}
+	silent := g
+	silent.Ranks = []RankLoad{g.Ranks[0], {Address: "b", Pace: 1, Silent: true}}
 	none := g
 	none.Places = Allotment{}
 	cases := map[string]struct {
@@ -34,6 +36,7 @@
 		"first report":              {group: g, read: true},
 		"list is known":             {group: g, has: list, read: true},
 		"places":                    {group: allotted, has: list, read: true},
+		"a silent rank":             {group: silent, has: list, read: true},
 		"not a single place":        {group: none, has: list, read: true},
 		"list of an earlier start":  {group: g, has: RankList{Number: 8, Addresses: []string{"a"}}},
 		"same number, other ranks":  {group: allotted, has: RankList{Number: 8, Addresses: []string{"a", "b", "c"}}},
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -53,6 +53,8 @@
 	// lastContact is the time of the latest status, sent that of the request for it, and directAt
 	// that of the latest direct request.
 	lastContact, sent, directAt time.Time
+	// direct reports whether the latest status is the engine's answer to a direct request.
+	direct bool
 	// ended is the time of the latest request after which the agent has reported that the engine
 	// has ended.
 	ended  time.Time
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -69,7 +69,7 @@
 	default:
 		s := own.Status
 		c.moved = s.Group != c.first.Group || s.Rank != c.first.Rank || s.Size != c.first.Size
-		c.record(sent, c.a.opts.Self, own)
+		c.record(sent, c.a.opts.Self, own, false)
 	}
 	c.lost = c.lost || !c.a.receive(clock.Now(), c.lead())
 }
@@ -158,7 +158,7 @@
 		case r.Ended:
 			c.noteEnded(a.sent, a.part[i])
 		default:
-			c.record(a.sent, a.part[i], *r)
+			c.record(a.sent, a.part[i], *r, a.direct)
 		}
 	}
 }
@@ -216,7 +216,7 @@
 			continue
 		}
 		m := c.memberOf(n)
-		if m != nil && (now.Sub(m.lastContact) < directInterval || now.Sub(m.directAt) < directInterval) {
+		if m != nil && !m.directDue(now) {
 			continue
 		}
 		if m == nil && now.Sub(c.at) > directInterval {
@@ -233,6 +233,11 @@
 	}
 }
 
+// directDue reports whether a rank's engine should be asked directly.
+func (m *member) directDue(now time.Time) bool {
+	return now.Sub(m.lastContact) > missingAfter && now.Sub(m.directAt) >= directInterval
+}
+
 // askEngine asks a rank's engine directly.
 func (c *coordinator) askEngine(ctx context.Context, n peer.Info) answers {
 	sent := clock.Now()
@@ -258,8 +263,8 @@
 }
 
 // record records a rank's reply to a request that was sent at a time. A reply that a later one has
-// overtaken is dropped.
-func (c *coordinator) record(sent time.Time, n peer.Info, r Reply) {
+// overtaken is dropped. Direct reports whether the engine was asked instead of the agent.
+func (c *coordinator) record(sent time.Time, n peer.Info, r Reply, direct bool) {
 	if int(r.Status.Rank) >= len(c.members) || r.Status.Size != len(c.members) || r.Status.Group != c.first.Group {
 		return
 	}
@@ -267,7 +272,7 @@
 	if m.known && (sent.Before(m.sent) || n.Engine == m.info.Engine && r.Status.Born < m.status.Born) {
 		return
 	}
-	m.info, m.status, m.sent, m.lastContact, m.known = n, r.Status, sent, clock.Now(), true
+	m.info, m.status, m.sent, m.lastContact, m.known, m.direct = n, r.Status, sent, clock.Now(), true, direct
 	if r.Start != 0 {
 		m.start = r.Start
 	}
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -133,6 +133,42 @@
 	return services.RankStatus{}, fmt.Errorf("engine e: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
 }
 
+// TestSilentRanks checks which ranks are reported as silent.
+func TestSilentRanks(t *testing.T) {
+	heard := member{known: true, lastContact: begin}
+	direct := heard
+	direct.direct = true
+	silentFor := func(m member, d time.Duration) *member {
+		m.lastContact = begin.Add(-d)
+		return &m
+	}
+	cases := map[string]struct {
+		members []*member
+		silent  int
+	}{
+		"all are heard":              {[]*member{&heard, &heard, silentFor(heard, missingAfter)}, 0},
+		"one is not":                 {[]*member{&heard, &heard, silentFor(heard, missingAfter+1)}, 1},
+		"its engine has answered":    {[]*member{&heard, &heard, silentFor(direct, directInterval+missingAfter)}, 0},
+		"its engine is silent too":   {[]*member{&heard, &heard, silentFor(direct, directInterval+missingAfter+1)}, 1},
+		"the coordinator is cut off": {[]*member{&heard, silentFor(heard, missingAfter+1), silentFor(heard, missingAfter+1)}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCoordinator(New(begin, Options{Logger: zerolog.Nop()}), lead(1), services.RankStatus{Group: "g"})
+			c.members = tc.members
+			silent := 0
+			for _, r := range c.load(begin).Ranks {
+				if r.Silent {
+					silent++
+				}
+			}
+			if silent != tc.silent {
+				t.Errorf("%d silent ranks, want %d", silent, tc.silent)
+			}
+		})
+	}
+}
+
 // TestEngineEnded checks that a group is reported as broken as soon as one of its engines has
 // ended: the other ranks report it only after they have waited for it, and requests that routers
 // send meanwhile are delayed. The group is open again once the rank answers.
@@ -160,7 +196,7 @@
 	for _, s := range steps {
 		sent := begin.Add(s.after)
 		if s.reply != nil {
-			c.record(sent, n, *s.reply)
+			c.record(sent, n, *s.reply, false)
 		} else {
 			c.noteEnded(sent, n)
 		}
--- a/services/rank/rank_test.go
+++ b/services/rank/rank_test.go
@@ -199,12 +199,12 @@
 		return Reply{Status: services.RankStatus{Group: "g", Size: 1, Born: born, Step: step}}
 	}
 	n := peer.Info{Name: "side-1", Engine: "e"}
-	c.record(begin, n, status(200, 1))
-	c.record(begin.Add(time.Second), n, status(100, 99))
+	c.record(begin, n, status(200, 1), false)
+	c.record(begin.Add(time.Second), n, status(100, 99), false)
 	if got := c.members[0].status; got.Born != 200 || got.Step != 1 {
 		t.Errorf("taken: %+v", got)
 	}
-	c.record(begin.Add(2*time.Second), peer.Info{Name: "side-2", Engine: "f"}, status(100, 5))
+	c.record(begin.Add(2*time.Second), peer.Info{Name: "side-2", Engine: "f"}, status(100, 5), false)
 	if got := c.members[0].status; got.Born != 100 {
 		t.Errorf("another engine has the rank now, taken: %+v", got)
 	}
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -15,10 +15,15 @@
 // logInterval is the time between two log lines on the load of the group.
 const logInterval = 500 * time.Millisecond
 
-// missingAfter is how long a rank may be silent before its group is reported as incomplete: more
-// than five poll rounds of pollInterval.
+// missingAfter is how long a rank may be silent before its group is reported as incomplete and the
+// rank gets no new requests: more than five poll rounds of pollInterval. The ranks behind a relay
+// that fails are heard again within it.
 const missingAfter = 400 * time.Millisecond
 
+// maxSilentFraction is the largest fraction of the ranks that are reported as silent. If more are,
+// it is the coordinator that is slow or cut off, and none is reported.
+const maxSilentFraction = 1.0 / 3
+
 // logLoad logs the load of the group at intervals.
 func (c *coordinator) logLoad(now time.Time) {
 	if now.Sub(c.loggedAt) < logInterval {
@@ -109,13 +114,41 @@
 			g.Open = g.Open && m.status.Open
 			g.Ranks = append(g.Ranks, balance.RankLoad{
 				Address: m.info.Engine, DataCentre: m.info.DataCentre, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.registry.Unstarted(now, m.info.Engine), Pace: m.status.Pace,
+				Silent: m.silent(now),
 			})
 		}
 	}
+	clearSilent(g.Ranks)
 	g.Skew = c.skew()
 	return g
 }
 
+// silent reports whether neither the rank's agent nor its engine has answered lately. An engine
+// whose agent is silent is asked once in directInterval, so its answer is valid until the next.
+func (m *member) silent(now time.Time) bool {
+	valid := missingAfter
+	if m.direct {
+		valid += directInterval
+	}
+	return now.Sub(m.lastContact) > valid
+}
+
+// clearSilent reports no rank as silent if too many are.
+func clearSilent(ranks []balance.RankLoad) {
+	silent := 0
+	for _, r := range ranks {
+		if r.Silent {
+			silent++
+		}
+	}
+	if float64(silent) <= maxSilentFraction*float64(len(ranks)) {
+		return
+	}
+	for i := range ranks {
+		ranks[i].Silent = false
+	}
+}
+
 // skew returns the skew of the map in use.
 func (c *coordinator) skew() float64 {
 	if c.planner == nil || c.planner.skew == 0 {
