--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -55,8 +55,6 @@
 	lastContact, sent, directAt time.Time
 	// direct reports whether the latest status is the engine's answer to a direct request.
 	direct bool
-	// missed counts the polls in a row that the agent has not answered.
-	missed int
 	// ended is the time of the latest request after which the agent has reported that the engine
 	// has ended.
 	ended  time.Time
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -151,7 +151,6 @@
 	for i, r := range a.replies {
 		switch {
 		case r == nil:
-			c.noteMissed(a, a.part[i])
 		case r.Foreign:
 			c.foreign[a.part[i].Name] = now
 		case r.Authority != c.own.Authority:
@@ -164,17 +163,6 @@
 	}
 }
 
-// noteMissed records that an agent has not answered a poll. The agents behind a relay that failed
-// were not asked.
-func (c *coordinator) noteMissed(a answers, n peer.Info) {
-	if a.direct || a.failed != "" && a.failed != n.Name {
-		return
-	}
-	if m := c.memberOf(n); m != nil {
-		m.missed++
-	}
-}
-
 // noteEnded records that the engine of a rank has ended, as its agent reported after a request that
 // was sent at a time.
 func (c *coordinator) noteEnded(sent time.Time, n peer.Info) {
@@ -284,7 +272,7 @@
 	if m.known && (sent.Before(m.sent) || n.Engine == m.info.Engine && r.Status.Born < m.status.Born) {
 		return
 	}
-	m.info, m.status, m.sent, m.lastContact, m.known, m.direct, m.missed = n, r.Status, sent, clock.Now(), true, direct, 0
+	m.info, m.status, m.sent, m.lastContact, m.known, m.direct = n, r.Status, sent, clock.Now(), true, direct
 	if r.Start != 0 {
 		m.start = r.Start
 	}
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -20,11 +20,6 @@
 // that fails are heard again within it.
 const missingAfter = 400 * time.Millisecond
 
-// maxMissed is the number of polls in a row that an agent may miss before its rank gets no new
-// requests. A frozen VM keeps the requests that it is sent until it resumes, so each round counts;
-// one poll may be lost to a short stall.
-const maxMissed = 1
-
 // maxSilentFraction is the largest fraction of the ranks that are reported as silent. If more are,
 // it is the coordinator that is slow or cut off, and none is reported.
 const maxSilentFraction = 1.0 / 3
@@ -131,10 +126,11 @@
 // silent reports whether neither the rank's agent nor its engine has answered lately. An engine
 // whose agent is silent is asked once in directInterval, so its answer is valid until the next.
 func (m *member) silent(now time.Time) bool {
+	valid := missingAfter
 	if m.direct {
-		return now.Sub(m.lastContact) > directInterval+missingAfter
+		valid += directInterval
 	}
-	return m.missed > maxMissed || now.Sub(m.lastContact) > missingAfter
+	return now.Sub(m.lastContact) > valid
 }
 
 // clearSilent reports no rank as silent if too many are.
