--- a/services/balance/time_to_accept.go
+++ b/services/balance/time_to_accept.go
@@ -69,7 +69,7 @@
 func (p *Pool) waitBeyondFirst(now time.Time, cands []upstream.Instance, limitedWaits []time.Duration, requests int) time.Duration {
 	var rate upstream.Rate
 	for _, c := range cands {
-		limit, _ := p.conditions.LimitedRate(now, c.Run())
+		limit, _ := p.conditions.AcceptedRate(now, c.Run())
 		rate += limit
 	}
 	if rate <= 0 {
--- a/services/condition/cold.go
+++ b/services/condition/cold.go
@@ -63,9 +63,9 @@
 // limited reports whether requests to the upstream need permits.
 func (r *record) limited(now time.Time) bool { return r.limit.Named || r.cold.Cold(now) }
 
-// LimitedRate returns the requests per second that an upstream accepts from all routers together,
+// AcceptedRate returns the requests per second that an upstream accepts from all routers together,
 // and whether there is such a limit now.
-func (g *Register) LimitedRate(now time.Time, run upstream.Run) (rate upstream.Rate, limited bool) {
+func (g *Register) AcceptedRate(now time.Time, run upstream.Run) (rate upstream.Rate, limited bool) {
 	r, ok := g.records[run]
 	if !ok {
 		return 0, false
--- a/services/condition/cold_test.go
+++ b/services/condition/cold_test.go
@@ -52,7 +52,7 @@
 			if got := g.Permit(at(c.now), run); got != c.sent {
 				t.Errorf("permission %s, want %s", got, c.sent)
 			}
-			if rate, _ := g.LimitedRate(at(c.now), run); rate != c.rate {
+			if rate, _ := g.AcceptedRate(at(c.now), run); rate != c.rate {
 				t.Errorf("rate %v, want %v", rate, c.rate)
 			}
 		})
--- a/services/entry/register.go
+++ b/services/entry/register.go
@@ -58,10 +58,11 @@
 		if now.Before(r.startWait(now)) {
 			continue
 		}
-		if !r.isReader(now, feedNodes) || r.era() > known.era {
+		reader := r.isReader(now, feedNodes)
+		if !reader || r.era() > known.era {
 			known = registry{}
 		}
-		if !r.isReader(now, feedNodes) {
+		if !reader {
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, registerTimeout)
