Metrics: calls of other processes and their bytes, by method

Cause: which kind of message grows with the fleet (gossip, reports, pulls, polls) could not be read from the metrics of a process, which counted bytes of all kinds together.

Measured: TestMethods: the bytes of all methods add up to those of the connections.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -158,6 +158,7 @@
 	m.Gauge("store_era", "Newest era that the platform's store has told.", nil, func() float64 { return float64(store.Era()) })
 	m.Counter("store_returns_total", "Times that the platform's store came back from a copy while this process ran.", nil, func() float64 { return float64(store.Restores()) })
 	m.Counter("peer_sent_bytes_total", "Bytes sent to other processes.", nil, func() float64 { return float64(pool.Stats.Sent.Load()) })
+	registerPeerCalls(m, pool)
 	if n.metrics == 0 {
 		return nil
 	}
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -130,6 +130,7 @@
 	received := func() float64 { return float64(p.pool.Stats.Received.Load() + p.rpc.Stats.Received.Load()) }
 	m.Counter("control_sent_bytes_total", "Bytes sent to other fawnwinch processes for control.", nil, sent)
 	m.Counter("control_received_bytes_total", "Bytes received from other fawnwinch processes for control.", nil, received)
+	registerPeerCalls(m, p.pool)
 }
 
 func (p *routerProcess) start(context.Context) error {
--- a/modules/rpc/rpc.go
+++ b/modules/rpc/rpc.go
@@ -35,11 +35,16 @@
 type Pool struct {
 	Stats Stats
 
+	methods methodCounter
+
 	mu     sync.Mutex
 	conns  map[string]*conn
 	closed bool
 }
 
+// Methods returns the statistics of each method that was called.
+func (p *Pool) Methods() map[string]MethodStats { return p.methods.snapshot() }
+
 // conn is a connection to a peer, with its calls in flight.
 type conn struct {
 	client *rpc.Client
@@ -115,7 +120,7 @@
 	}
 	c := &conn{}
 	c.lastReceived.Store(clock.Now().UnixNano())
-	c.client = rpc.NewClient(&countingConn{Conn: dialled, stats: &p.Stats, lastReceived: &c.lastReceived})
+	c.client = rpc.NewClientWithCodec(newClientCodec(&countingConn{Conn: dialled, stats: &p.Stats, lastReceived: &c.lastReceived}, &p.methods))
 	return p.store(address, c)
 }
 
--- a/modules/rpc/rpc_test.go
+++ b/modules/rpc/rpc_test.go
@@ -59,6 +59,45 @@
 	p.Close()
 }
 
+// TestMethods checks that the bytes of all methods add up to those of the connections.
+func TestMethods(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := rpc.NewServer(l)
+	if err := s.Register("Echo", &echo{}); err != nil {
+		t.Fatal(err)
+	}
+	s.Start()
+	defer s.Close()
+	p := rpc.NewPool()
+	defer p.Close()
+	const calls = 3
+	for in := range calls {
+		var out int
+		if err := p.Call(t.Context(), l.Addr().String(), "Echo.Now", in, &out); err != nil || out != in {
+			t.Fatalf("call %d: %d, %v", in, out, err)
+		}
+	}
+	var text string
+	if err := p.Call(t.Context(), l.Addr().String(), "Echo.Unknown", 1, &text); err == nil {
+		t.Error("a method that does not exist was called")
+	}
+	methods := p.Methods()
+	if methods["Echo.Now"].Calls != calls || methods["Echo.Unknown"].Calls != 1 || len(methods) != 2 {
+		t.Errorf("counted %+v", methods)
+	}
+	var sent, received uint64
+	for _, stats := range methods {
+		sent, received = sent+stats.Sent, received+stats.Received
+	}
+	if sent != p.Stats.Sent.Load() || received != p.Stats.Received.Load() {
+		t.Errorf("methods sent %d and received %d bytes, the connections %d and %d", sent, received, p.Stats.Sent.Load(), p.Stats.Received.Load())
+	}
+}
+
 // SlowReply is a reply whose decoding the test can pause.
 type SlowReply struct{ Value int }
 
