Silent ranks: the coordinator logs when a rank falls silent and when it is heard again

Cause: that a rank gets no requests because nobody hears it could not be read from the logs.

Change: rank-silent and rank-heard, a line for each transition, with how many do not answer; the mark is a member's state, so that a report needs no second pass over its ranks.

Measured: TestSilentRanks.

--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -55,6 +55,8 @@
 	lastContact, sent, directAt time.Time
 	// direct reports whether the latest status is the engine's answer to a direct request.
 	direct bool
+	// silent reports whether the rank gets no new requests because it does not answer.
+	silent bool
 	// ended is the time of the latest request after which the agent has reported that the engine
 	// has ended.
 	ended  time.Time
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -156,6 +156,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCoordinator(New(begin, Options{Logger: zerolog.Nop()}), lead(1), services.RankStatus{Group: "g"})
 			c.members = tc.members
+			c.markSilent(begin)
 			silent := 0
 			for _, r := range c.load(begin).Ranks {
 				if r.Silent {
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -59,6 +59,7 @@
 
 // reportToRouters sends routers the load of the group, and each of them its allotment.
 func (c *coordinator) reportToRouters(ctx context.Context, now time.Time) {
+	c.markSilent(now)
 	g := c.load(now)
 	c.latest.Store(&g)
 	targets := c.registry.Targets(now, c.routers)
@@ -114,18 +115,41 @@
 			g.Open = g.Open && m.status.Open
 			g.Ranks = append(g.Ranks, balance.RankLoad{
 				Address: m.info.Engine, DataCentre: m.info.DataCentre, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.registry.Unstarted(now, m.info.Engine), Pace: m.status.Pace,
-				Silent: m.silent(now),
+				Silent: m.silent,
 			})
 		}
 	}
-	clearSilent(g.Ranks)
 	g.Skew = c.skew()
 	return g
 }
 
-// silent reports whether neither the rank's agent nor its engine has answered lately. An engine
+// markSilent marks the ranks that get no new requests because they do not answer.
+func (c *coordinator) markSilent(now time.Time) {
+	unanswered := 0
+	for _, m := range c.members {
+		if m.known && m.unanswered(now) {
+			unanswered++
+		}
+	}
+	tooMany := float64(unanswered) > maxSilentFraction*float64(len(c.members))
+	for r, m := range c.members {
+		silent := m.known && m.unanswered(now) && !tooMany
+		if silent == m.silent {
+			continue
+		}
+		m.silent = silent
+		event := "rank-heard"
+		if silent {
+			event = "rank-silent"
+		}
+		c.logger.Info().Str("agent", m.info.Name).Str("engine", m.info.Engine).Int("rank", r).Int("unanswered", unanswered).
+			Int64("silent_ms", now.Sub(m.lastContact).Milliseconds()).Msg(event)
+	}
+}
+
+// unanswered reports whether neither the rank's agent nor its engine has answered lately. An engine
 // whose agent is silent is asked once in directInterval, so its answer is valid until the next.
-func (m *member) silent(now time.Time) bool {
+func (m *member) unanswered(now time.Time) bool {
 	valid := missingAfter
 	if m.direct {
 		valid += directInterval
@@ -133,22 +157,6 @@
 	return now.Sub(m.lastContact) > valid
 }
 
-// clearSilent reports no rank as silent if too many are.
-func clearSilent(ranks []balance.RankLoad) {
-	silent := 0
-	for _, r := range ranks {
-		if r.Silent {
-			silent++
-		}
-	}
-	if float64(silent) <= maxSilentFraction*float64(len(ranks)) {
-		return
-	}
-	for i := range ranks {
-		ranks[i].Silent = false
-	}
-}
-
 // skew returns the skew of the map in use.
 func (c *coordinator) skew() float64 {
 	if c.planner == nil || c.planner.skew == 0 {
