Gossip: an update that contradicts a silence is urgent

Cause: an entry of which only the revision differs, by which a process contradicts that it is silent, counted as not urgent.

Change: an update is not urgent only if the busy flag differs and nothing else.

--- a/services/peer/table.go
+++ b/services/peer/table.go
@@ -96,8 +96,12 @@
 // change triggered a round of calls at every router, the rounds would never stop.
 func (t *Table) UrgentPosition() uint64 { return uint64(t.urgent) }
 
-// urgent reports whether an update of an entry should be passed on at once.
+// urgent reports whether an update of an entry should be passed on at once. One in which only the
+// revision differs contradicts that the process is silent.
 func (w GossipEntry) urgent(before GossipEntry) bool {
+	if w.Info.Busy == before.Info.Busy {
+		return true
+	}
 	before.Info.Busy = w.Info.Busy
 	return w.Info != before.Info || w.Silent != before.Silent || w.Stamp.Start != before.Stamp.Start
 }
