Tests of rpc share their server; Table.Position, which nothing calls any more, is gone

Change: serve() in the tests; the method removed; the comment named. No change of behaviour, all assertions as they were.

--- a/modules/rpc/rpc_test.go
+++ b/modules/rpc/rpc_test.go
@@ -25,22 +25,28 @@
 // Late answers once the gate is closed.
 func (e *echo) Late(in int, out *int) error { <-e.gate; *out = in; return nil }
 
-// TestCall checks that a late answer reaches no other call, that the next call works, and that no
-// goroutine is left.
-func TestCall(t *testing.T) {
-	defer goleak.VerifyNone(t)
+// serve starts a server of e, and returns it and its address.
+func serve(t *testing.T, e *echo) (*rpc.Server, string) {
+	t.Helper()
 	l, err := httpx.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &echo{gate: make(chan struct{})}
 	s := rpc.NewServer(l)
 	if err := s.Register("Echo", e); err != nil {
 		t.Fatal(err)
 	}
 	s.Start()
+	return s, l.Addr().String()
+}
+
+// TestCall checks that a late answer reaches no other call, that the next call works, and that no
+// goroutine is left.
+func TestCall(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	e := &echo{gate: make(chan struct{})}
+	s, address := serve(t, e)
 	p := rpc.NewPool()
-	address := l.Addr().String()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	var out int
 	if err := p.Call(ctx, address, "Echo.Late", 1, &out); !errors.Is(err, context.DeadlineExceeded) {
@@ -62,27 +68,19 @@
 // TestMethods checks that the bytes of all methods add up to those of the connections.
 func TestMethods(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := rpc.NewServer(l)
-	if err := s.Register("Echo", &echo{}); err != nil {
-		t.Fatal(err)
-	}
-	s.Start()
+	s, address := serve(t, &echo{})
 	defer s.Close()
 	p := rpc.NewPool()
 	defer p.Close()
 	const calls = 3
 	for in := range calls {
 		var out int
-		if err := p.Call(t.Context(), l.Addr().String(), "Echo.Now", in, &out); err != nil || out != in {
+		if err := p.Call(t.Context(), address, "Echo.Now", in, &out); err != nil || out != in {
 			t.Fatalf("call %d: %d, %v", in, out, err)
 		}
 	}
 	var text string
-	if err := p.Call(t.Context(), l.Addr().String(), "Echo.Unknown", 1, &text); err == nil {
+	if err := p.Call(t.Context(), address, "Echo.Unknown", 1, &text); err == nil {
 		t.Error("a method that does not exist was called")
 	}
 	methods := p.Methods()
@@ -122,15 +120,7 @@
 // does not change the caller's value.
 func TestLateAnswer(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := rpc.NewServer(l)
-	if err := s.Register("Echo", &echo{}); err != nil {
-		t.Fatal(err)
-	}
-	s.Start()
+	s, address := serve(t, &echo{})
 	defer s.Close()
 	p := rpc.NewPool()
 	defer p.Close()
@@ -140,7 +130,7 @@
 		cancel()
 	}()
 	out := SlowReply{Value: 1}
-	if err := p.Call(ctx, l.Addr().String(), "Echo.Slow", 7, &out); !errors.Is(err, context.Canceled) {
+	if err := p.Call(ctx, address, "Echo.Slow", 7, &out); !errors.Is(err, context.Canceled) {
 		t.Errorf("call: %v", err)
 	}
 	close(decode)
@@ -153,18 +143,9 @@
 // TestSlowCall checks that a call that times out does not affect others on its connection.
 func TestSlowCall(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	e := &echo{gate: make(chan struct{})}
-	s := rpc.NewServer(l)
-	if err := s.Register("Echo", e); err != nil {
-		t.Fatal(err)
-	}
-	s.Start()
+	s, address := serve(t, e)
 	p := rpc.NewPool()
-	address := l.Addr().String()
 	long := make(chan error, 1)
 	go func() {
 		var out int
@@ -200,19 +181,11 @@
 // TestSweep checks that idle connections are closed, and that the next call opens a new one.
 func TestSweep(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	l, err := httpx.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := rpc.NewServer(l)
-	if err := s.Register("Echo", &echo{}); err != nil {
-		t.Fatal(err)
-	}
-	s.Start()
+	s, address := serve(t, &echo{})
 	p := rpc.NewPool()
 	for _, idle := range []time.Duration{time.Hour, -time.Hour} {
 		var out int
-		if err := p.Call(t.Context(), l.Addr().String(), "Echo.Now", 2, &out); err != nil || out != 2 {
+		if err := p.Call(t.Context(), address, "Echo.Now", 2, &out); err != nil || out != 2 {
 			t.Errorf("call: %d, %v", out, err)
 		}
 		p.Sweep(time.Now(), idle)
--- a/services/peer/gossip_test.go
+++ b/services/peer/gossip_test.go
@@ -538,7 +538,7 @@
 	}
 }
 
-// TestGossipLimit has every router change once a second, as when routers are now busy and now idle,
+// TestBusyGossip has every router change once a second, as when routers are now busy and now idle,
 // and counts the calls: no more than those of a calm deployment, whatever its size. A kill becomes
 // known within the usual time meanwhile.
 func TestBusyGossip(t *testing.T) {
--- a/services/peer/table.go
+++ b/services/peer/table.go
@@ -88,9 +88,6 @@
 	return true
 }
 
-// Position returns a number that increases whenever an entry of the table changes.
-func (t *Table) Position() uint64 { return uint64(t.position) }
-
 // UrgentPosition returns the position of the latest change that should be passed on at once. Whether
 // a router is busy is not urgent: it changes again and again, at each of many routers, and if each
 // change triggered a round of calls at every router, the rounds would never stop.
