--- a/modules/httpconn/httpconn_test.go
+++ b/modules/httpconn/httpconn_test.go
@@ -70,7 +70,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := httpconn.NewPool()
+			p := httpconn.NewPool(time.Minute)
 			defer p.Close()
 			address := httpxtest.Serve(t, serve(c.after))
 			exchange(t, p, address)
@@ -102,7 +102,7 @@
 // the connection is not reused.
 func TestEarlyAnswer(t *testing.T) {
 	address := httpxtest.Serve(t, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
-	p := httpconn.NewPool()
+	p := httpconn.NewPool(time.Minute)
 	defer p.Close()
 	c, _, err := p.Take(t.Context(), time.Now(), address)
 	if err != nil {
@@ -128,8 +128,43 @@
 
 // TestTakeWithoutListener checks that connecting to an address without a listener fails at once.
 func TestTakeWithoutListener(t *testing.T) {
-	p := httpconn.NewPool()
+	p := httpconn.NewPool(time.Minute)
 	if c, _, err := p.Take(t.Context(), time.Now(), "127.0.0.1:1"); err == nil || c != nil || p.Opened.Load() != 0 {
 		t.Errorf("connection %v, %v", c, err)
 	}
 }
+
+// TestIdleTime checks that a connection is reused only for as long as the peer and the pool allow:
+// the peer may have closed it, or its VM may have frozen, so that nothing answers on it any more.
+func TestIdleTime(t *testing.T) {
+	cases := map[string]struct {
+		peer, pool, idle time.Duration
+		reused           bool
+	}{
+		"both allow it":         {time.Second, time.Second, time.Second - 1, true},
+		"the peer does not":     {time.Second, 2 * time.Second, time.Second, false},
+		"the pool does not":     {time.Second, 100 * time.Millisecond, 100 * time.Millisecond, false},
+		"the pool only just":    {time.Second, 100 * time.Millisecond, 100*time.Millisecond - 1, true},
+		"a peer without a time": {0, time.Second, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := httpconn.NewPool(c.pool)
+			defer p.Close()
+			now := time.Now()
+			address := httpxtest.Serve(t, func(net.Conn) {})
+			conn, _, err := p.Take(t.Context(), now, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Put(now, conn, c.peer)
+			again, reused, err := p.Take(t.Context(), now.Add(c.idle), address)
+			if err != nil || reused != c.reused {
+				t.Errorf("reused: %t, %v, want %t", reused, err, c.reused)
+			}
+			if err == nil {
+				again.Close()
+			}
+		})
+	}
+}
--- a/modules/httpconn/pool.go
+++ b/modules/httpconn/pool.go
@@ -18,13 +18,19 @@
 	// Opened counts the connections opened.
 	Opened atomic.Uint64
 
+	// maxIdleTime bounds how long a connection stays idle, whatever the peer allows.
+	maxIdleTime time.Duration
+
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 	closed bool
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+// NewPool returns an empty pool. A connection is not used again once it has been idle for
+// maxIdleTime.
+func NewPool(maxIdleTime time.Duration) *Pool {
+	return &Pool{maxIdleTime: maxIdleTime, idle: map[string][]*Conn{}}
+}
 
 // Take returns a connection to an address: an idle one if possible, otherwise a new one.
 func (p *Pool) Take(ctx context.Context, now time.Time, address string) (c *Conn, reused bool, err error) {
@@ -64,12 +70,12 @@
 		c.Close()
 		return
 	}
-	c.idleUntil = now.Add(idleTime)
-	p.putIdle(c)
+	p.putIdle(now, c, idleTime)
 }
 
 // putIdle keeps an idle connection, or closes it if there is no room.
-func (p *Pool) putIdle(c *Conn) {
+func (p *Pool) putIdle(now time.Time, c *Conn, idleTime time.Duration) {
+	c.idleUntil = now.Add(min(idleTime, p.maxIdleTime))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[c.Address]) >= maxIdle {
@@ -87,8 +93,7 @@
 		return err
 	}
 	p.Opened.Add(1)
-	c.idleUntil = now.Add(defaultIdleTime)
-	p.putIdle(c)
+	p.putIdle(now, c, defaultIdleTime)
 	return nil
 }
 
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -27,6 +27,11 @@
 	// maxCrashes is the number of upstreams that may end while they run a request before it is no
 	// longer retried. One is most often chance, as many other requests ran there; two hardly are.
 	maxCrashes = 2
+	// maxIdleConn is how long after its last answer a connection to an upstream is used again. What
+	// is written to a VM that has frozen since, or to a connection that a link has dropped, is lost
+	// to the caller or read after the caller has left. A frozen VM accepts no connection, so a
+	// handshake shows before anything is sent that the upstream is alive; it takes a round trip.
+	maxIdleConn = 100 * time.Millisecond
 	// unusedIdleTimeout is how long a connection may stay idle that was opened for a request which
 	// was not sent.
 	unusedIdleTimeout = time.Second
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -93,7 +93,7 @@
 // it assumes that it is the only router and grants permits itself.
 func New(o Options) *Relay {
 	r := &Relay{
-		opts: o, conns: httpconn.NewPool(), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
+		opts: o, conns: httpconn.NewPool(maxIdleConn), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
 		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, probes: map[upstream.Run]*probe{},
 		permits: localPermits{quota.NewLedger()}, start: uint64(max(clock.Now().UnixNano(), 1)),
 	}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/httpconn"
 	"fawnwinch.org/fawnwinch/modules/httpx/httpxtest"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
@@ -350,6 +351,7 @@
 func TestNoRequestOnConnectionToEarlierRun(t *testing.T) {
 	f := newFake(t, func(_ int, h map[string]string, conn net.Conn) { writeAnswer(conn, h["Id"], "ok") })
 	s, r := start(t, f)
+	r.conns = httpconn.NewPool(time.Minute)
 	r.WithState(func(k *knowledge.State) { k.ApplyCatalogs(time.Now(), catalogs(time.Now())) })
 	for i, born := range []upstream.Born{0, 0, 200} {
 		r.WithState(func(k *knowledge.State) {
--- a/services/relay/suspend_test.go
+++ b/services/relay/suspend_test.go
@@ -11,6 +11,7 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
+	"fawnwinch.org/fawnwinch/modules/httpconn"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 )
@@ -40,6 +41,7 @@
 			vm := clocktest.New(t)
 			f := newFake(t, func(_ int, h map[string]string, conn net.Conn) { writeAnswer(conn, h["Id"], "ok") })
 			s, r := start(t, f)
+			r.conns = httpconn.NewPool(time.Minute)
 			r.WithState(func(k *knowledge.State) {
 				*k = *knowledge.New(time.Minute)
 				k.ApplyCatalogs(time.Now(), catalogs(clock.Now().Add(-time.Second)))
