--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
@@ -149,7 +150,7 @@
 	opening := q.pool.TimeToAccept(now, usable, len(q.waiting)+1)
 	wait := q.wait(now, x, len(usable) == 0, opening)
 	if len(q.waiting) == 0 {
-		if u, ok := q.pick(now, x, usable); ok {
+		if u, ok := q.pick(now, x.Ask, usable); ok {
 			return Decision{Outcome: OutcomeGranted, Upstream: u}
 		}
 	}
@@ -162,6 +163,12 @@
 	return v
 }
 
+// Reroute chooses another upstream for a request whose upstream is silent. The request does not
+// queue: it was admitted before those that wait. It returns false if no other upstream has room.
+func (q *Queue) Reroute(now time.Time, ask balance.PickOptions, usable []upstream.Instance) (upstream.Instance, bool) {
+	return q.pick(now, ask, usable)
+}
+
 // Leave removes a request from the queue.
 func (q *Queue) Leave(x *Request) {
 	if i := slices.Index(q.waiting, x); i >= 0 {
@@ -175,7 +182,7 @@
 	var out []Grant
 	var skipped []*Request
 	for x := q.next(now, skipped); x != nil; x = q.next(now, skipped) {
-		u, ok := q.pick(now, x, usable)
+		u, ok := q.pick(now, x.Ask, usable)
 		switch {
 		case ok:
 			q.Leave(x)
@@ -213,11 +220,10 @@
 }
 
 // pick chooses an upstream and records the attempt.
-func (q *Queue) pick(now time.Time, x *Request, usable []upstream.Instance) (upstream.Instance, bool) {
-	if len(usable) == 0 || q.closed(now, x) {
+func (q *Queue) pick(now time.Time, ask balance.PickOptions, usable []upstream.Instance) (upstream.Instance, bool) {
+	if len(usable) == 0 || q.closed(now, ask.Engine) {
 		return upstream.Instance{}, false
 	}
-	ask := x.Ask
 	if ask.Engine == nil {
 		ask.Bounds.Rank = plainSlotFactor * usable[0].Slots
 	}
@@ -231,8 +237,8 @@
 
 // closed reports whether no rank would accept the request now: a coordinator reports that the
 // groups are broken or, without a coordinator's report, the ranks reject everything.
-func (q *Queue) closed(now time.Time, x *Request) bool {
-	return q.pool.Closed(now) || x.Ask.Engine != nil && q.pool.Rejecting(now)
+func (q *Queue) closed(now time.Time, engine *catalog.Engine) bool {
+	return q.pool.Closed(now) || engine != nil && q.pool.Rejecting(now)
 }
 
 // Rate returns the number of grants per second over rateWindow, and drops older grants.
--- a/services/admission/forecast.go
+++ b/services/admission/forecast.go
@@ -36,7 +36,7 @@
 // time until the listed ones accept the request by their own reports.
 func (q *Queue) wait(now time.Time, x *Request, unlisted bool, opening time.Duration) time.Duration {
 	left := float64(x.Deadline.Sub(now))
-	closed := unlisted || q.closed(now, x)
+	closed := unlisted || q.closed(now, x.Ask.Engine)
 	limit := q.maxSilentWait(now, x, closed)
 	if x.retried {
 		limit = min(maxRetryWait, time.Duration(retryWaitFraction*left), limit)
@@ -93,7 +93,7 @@
 // retryAfter forecasts when a request that is rejected now would find room.
 func (q *Queue) retryAfter(now time.Time, x *Request, opening time.Duration) time.Duration {
 	wait := max(min(q.queueWait(now, x.Ask.Engine, x.Ask.Bounds), maxRetryAfter), openingRetryAfter(opening))
-	if x.Ask.Engine != nil && (q.closed(now, x) || len(q.granted) == 0) {
+	if x.Ask.Engine != nil && (q.closed(now, x.Ask.Engine) || len(q.granted) == 0) {
 		return max(wait, q.reopening(now, x, x.Ask.Engine))
 	}
 	return wait
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -40,6 +40,9 @@
 	// Whole reports whether every rank answers. A broken group with all ranks reopens within its
 	// form time; one with missing ranks reopens some time after they are back.
 	Whole bool
+	// Stalled reports whether no pass ends because a rank is silent: the others wait for it. A group
+	// whose rank is frozen is open, but answers nothing until the rank's VM resumes.
+	Stalled bool
 	// Skew is the ratio of the heaviest rank's load to the mean under the current map. It includes
 	// the time that ranks take, so it covers slow ranks as well.
 	Skew float64
@@ -139,19 +142,20 @@
 	return out
 }
 
-// Closed reports whether all recently reported groups are broken. A report of a broken group is
-// used for reportValid only: a group forms again within a second, and a router that trusted an old
-// report would not try it.
+// Closed reports whether all recently reported groups are broken or stalled. A report of a broken
+// group is used for reportValid only: a group forms again within a second, and a router that
+// trusted an old report would not try it.
 func (p *Pool) Closed(now time.Time) bool {
-	recentlyBroken := false
+	closed := false
 	for _, g := range p.groups {
-		if age := now.Sub(g.at); g.Open && age < g.valid {
+		switch age := now.Sub(g.at); {
+		case g.Open && !g.Stalled && age < g.valid:
 			return false
-		} else if !g.Open && age < reportValid {
-			recentlyBroken = true
+		case !g.Open && age < reportValid, g.Stalled && age < g.valid:
+			closed = true
 		}
 	}
-	return recentlyBroken
+	return closed
 }
 
 const (
@@ -198,6 +202,28 @@
 	return listed && s.report.Silent || !listed && now.Sub(s.reportedAt) < unheardTimeout
 }
 
+// Stuck reports whether a rank cannot answer: its coordinator does not hear it.
+func (p *Pool) Stuck(now time.Time, id upstream.Run) bool {
+	s, known := p.states[id]
+	return known && p.silent(now, s)
+}
+
+// Stalled reports whether any group is stalled.
+func (p *Pool) Stalled(now time.Time) bool {
+	for id := range p.groups {
+		if p.groupStalled(now, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// groupStalled reports whether the coordinator of a group reports that it does not work.
+func (p *Pool) groupStalled(now time.Time, id group.ID) bool {
+	g, ok := p.groups[id]
+	return ok && g.Stalled && now.Sub(g.at) < g.valid
+}
+
 // broken reports whether the rank's group is reported broken.
 func (p *Pool) broken(now time.Time, s *state) bool {
 	g, ok := p.groups[s.group]
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -20,6 +20,7 @@
 	Service     string
 	ID          group.ID
 	Open, Whole bool
+	Stalled     bool
 	Skew        float64
 	// List is the number of the rank list. Addresses holds the list if the router does not have it.
 	List      uint64
@@ -102,7 +103,7 @@
 func (l RankList) Pack(g Group, has uint64) Report {
 	n := len(g.Ranks)
 	r := Report{
-		Service: g.Service, ID: g.ID, Open: g.Open, Whole: g.Whole, Skew: g.Skew, Backlog: g.Backlog, List: l.Number,
+		Service: g.Service, ID: g.ID, Open: g.Open, Whole: g.Whole, Stalled: g.Stalled, Skew: g.Skew, Backlog: g.Backlog, List: l.Number,
 		Running: make([]uint, n), Waiting: make([]uint, n), Unstarted: make([]uint, n), Allotted: g.Places != nil,
 	}
 	if has != l.Number {
@@ -132,7 +133,7 @@
 	if r.List != l.Number || len(r.Running) != n || len(r.Waiting) != n || len(r.Unstarted) != n || r.Allotted && len(r.Places) != n {
 		return Group{}, false
 	}
-	g := Group{Service: r.Service, ID: r.ID, Open: r.Open, Whole: r.Whole, Skew: r.Skew, Backlog: r.Backlog, Ranks: make([]RankLoad, n)}
+	g := Group{Service: r.Service, ID: r.ID, Open: r.Open, Whole: r.Whole, Stalled: r.Stalled, Skew: r.Skew, Backlog: r.Backlog, Ranks: make([]RankLoad, n)}
 	for i, address := range l.Addresses {
 		g.Ranks[i] = RankLoad{Address: address, Running: int(r.Running[i]), Waiting: int(r.Waiting[i]), Unstarted: int(r.Unstarted[i]), Pace: max(r.Slow[i], 1), Silent: slices.Contains(r.Silent, i)}
 	}
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -89,8 +89,13 @@
 	// loggedAt and loggedStep are when the load of the group was last logged, and its pass then.
 	loggedAt   time.Time
 	loggedStep group.Step
-	reached    time.Time
-	lost       bool
+	// passStep is the latest pass, and passAt when it was first seen. stalled reports whether the
+	// group waits for a silent rank.
+	passStep group.Step
+	passAt   time.Time
+	stalled  bool
+	reached  time.Time
+	lost     bool
 	// moved reports whether the coordinator's own rank has changed since its group has formed
 	// again.
 	moved bool
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/group"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
@@ -170,6 +171,43 @@
 	}
 }
 
+// TestStalledGroup checks when a group is reported as stalled: requests that are sent to it meanwhile
+// would be answered only when the VM of its silent rank resumes.
+func TestStalledGroup(t *testing.T) {
+	cases := map[string]struct {
+		// silent is how long the first rank has been silent, and passAge how long ago the latest
+		// pass began at the others.
+		silent, passAge time.Duration
+		stalled         bool
+	}{
+		"all are heard":                      {0, 0, false},
+		"idle":                               {0, time.Minute, false},
+		"a silent rank that the passes need": {missingAfter + 1, missingAfter + 1, true},
+		"a silent rank, passes go on":        {2 * time.Second, missingAfter, false},
+		"a rank that is cut off":             {silentTimeout, time.Minute, false},
+		"a rank that is almost cut off":      {silentTimeout - 1, time.Minute, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCoordinator(New(begin, Options{Logger: zerolog.Nop()}), lead(1), services.RankStatus{Group: "g"})
+			silent, others := &member{known: true}, &member{known: true}
+			c.members = []*member{silent, others, others}
+			at := func(now time.Time, lastContact time.Time, step group.Step) {
+				silent.lastContact, others.lastContact, others.status.Step = lastContact, now, step
+				c.markSilent(now)
+				c.markStalled(now)
+			}
+			passAt := begin.Add(-tc.passAge)
+			at(passAt.Add(-time.Second), passAt.Add(-time.Second), 6)
+			at(passAt, passAt, 7)
+			at(begin, begin.Add(-tc.silent), 7)
+			if got := c.load(begin).Stalled; got != tc.stalled {
+				t.Errorf("stalled: %t, want %t", got, tc.stalled)
+			}
+		})
+	}
+}
+
 // TestEngineEnded checks that a group is reported as broken as soon as one of its engines has
 // ended: the other ranks report it only after they have waited for it, and requests that routers
 // send meanwhile are delayed. The group is open again once the rank answers.
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -24,17 +24,20 @@
 // it is the coordinator that is slow or cut off, and none is reported.
 const maxSilentFraction = 1.0 / 3
 
+// silentTimeout is how long a silent rank may stall its group. One that is missing for longer is cut
+// off from its coordinator: the platform replaces ranks that have ended sooner.
+const silentTimeout = 10 * time.Second
+
 // logLoad logs the load of the group at intervals.
 func (c *coordinator) logLoad(now time.Time) {
 	if now.Sub(c.loggedAt) < logInterval {
 		return
 	}
 	var fullest, sum, waiting int
-	var step group.Step
-	pace := 1.0
+	step, pace := c.step(), 1.0
 	for _, m := range c.members {
 		fullest, sum, waiting = max(fullest, m.status.Running), sum+m.status.Running, waiting+m.status.Waiting
-		step, pace = max(step, m.status.Step), max(pace, m.status.Pace)
+		pace = max(pace, m.status.Pace)
 	}
 	pass := 0.0
 	if step > c.loggedStep && !c.loggedAt.IsZero() {
@@ -47,6 +50,15 @@
 	c.loggedAt, c.loggedStep = now, step
 }
 
+// step returns the last pass that a rank has begun.
+func (c *coordinator) step() group.Step {
+	var step group.Step
+	for _, m := range c.members {
+		step = max(step, m.status.Step)
+	}
+	return step
+}
+
 // forecast returns the length of a pass under a load in milliseconds, 0 while the engine's
 // parameters are not known.
 func (c *coordinator) forecast(l balance.PassLoad) float64 {
@@ -60,6 +72,7 @@
 // reportToRouters sends routers the load of the group, and each of them its allotment.
 func (c *coordinator) reportToRouters(ctx context.Context, now time.Time) {
 	c.markSilent(now)
+	c.markStalled(now)
 	g := c.load(now)
 	c.latest.Store(&g)
 	targets := c.registry.Targets(now, c.routers)
@@ -103,7 +116,7 @@
 
 // load returns the latest known load of the group.
 func (c *coordinator) load(now time.Time) balance.Group {
-	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true}
+	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true, Stalled: c.stalled}
 	for _, m := range c.members {
 		if m.ended.After(m.sent) {
 			// The other ranks report the group as broken only when their wait for the rank times
@@ -147,6 +160,23 @@
 	}
 }
 
+// markStalled marks the group as stalled if a rank is silent and no pass has begun since. A group
+// whose rank is only cut off from its coordinator goes on.
+func (c *coordinator) markStalled(now time.Time) {
+	if step := c.step(); step != c.passStep {
+		c.passStep, c.passAt = step, now
+	}
+	stalled := false
+	for _, m := range c.members {
+		stalled = stalled || m.silent && now.Sub(m.lastContact) < silentTimeout && now.Sub(c.passAt) > missingAfter
+	}
+	if stalled != c.stalled {
+		c.stalled = stalled
+		c.logger.Info().Str("group", string(c.first.Group)).Bool("stalled", stalled).Uint64("step", uint64(c.passStep)).
+			Int64("pass_age_ms", now.Sub(c.passAt).Milliseconds()).Msg("group-stalled")
+	}
+}
+
 // unanswered reports whether neither the rank's agent nor its engine has answered lately. An engine
 // whose agent is silent is asked once in directInterval, so its answer is valid until the next.
 func (m *member) unanswered(now time.Time) bool {
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -95,13 +95,21 @@
 
 // admissionRequest describes a request to the admission queue. The caller holds the lock.
 func (r *Relay) admissionRequest(now time.Time, svc *serviceState, x *exchange) *admission.Request {
+	return &admission.Request{
+		Route: x.route.Name, Goal: x.route.Goal, Arrived: x.arrived, Deadline: x.deadline, Patience: x.meta.Patience, Timeout: x.route.Timeout,
+		Ask: r.pickOptions(now, svc, x), Waited: x.waitedUnsent,
+	}
+}
+
+// pickOptions describes the requirements of a request for an upstream. The caller holds the lock.
+func (r *Relay) pickOptions(now time.Time, svc *serviceState, x *exchange) balance.PickOptions {
 	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows()}
 	if s := r.state.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
 		a.Bounds = balance.GroupBounds(s.Engine, svc.pool.GroupLoad(now), x.route.PauseGoal)
 		a.Leaderless = balance.GroupBounds(s.Engine, balance.GroupLoad{Skew: balance.InitialMapSkew}, x.route.PauseGoal)
 	}
-	return &admission.Request{Route: x.route.Name, Goal: x.route.Goal, Arrived: x.arrived, Deadline: x.deadline, Patience: x.meta.Patience, Timeout: x.route.Timeout, Ask: a, Waited: x.waitedUnsent}
+	return a
 }
 
 // afterNotRun forecasts the time until there is room for a request that upstreams did not run.
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -58,6 +58,7 @@
 // run sends a request to upstreams until one answers or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) {
 	defer x.r.endRun(x)
+	defer x.releaseNext()
 	for dials := 0; ; {
 		x.r.endRun(x)
 		if ref := x.r.quarantineRefusal(clock.Now(), x); ref != nil {
@@ -65,7 +66,7 @@
 			return
 		}
 		began := clock.Now()
-		u, ok := x.r.acquire(ctx, x)
+		u, ok := x.nextUpstream(ctx)
 		wait := clock.Since(began)
 		x.waited, x.waitedUnsent = x.waited+wait, x.waitedUnsent+wait
 		if !ok {
@@ -160,10 +161,15 @@
 	a := &answer{upstream: u, conn: conn, began: clock.Now()}
 	// When the caller disconnects or the deadline passes, the closed connection ends the upstream's
 	// work too.
-	a.stop = context.AfterFunc(ctx, conn.Close)
+	stopClosing := context.AfterFunc(ctx, conn.Close)
 	x.attempts++
 	wasRunning := x.mayRun
 	x.mayRun = true
+	untrack := x.r.trackAttempt(x, a)
+	a.stop = func() bool {
+		untrack()
+		return stopClosing()
+	}
 	sent := conn.Send(x.outgoing(u))
 	// The upstream may have answered before it has read the whole request, so the answer is read
 	// even after a send error.
@@ -177,10 +183,10 @@
 	return a, balance.ResultOK, nil
 }
 
-// brokenResult returns the result of an attempt whose connection was lost. If ctx has ended, the
-// router closed the connection itself, and the upstream is not at fault.
+// brokenResult returns the result of an attempt whose connection was lost. If ctx has ended or the
+// request was rerouted, the router closed the connection itself, and the upstream is not at fault.
 func (x *exchange) brokenResult(ctx context.Context) balance.Result {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || x.rerouted() {
 		return balance.ResultCancelled
 	}
 	return balance.ResultBroken
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -101,6 +101,9 @@
 	// retryTaken reports whether the next attempt has already been taken out of the retry budget.
 	retryTaken bool
 	last       upstream.ID
+	// next is the upstream to which the request was rerouted while an attempt ran; nil if it was
+	// not. It is guarded by the relay's lock.
+	next *upstream.Instance
 	// failure is the answer of an upstream that failed, while other upstreams are tried.
 	failure *completeAnswer
 	// waited is how long the request has waited for room; waitedUnsent is the part of it since the
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -68,6 +68,8 @@
 	onCrash func()
 	// running counts the running requests by content.
 	running map[quarantine.Key]int
+	// sent holds the attempts whose answers have not ended, of requests that may be sent again.
+	sent map[*sentAttempt]struct{}
 	// probes holds the probes of upstreams whose connections broke.
 	probes map[upstream.Run]*probe
 	// permits grants permits for upstreams that limit their requests.
@@ -94,7 +96,7 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		opts: o, conns: httpconn.NewPool(maxIdleConn), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
-		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, probes: map[upstream.Run]*probe{},
+		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, sent: map[*sentAttempt]struct{}{}, probes: map[upstream.Run]*probe{},
 		permits: localPermits{quota.NewLedger()}, start: uint64(max(clock.Now().UnixNano(), 1)),
 	}
 	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.RefusedCount(clock.Now())) })
@@ -201,6 +203,7 @@
 	svc := r.serviceState(now, id)
 	unstarted := svc.pool.Report(now, g, ids)
 	r.wake(now, svc)
+	r.rerouteStuck(now, svc)
 	most, resting := svc.pool.SendLimits(now, ids)
 	for _, u := range r.state.EvacuatedUpstreams(id) {
 		most[u.Address] = 0
