--- a/services/balance/balance_test.go
+++ b/services/balance/balance_test.go
@@ -528,3 +528,33 @@
 		})
 	}
 }
+
+// TestSimilarAnswerTimes checks that plain upstreams whose mean answer times differ by a millisecond
+// share the requests at light load. The fastest one got all of them, so that the others could not
+// show that they were as fast, and one that limits its requests got none of those it accepts.
+func TestSimilarAnswerTimes(t *testing.T) {
+	const requests = 300
+	cands, _ := candidates(3)
+	p := NewPool("")
+	p.SetRandom(rand.New(rand.NewPCG(1, 1)).Float64)
+	took := map[upstream.ID]time.Duration{"u0": 1900 * time.Microsecond, "u1": 1100 * time.Microsecond, "u2": 900 * time.Microsecond}
+	got := map[upstream.ID]int{}
+	for i := range requests {
+		now := begin.Add(time.Duration(i) * 100 * time.Millisecond)
+		u, ok := p.Pick(now, cands, PickOptions{Routers: 3})
+		if !ok {
+			t.Fatal("no upstream was picked")
+		}
+		got[u.ID]++
+		p.Sent(now, u.Run())
+		p.Done(now.Add(took[u.ID]), u.Run(), ResultOK, took[u.ID], false)
+	}
+	for id, n := range got {
+		if n < requests/len(cands)/2 {
+			t.Errorf("%s got %d of %d requests, want half of its share at least", id, n, requests)
+		}
+	}
+	if len(got) != len(cands) {
+		t.Errorf("%d upstreams got requests, want all %d", len(got), len(cands))
+	}
+}
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -241,7 +241,7 @@
 		if c.DataCentre != p.dataCentre {
 			score *= 1 + remotePenalty
 		}
-		return score
+		return score * (1 + plainJitter*p.random())
 	}
 	if s.fresh(now) {
 		score += unstartedWeight * float64(s.allUnstarted())
@@ -264,6 +264,11 @@
 // the same report do not all choose the same rank.
 const scoreJitter = 1.5
 
+// plainJitter is the largest random addition to a plain upstream's score, as a fraction. Without it
+// the upstream with the lowest mean answer time gets all requests at light load, by a millisecond,
+// and only requests could show that another one is as fast.
+const plainJitter = 0.1
+
 // latencyFloor is added to the mean answer time in seconds, so that small differences do not
 // decide.
 const latencyFloor = 0.05
