Coordinator: a stall ends with any new pass, also after the group has formed again

Cause: the latest pass of the group was the highest of all ranks, that of a silent one included. After the group forms again its passes are counted anew, below the last one of a rank that is cut off from its coordinator: a working group would have counted as stalled for up to 10 s. Change: each rank's new pass is progress, whatever its number. The time that a connection stays idle has one constant. Result: TestStalledGroup, with a last pass of the silent rank above the others, failed before ('a silent rank, passes go on').

--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -57,6 +57,8 @@
 	direct bool
 	// silent reports whether the rank gets no new requests because it does not answer.
 	silent bool
+	// pass is the rank's pass when the group was last checked for progress.
+	pass group.Step
 	// ended is the time of the latest request after which the agent has reported that the engine
 	// has ended.
 	ended  time.Time
@@ -89,13 +91,12 @@
 	// loggedAt and loggedStep are when the load of the group was last logged, and its pass then.
 	loggedAt   time.Time
 	loggedStep group.Step
-	// passStep is the latest pass, and passAt when it was first seen. stalled reports whether the
-	// group waits for a silent rank.
-	passStep group.Step
-	passAt   time.Time
-	stalled  bool
-	reached  time.Time
-	lost     bool
+	// passAt is when a rank last reported a new pass. stalled reports whether the group waits for a
+	// silent rank.
+	passAt  time.Time
+	stalled bool
+	reached time.Time
+	lost    bool
 	// moved reports whether the coordinator's own rank has changed since its group has formed
 	// again.
 	moved bool
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -191,6 +191,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCoordinator(New(begin, Options{Logger: zerolog.Nop()}), lead(1), services.RankStatus{Group: "g"})
 			silent, others := &member{known: true}, &member{known: true}
+			silent.status.Step = 500 // of a time before the group has formed again
 			c.members = []*member{silent, others, others}
 			at := func(now time.Time, lastContact time.Time, step group.Step) {
 				silent.lastContact, others.lastContact, others.status.Step = lastContact, now, step
@@ -198,7 +199,7 @@
 				c.markStalled(now)
 			}
 			passAt := begin.Add(-tc.passAge)
-			at(passAt.Add(-time.Second), passAt.Add(-time.Second), 6)
+			at(passAt.Add(-time.Second), passAt.Add(-time.Second), 8)
 			at(passAt, passAt, 7)
 			at(begin, begin.Add(-tc.silent), 7)
 			if got := c.load(begin).Stalled; got != tc.stalled {
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -161,10 +161,13 @@
 }
 
 // markStalled marks the group as stalled if a rank is silent and no pass has begun since. A group
-// whose rank is only cut off from its coordinator goes on.
+// whose rank is only cut off from its coordinator goes on. Passes are counted anew when the group
+// forms again, so any other number than the last one of a rank is a new pass.
 func (c *coordinator) markStalled(now time.Time) {
-	if step := c.step(); step != c.passStep {
-		c.passStep, c.passAt = step, now
+	for _, m := range c.members {
+		if m.status.Step != m.pass {
+			m.pass, c.passAt = m.status.Step, now
+		}
 	}
 	stalled := false
 	for _, m := range c.members {
@@ -172,7 +175,7 @@
 	}
 	if stalled != c.stalled {
 		c.stalled = stalled
-		c.logger.Info().Str("group", string(c.first.Group)).Bool("stalled", stalled).Uint64("step", uint64(c.passStep)).
+		c.logger.Info().Str("group", string(c.first.Group)).Bool("stalled", stalled).Uint64("step", uint64(c.step())).
 			Int64("pass_age_ms", now.Sub(c.passAt).Milliseconds()).Msg("group-stalled")
 	}
 }
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -32,9 +32,6 @@
 	// to the caller or read after the caller has left. A frozen VM accepts no connection, so a
 	// handshake shows before anything is sent that the upstream is alive; it takes a round trip.
 	maxIdleConn = 100 * time.Millisecond
-	// unusedIdleTimeout is how long a connection may stay idle that was opened for a request which
-	// was not sent.
-	unusedIdleTimeout = time.Second
 	// maxStaleAnswers bounds the answers to other requests that are skipped on one connection.
 	maxStaleAnswers = 2
 	// maxAnswerBytes bounds the body of an answer that is buffered before it is passed on.
@@ -155,7 +152,7 @@
 		return nil, balance.ResultUnreached, fmt.Errorf("connect to upstream %s: %w", u.ID, err)
 	}
 	if res, err := x.authorize(ctx, u); err != nil {
-		x.r.conns.Put(clock.Now(), conn, unusedIdleTimeout)
+		x.r.conns.Put(clock.Now(), conn, maxIdleConn)
 		return nil, res, err
 	}
 	a := &answer{upstream: u, conn: conn, began: clock.Now()}
