--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/group"
@@ -223,12 +224,7 @@
 
 // Stalled reports whether any group is reported as stalled.
 func (p *Pool) Stalled(now time.Time) bool {
-	for _, g := range p.groups {
-		if g.Stalled && now.Sub(g.at) < g.valid {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.recentGroups(now), func(g Group) bool { return g.Stalled })
 }
 
 // Backlog returns the sum of the groups' backlogs; false if no group has a valid report.
