Urgency: levels of a service, and the fields that carry them

Cause: parts of overload control that are built side by side need the same types.

Change: models/urgency orders requests by account and route; an index knows the levels of a service. balance.LevelMean limits a level so that a shift of demand keeps passes within the pause goal. Reports and replies get fields for levels, unread prompts and the oldest request, which nothing sets yet.

Measured: no decision changes; tests of models, balance, admission and relay pass.

--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/models/vm"
 )
 
@@ -148,6 +149,9 @@
 	byHost    map[string][]*Route
 	byKey     map[Key]*Account
 	byService map[service.ID]*Service
+	levels    map[service.ID]urgency.Levels
+	// leastAccount is the least urgent priority of the ranked accounts.
+	leastAccount int
 }
 
 // NewIndex returns the index of a catalog.
@@ -166,9 +170,47 @@
 	for i := range c.Services {
 		x.byService[c.Services[i].ID] = &c.Services[i]
 	}
+	x.levels = x.newLevels()
+	for _, a := range c.Accounts {
+		if a.Ranked {
+			x.leastAccount = max(x.leastAccount, a.Priority)
+		}
+	}
 	return x
 }
 
+// newLevels returns the levels of the services that have an engine.
+func (x *Index) newLevels() map[service.ID]urgency.Levels {
+	priorities := map[service.ID][]int{}
+	for i := range x.Routes {
+		r := &x.Routes[i]
+		for _, t := range r.Targets {
+			if s := x.byService[t.Service]; s != nil && s.Engine != nil && r.Kind == KindStream {
+				priorities[t.Service] = append(priorities[t.Service], r.Priority)
+			}
+		}
+	}
+	levels := map[service.ID]urgency.Levels{}
+	for id, list := range priorities {
+		levels[id] = urgency.NewLevels(list)
+	}
+	return levels
+}
+
+// Levels returns the levels of the streaming routes of a service with an engine; none for other
+// services.
+func (x *Index) Levels(id service.ID) urgency.Levels { return x.levels[id] }
+
+// Urgency returns the urgency of a route's requests from an account; nil for requests without one.
+// An account without a priority is as urgent as the least urgent ranked one.
+func (x *Index) Urgency(r *Route, a *Account) urgency.Urgency {
+	u := urgency.Urgency{Account: x.leastAccount, Route: r.Priority}
+	if a != nil && a.Ranked {
+		u.Account = a.Priority
+	}
+	return u
+}
+
 // Route returns the route with the longest prefix of a path, or nil.
 func (x *Index) Route(host, path string) *Route {
 	var best *Route
--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -6,7 +6,9 @@
 import (
 	"math"
 	"slices"
+	"time"
 
+	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/models/vm"
 )
 
@@ -19,6 +21,10 @@
 	Router     string
 	Requests   int
 	DataCentre vm.DataCentre
+	// Levels divides Requests by level; nil if the service has no levels.
+	Levels []LevelDemand
+	// Oldest is how long the router's oldest request has waited.
+	Oldest time.Duration
 	// Most limits the requests to some ranks, by the limits that these ranks report; others are
 	// unlimited.
 	Most SendLimits
@@ -43,6 +49,18 @@
 	// Unstarted is the limit for requests at a rank whose prompts are still to be read; 0 means no
 	// limit.
 	Unstarted int
+	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
+	Unread int
+	// LevelMeans holds the mean number of requests per rank up to which each level gets places; 0
+	// means that only Rank and Mean apply, as for services without levels.
+	LevelMeans [urgency.MaxLevels]float64
+}
+
+// LevelDemand is a router's demand of one level.
+type LevelDemand struct {
+	// Wanted is the number of requests that the router wants to send until the next report, and
+	// Waiting the number of these that wait already.
+	Wanted, Waiting int
 }
 
 // Allotter divides the free capacity of a group's ranks among the routers. The next report arrives
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -29,6 +29,8 @@
 	Waiting, Free int
 	// Rate is the number of requests sent to the group per second.
 	Rate float64
+	// Levels holds the waiting requests of each level; nil if the service has none.
+	Levels []int
 }
 
 // Group is the state of a model group that its coordinator reports to all routers.
@@ -78,6 +80,9 @@
 	// Unstarted counts the requests that routers have sent and whose answers have not begun. The
 	// engine does not report a prompt that it is reading.
 	Unstarted int
+	// Unread is the number of prompt tokens of the unstarted requests; 0 if routers do not report
+	// it.
+	Unread int
 	// Pace is the rank's step time relative to the normal one; 1 is normal.
 	Pace float64
 	// Silent reports whether neither the rank's agent nor its engine answers the coordinator. Its VM
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/urgency"
 )
 
 // PassLoad is the load of a group's next pass.
@@ -49,6 +50,30 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// LevelMean returns the mean number of requests per rank up to which a group accepts requests of a
+// level; 0 means that only the bounds of the group apply. The least urgent level leaves enough
+// capacity that passes stay within the pause goal when demand shifts, which would make the streams
+// of all levels late. The skews that the levels between leave capacity for are evenly spaced.
+func LevelMean(e *catalog.Engine, pace float64, pauseGoal time.Duration, level urgency.Level, levels int) float64 {
+	if level <= 0 || levels < 2 || pauseGoal <= 0 {
+		return 0
+	}
+	part := float64(level) / float64(levels-1)
+	skew := minAssumedSkew + min(part, 1)*(shiftSkew-minAssumedSkew)
+	at := func(n float64) time.Duration {
+		return Pass(e, PassLoad{Mean: n, Max: n, Context: e.UsualPrompt, Reading: e.UsualPrompt, Skew: skew, Pace: pace, Copying: true})
+	}
+	perStream := at(1) - at(0)
+	if perStream <= 0 {
+		return 0
+	}
+	mean := (passFraction*float64(pauseGoal) - float64(at(0))) / float64(perStream)
+	if mean < minStreams {
+		return 0
+	}
+	return mean
+}
+
 // Limit returns the number of streams per rank with which a pass stays within a duration.
 func Limit(e *catalog.Engine, skew, pace float64, within time.Duration) int {
 	n := 0
@@ -73,6 +98,8 @@
 	// minAssumedSkew is the smallest skew used for limits: demand may shift at any time, and the
 	// map follows some passes later.
 	minAssumedSkew = 1.6
+	// shiftSkew is the typical skew of a map after a shift of demand, until the map follows.
+	shiftSkew = 2.7
 	// maxOverMean is how many requests above the mean a rank may have.
 	maxOverMean = 2
 )
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -112,8 +112,11 @@
 	Bounds Bounds
 	// Leaderless applies to ranks without a report while coordinators report others.
 	Leaderless Bounds
-	Routers    int
-	Exclude    map[upstream.ID]bool
+	// MaxMean is the mean number of requests per rank from which a group accepts no more requests
+	// of this level; 0 means no limit.
+	MaxMean float64
+	Routers int
+	Exclude map[upstream.ID]bool
 	// Allows reports whether upstreams in a data centre may get the request; nil if all may.
 	Allows func(vm.DataCentre) bool
 }
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -59,6 +59,13 @@
 	Wanted, Waiting int
 	// Rate is the number of requests that the router sends to the group per second.
 	Rate float64
+	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
+	Levels []LevelDemand
+	// Oldest is how long the oldest waiting request has waited, in milliseconds.
+	Oldest uint
+	// Unread holds the prompt tokens of the unstarted requests for each rank, in units of
+	// UnreadUnit; nil if there are none or the service has no levels.
+	Unread []uint
 	// Idle reports whether the router has had no recent requests for the group's service, so that
 	// reports to it may be infrequent.
 	Idle bool
@@ -77,8 +84,13 @@
 	List      uint64
 	Unstarted []uint
 	Wanted    int
+	Levels    []LevelDemand
 }
 
+// UnreadUnit is the number of prompt tokens in which routers report unread prompts, so that an
+// entry takes a byte or two.
+const UnreadUnit = 64
+
 // RankList is a numbered list of the addresses of a group's ranks.
 type RankList struct {
 	Number    uint64
