Balance: coordinators allot places by level

Cause: a coordinator saw one number of requests for each router. In a shortage urgent requests got no more places than others, and a router with false figures could take nearly all of them.

Change: routers' replies may divide their demand by level. The registry keeps it, reports the sums of the waiting requests as Backlog.Levels, and tells the coordinator the number of levels, from which it fills Bounds.LevelMeans.

--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -4,8 +4,8 @@
 package balance
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/urgency"
@@ -56,26 +56,20 @@
 	LevelMeans [urgency.MaxLevels]float64
 }
 
-// LevelDemand is a router's demand of one level.
-type LevelDemand struct {
-	// Wanted is the number of requests that the router wants to send until the next report, and
-	// Waiting the number of these that wait already.
-	Wanted, Waiting int
-}
-
 // Allotter divides the free capacity of a group's ranks among the routers. The next report arrives
 // several passes later. Routers that used only the report would all send to the same ranks, where
 // requests would wait although other ranks have room. It does no I/O and reads no clock.
 type Allotter struct {
-	// credit holds the fractional shares that each router has earned and not yet received, by data
-	// centre of the ranks.
+	// credit holds the fractions of requests that each router has earned and not yet received, by
+	// data centre of the ranks.
 	credit map[creditKey]float64
 }
 
-// creditKey identifies a router's credit for ranks in a data centre.
+// creditKey identifies a router's credit of a share for ranks in a data centre.
 type creditKey struct {
 	router     string
 	dataCentre vm.DataCentre
+	share      shareID
 }
 
 // NewAllotter returns an allotter without credits.
@@ -89,7 +83,7 @@
 // Allot returns the allotment of each router. Outstanding holds earlier allotments that may be in
 // use by now, and caps limits the allotments at some ranks for all routers together. Routers get
 // allotments in proportion to their demand, but each gets some: their demand figures are old as
-// well.
+// well. If routers divide their demand by level, the levels are served in order of urgency.
 func (a *Allotter) Allot(ranks []RankLoad, b Bounds, outstanding Allotment, demands []Demand, caps SendLimits) map[string]Allotment {
 	out := map[string]Allotment{}
 	for _, d := range demands {
@@ -99,36 +93,71 @@
 		return out
 	}
 	a.prune(demands)
-	loads := make([]float64, len(ranks))
-	unstarted := make([]int, len(ranks))
-	left := float64(b.Mean * len(ranks))
-	for i, r := range ranks {
-		loads[i] = float64(r.requests() + outstanding[r.Address])
-		unstarted[i] = max(r.Waiting, r.Unstarted) + outstanding[r.Address]
-		left -= loads[i]
+	r := newAllotmentRound(a, ranks, b, outstanding, demands, caps, out)
+	if levels := countLevels(demands); levels > 1 {
+		newLevelRound(r, levels).serve()
+		return out
+	}
+	all := newShare(shareAll, len(ranks), totalWeights(demands))
+	for r.free >= 1 && r.grant(all) >= 0 {
+	}
+	return out
+}
+
+// allotmentRound is the state of the allotments of one report.
+type allotmentRound struct {
+	allotter *Allotter
+	ranks    []RankLoad
+	bounds   Bounds
+	demands  []Demand
+	caps     SendLimits
+	skipSlow bool
+	// loads and unstarted hold the requests of each rank, with the allotments so far.
+	loads     []float64
+	unstarted []int
+	// free is the number of requests that the mean of the bounds still allows.
+	free float64
+	// allotted counts the allotments at each rank, and out those of each router.
+	allotted Allotment
+	out      map[string]Allotment
+}
+
+func newAllotmentRound(a *Allotter, ranks []RankLoad, b Bounds, outstanding Allotment, demands []Demand, caps SendLimits, out map[string]Allotment) *allotmentRound {
+	r := &allotmentRound{
+		allotter: a, ranks: ranks, bounds: b, demands: demands, caps: caps, skipSlow: canSkipSlow(ranks),
+		loads: make([]float64, len(ranks)), unstarted: make([]int, len(ranks)), free: float64(b.Mean * len(ranks)), allotted: Allotment{}, out: out,
+	}
+	for i, rank := range ranks {
+		r.loads[i] = float64(rank.requests() + outstanding[rank.Address])
+		r.unstarted[i] = max(rank.Waiting, rank.Unstarted) + outstanding[rank.Address]
+		r.free -= r.loads[i]
 	}
-	skipSlow := canSkipSlow(ranks)
-	allotted := Allotment{}
-	for left >= 1 {
-		i := leastLoaded(ranks, loads, unstarted, b, skipSlow)
+	return r
+}
+
+// grant allots one more request to a router of a share, and returns the router's index in demands.
+// It returns -1 if no rank has room for a router of the share.
+func (r *allotmentRound) grant(s *share) int {
+	for {
+		i := r.leastLoaded(s.blocked)
 		if i < 0 {
-			break
+			return -1
 		}
-		router := ""
-		if caps.allows(ranks[i].Address, allotted) {
-			router = a.next(demands, &ranks[i], out)
+		address, router := r.ranks[i].Address, -1
+		if r.caps.allows(address, r.allotted) {
+			router = r.next(s, &r.ranks[i])
 		}
-		if router == "" {
-			loads[i] = math.Inf(1) // no router may send there
+		if router < 0 {
+			s.blocked[i] = true
 			continue
 		}
-		allotted[ranks[i].Address]++
-		loads[i]++
-		unstarted[i]++
-		left--
-		out[router][ranks[i].Address]++
+		r.allotted[address]++
+		r.loads[i]++
+		r.unstarted[i]++
+		r.free--
+		r.out[r.demands[router].Router][address]++
+		return router
 	}
-	return out
 }
 
 // requests returns the requests at a rank. The rank's own count does not include the latest sends
@@ -162,14 +191,15 @@
 
 // leastLoaded returns the rank for the next allotted request, or -1 if there is none. A stream at a
 // slow rank makes the pass longer for all ranks, so its load is weighted by the pace; with
-// skipSlow, slow ranks get none. Silent ranks never get any.
-func leastLoaded(ranks []RankLoad, loads []float64, unstarted []int, b Bounds, skipSlow bool) int {
+// skipSlow, slow ranks get none. Silent and blocked ranks never get any.
+func (r *allotmentRound) leastLoaded(blocked []bool) int {
 	best, bestLoad := -1, math.Inf(1)
-	for i := range ranks {
-		if loads[i] >= float64(b.Rank) || ranks[i].Silent || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
+	for i := range r.ranks {
+		rank := &r.ranks[i]
+		if blocked[i] || rank.Silent || r.skipSlow && rank.slow() || !r.room(i) {
 			continue
 		}
-		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
+		load := (r.loads[i] + unstartedWeight*float64(max(rank.Waiting, rank.Unstarted))) * max(rank.Pace, 1)
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
@@ -177,48 +207,50 @@
 	return best
 }
 
-// weight returns the weight of a router's demand for ranks in a data centre. A router without
-// demand has a small weight too.
-func (d Demand) weight(at vm.DataCentre) float64 {
-	weight := float64(d.Requests + 1)
-	if d.DataCentre != at {
-		weight *= remoteWeight
-	}
-	return weight
+// room reports whether the bounds allow one more request at a rank.
+func (r *allotmentRound) room(rank int) bool {
+	return r.loads[rank] < float64(r.bounds.Rank) && (r.bounds.Unstarted == 0 || r.unstarted[rank] < r.bounds.Unstarted)
 }
 
-// next returns the router that gets the next request at a rank, based on the allotments so far; ""
-// if none may send there.
-func (a *Allotter) next(demands []Demand, rank *RankLoad, allotted map[string]Allotment) string {
+// next returns the router that gets the next request of a share at a rank, based on the allotments
+// so far; -1 if none may send there.
+func (r *allotmentRound) next(s *share, rank *RankLoad) int {
 	at := rank.DataCentre
 	total := 0.0
-	for _, d := range demands {
-		if d.Most.allows(rank.Address, allotted[d.Router]) {
-			total += d.weight(at)
+	for i := range r.demands {
+		if r.eligible(s, i, rank) {
+			total += s.weight(i, &r.demands[i], at)
 		}
 	}
-	best := creditKey{}
-	for _, d := range demands {
-		if !d.Most.allows(rank.Address, allotted[d.Router]) {
+	best, bestKey := -1, creditKey{}
+	credit := r.allotter.credit
+	for i := range r.demands {
+		if !r.eligible(s, i, rank) {
 			continue
 		}
-		key := creditKey{router: d.Router, dataCentre: at}
-		a.credit[key] += d.weight(at) / total
-		if best.router == "" || a.credit[key] > a.credit[best] {
-			best = key
+		key := creditKey{router: r.demands[i].Router, dataCentre: at, share: s.id}
+		credit[key] += s.weight(i, &r.demands[i], at) / total
+		if best < 0 || credit[key] > credit[bestKey] {
+			best, bestKey = i, key
 		}
 	}
-	if best.router != "" {
-		a.credit[best]--
+	if best >= 0 {
+		credit[bestKey]--
 	}
-	return best.router
+	return best
+}
+
+// eligible reports whether a router may get one more request of a share at a rank.
+func (r *allotmentRound) eligible(s *share, router int, rank *RankLoad) bool {
+	d := &r.demands[router]
+	return s.has(router) && d.Most.allows(rank.Address, r.out[d.Router])
 }
 
 // prune drops the credits of routers that are no longer present.
 func (a *Allotter) prune(demands []Demand) {
-	for key := range a.credit {
-		if !slices.ContainsFunc(demands, func(d Demand) bool { return d.Router == key.router }) {
-			delete(a.credit, key)
-		}
+	present := make(map[string]bool, len(demands))
+	for _, d := range demands {
+		present[d.Router] = true
 	}
+	maps.DeleteFunc(a.credit, func(key creditKey, _ float64) bool { return !present[key.router] })
 }
--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -47,6 +47,8 @@
 	// wanted, waiting and rate are from the router's latest reply.
 	wanted, waiting int
 	rate            float64
+	// levels divides wanted and waiting by level; nil if the router does not.
+	levels []LevelDemand
 	// maxSends limits the requests that the router may send to some ranks.
 	maxSends SendLimits
 	// backingOff holds the ranks that have asked the router to back off.
@@ -108,6 +110,7 @@
 	e.activeAt, e.list = now, w.List
 	if w.List == b.list.Number {
 		e.answeredAt, e.unstarted, e.wanted = now, b.list.UnpackUnstarted(w.Unstarted), w.Wanted
+		e.levels = replaceWanted(e.levels, w.Wanted, w.Levels)
 	}
 	g.Backlog = b.backlog
 	return b.list.Pack(g, w.List)
@@ -167,13 +170,14 @@
 		}
 		b.backlog.Waiting += e.waiting
 		b.backlog.Rate += e.rate
-		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Most: e.maxSends, Resting: e.backingOff})
+		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Levels: e.levels, Most: e.maxSends, Resting: e.backingOff})
 		for _, allotment := range e.outstanding {
 			for address, n := range allotment {
 				outstanding[address] += n
 			}
 		}
 	}
+	b.backlog.Levels = b.waitingByLevel(demands)
 	allotments := b.allotter.Allot(ranks, *bounds, outstanding, demands, b.probes(now, ranks, demands))
 	for name, p := range allotments {
 		b.routers[name].outstanding[b.reports] = p
@@ -184,6 +188,40 @@
 	return b.reports, allotments
 }
 
+// Levels returns the number of levels that the routers' valid replies show; 0 if they show none. A
+// coordinator reads the catalog only once, so it learns changes of levels from the routers.
+func (b *RouterRegistry) Levels(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	levels := 0
+	for _, e := range b.routers {
+		if now.Sub(e.answeredAt) <= b.valid() {
+			levels = max(levels, len(e.levels))
+		}
+	}
+	return levels
+}
+
+// waitingByLevel returns the waiting requests of each level at all routers with a demand; nil if
+// the service has no levels. The caller holds the lock.
+func (b *RouterRegistry) waitingByLevel(demands []Demand) []int {
+	levels := countLevels(demands)
+	if levels < 2 {
+		return nil
+	}
+	out := make([]int, levels)
+	for _, d := range demands {
+		e := b.routers[d.Router]
+		if len(e.levels) == 0 {
+			out[0] += e.waiting
+		}
+		for l, demand := range e.levels {
+			out[l] += demand.Waiting
+		}
+	}
+	return out
+}
+
 // probeInterval is the time between two probe requests to a rank that rejects requests and runs
 // none.
 const probeInterval = time.Second
@@ -238,7 +276,7 @@
 		return // the router could not read the report; the next one includes the list
 	}
 	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
-	e.waiting, e.rate = reply.Waiting, reply.Rate
+	e.waiting, e.rate, e.levels = reply.Waiting, reply.Rate, limitLevels(reply.Levels)
 	e.maxSends, e.backingOff = list.UnpackLimits(reply.Most), list.UnpackRanks(reply.Resting)
 	for n := range e.outstanding {
 		if n < report {
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -76,7 +76,7 @@
 	g := c.load(now)
 	c.latest.Store(&g)
 	targets := c.registry.Targets(now, c.routers)
-	number, slots := c.registry.StartReport(now, targets, g.Ranks, c.bounds(g))
+	number, slots := c.registry.StartReport(now, targets, g.Ranks, c.bounds(now, g))
 	for _, n := range targets {
 		routerLoad := g
 		routerLoad.Places = slots[n.Name]
@@ -199,10 +199,12 @@
 }
 
 // bounds returns the limits of the ranks, or nil while the parameters of the engine are not known.
-func (c *coordinator) bounds(g balance.Group) *balance.Bounds {
+func (c *coordinator) bounds(now time.Time, g balance.Group) *balance.Bounds {
 	if c.engine == nil {
 		return nil
 	}
-	b := balance.GroupBounds(c.engine, g.Load(), c.goal)
+	load := g.Load()
+	b := balance.GroupBounds(c.engine, load, c.goal)
+	b.LevelMeans = balance.LevelMeans(c.engine, load.Pace, c.goal, c.registry.Levels(now))
 	return &b
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -166,6 +166,8 @@
 	Wanted, Waiting int
 	// Rate is the number of requests that the router sends per second.
 	Rate float64
+	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
+	Levels []balance.LevelDemand
 	// Idle reports whether there has been no request for a while.
 	Idle bool
 	// Most bounds the number of requests that the router may send to some ranks. It is 0 for ranks
