--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -101,6 +101,7 @@
 	all := newShare(shareAll, len(ranks), totalWeights(demands))
 	for r.free >= 1 && r.grant(all) >= 0 {
 	}
+	a.keepCredits(demands, all)
 	return out
 }
 
@@ -222,20 +223,18 @@
 			total += s.weight(i, &r.demands[i], at)
 		}
 	}
-	best, bestKey := -1, creditKey{}
-	credit := r.allotter.credit
+	best, credits := -1, r.allotter.creditsOf(r.demands, s, at)
 	for i := range r.demands {
 		if !r.eligible(s, i, rank) {
 			continue
 		}
-		key := creditKey{router: r.demands[i].Router, dataCentre: at, share: s.id}
-		credit[key] += s.weight(i, &r.demands[i], at) / total
-		if best < 0 || credit[key] > credit[bestKey] {
-			best, bestKey = i, key
+		credits[i] += s.weight(i, &r.demands[i], at) / total
+		if best < 0 || credits[i] > credits[best] {
+			best = i
 		}
 	}
 	if best >= 0 {
-		credit[bestKey]--
+		credits[best]--
 	}
 	return best
 }
@@ -243,7 +242,32 @@
 // eligible reports whether a router may get one more request of a share at a rank.
 func (r *allotmentRound) eligible(s *share, router int, rank *RankLoad) bool {
 	d := &r.demands[router]
-	return s.has(router) && d.Most.allows(rank.Address, r.out[d.Router])
+	return s.has(router) && (len(d.Most) == 0 || d.Most.allows(rank.Address, r.out[d.Router]))
+}
+
+// creditsOf returns the routers' credits of a share for ranks in a data centre. They are kept in the
+// share during a report: a map access for each router and place took most of the time of a report.
+func (a *Allotter) creditsOf(demands []Demand, s *share, at vm.DataCentre) []float64 {
+	credits, ok := s.credits[at]
+	if !ok {
+		credits = make([]float64, len(demands))
+		for i, d := range demands {
+			credits[i] = a.credit[creditKey{router: d.Router, dataCentre: at, share: s.id}]
+		}
+		s.credits[at] = credits
+	}
+	return credits
+}
+
+// keepCredits keeps the credits of shares for the next report.
+func (a *Allotter) keepCredits(demands []Demand, shares ...*share) {
+	for _, s := range shares {
+		for at, credits := range s.credits {
+			for i, n := range credits {
+				a.credit[creditKey{router: demands[i].Router, dataCentre: at, share: s.id}] = n
+			}
+		}
+	}
 }
 
 // prune drops the credits of routers that are no longer present.
--- a/services/balance/level_allotment.go
+++ b/services/balance/level_allotment.go
@@ -47,10 +47,12 @@
 	left func(router int) int
 	// blocked marks the ranks to which no router of the share may send.
 	blocked []bool
+	// credits holds the routers' credits by data centre of the ranks.
+	credits map[vm.DataCentre][]float64
 }
 
 func newShare(id shareID, ranks int, weights []float64) *share {
-	return &share{id: id, weights: weights, blocked: make([]bool, ranks)}
+	return &share{id: id, weights: weights, blocked: make([]bool, ranks), credits: map[vm.DataCentre][]float64{}}
 }
 
 // has reports whether a router may get one more request.
@@ -143,6 +145,7 @@
 	}
 	for v.below(smallest) && v.allot(spare) >= 0 {
 	}
+	v.allotter.keepCredits(v.demands, spare)
 }
 
 // serveLevel allots places to a level, and the floor to the levels after it.
@@ -152,6 +155,7 @@
 	own.left = func(router int) int { return level.left[router] }
 	floor := newShare(shareFloor, len(v.ranks), levelWeights(after))
 	floor.left = func(router int) int { return leftOf(after, router) }
+	defer v.allotter.keepCredits(v.demands, own, floor)
 	for level.leftSum > 0 && v.below(level.limit) {
 		if v.floorDue(after) {
 			if router := v.allot(floor); router >= 0 {
