Coordinator: catch-up after a group has opened

Cause: after a power failure the slots of a group fill within 1.6 s only, because the bounds assume the skew of the first map, while callers that wait already are late. The coordinator records when the group has opened; a group that was never seen closed and runs requests has no such record. RouterRegistry.Waiting counts the backlog by valid replies. Result: go test -race ./services/balance ./services/rank passes.

--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -260,3 +260,27 @@
 	}
 	return sum
 }
+
+// Waiting returns the number of requests that wait at routers, from their valid replies. Allotments
+// that a router has received since its reply are deducted.
+func (b *RouterRegistry) Waiting(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, e := range b.routers {
+		if now.Sub(e.answeredAt) > b.valid() {
+			continue
+		}
+		waiting := e.waiting
+		for number, allotment := range e.outstanding {
+			if number <= e.report {
+				continue
+			}
+			for _, n := range allotment {
+				waiting -= n
+			}
+		}
+		sum += max(waiting, 0)
+	}
+	return sum
+}
--- a/services/rank/cluster_view.go
+++ b/services/rank/cluster_view.go
@@ -32,6 +32,8 @@
 	engine   *catalog.Engine
 	// goal is the shortest pause goal of the routes to the service; 0 if there is none.
 	goal time.Duration
+	// answerGoal is the shortest goal of these routes for the first event; 0 if there is none.
+	answerGoal time.Duration
 }
 
 // followNodes reads the processes at an interval until ctx ends, sooner after a failure and while
@@ -146,9 +148,17 @@
 	for i := range k.Routes {
 		r := &k.Routes[i]
 		for _, t := range r.Targets {
-			if string(t.Service) == service && r.PauseGoal > 0 && (s.goal == 0 || r.PauseGoal < s.goal) {
-				s.goal = r.PauseGoal
+			if string(t.Service) == service {
+				s.goal, s.answerGoal = shorterGoal(s.goal, r.PauseGoal), shorterGoal(s.answerGoal, r.Goal)
 			}
 		}
 	}
 }
+
+// shorterGoal returns the shorter of two goals; 0 is no goal.
+func shorterGoal(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -95,8 +95,13 @@
 	// silent rank.
 	passAt  time.Time
 	stalled bool
-	reached time.Time
-	lost    bool
+	// openedAt is when the group opened; zero if it is closed or was already running when this
+	// coordinator first saw all ranks. opened reports whether it was open then, and wasClosed
+	// whether this coordinator has seen it closed.
+	openedAt          time.Time
+	opened, wasClosed bool
+	reached           time.Time
+	lost              bool
 	// moved reports whether the coordinator's own rank has changed since its group has formed
 	// again.
 	moved bool
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -74,9 +74,10 @@
 	c.markSilent(now)
 	c.markStalled(now)
 	g := c.load(now)
+	c.noteOpening(now, g)
 	c.latest.Store(&g)
 	targets := c.registry.Targets(now, c.routers)
-	number, slots := c.registry.StartReport(now, targets, g.Ranks, c.bounds(g))
+	number, slots := c.registry.StartReport(now, targets, g.Ranks, c.bounds(now, g))
 	for _, n := range targets {
 		routerLoad := g
 		routerLoad.Places = slots[n.Name]
@@ -198,11 +199,27 @@
 	return c.planner.skew
 }
 
+// noteOpening records when the group has opened. A group that this coordinator has not seen closed
+// counts as opened when all its ranks are first seen without running requests. If any runs one, the
+// group was open under an earlier coordinator, and its catch-up is not started a second time.
+func (c *coordinator) noteOpening(now time.Time, g balance.Group) {
+	switch {
+	case !g.Open:
+		c.opened, c.wasClosed, c.openedAt = false, true, time.Time{}
+	case !c.opened && len(g.Ranks) == len(c.members):
+		c.opened = true
+		if c.wasClosed || g.Load().Writers == 0 {
+			c.openedAt = now
+		}
+	}
+}
+
 // bounds returns the limits of the ranks, or nil while the parameters of the engine are not known.
-func (c *coordinator) bounds(g balance.Group) *balance.Bounds {
+func (c *coordinator) bounds(now time.Time, g balance.Group) *balance.Bounds {
 	if c.engine == nil {
 		return nil
 	}
-	b := balance.GroupBounds(c.engine, g.Load(), c.goal)
+	o := balance.Opening{At: c.openedAt, Waiting: c.registry.Waiting(now), Ranks: len(g.Ranks), Goal: c.answerGoal}
+	b := balance.CatchUpBounds(now, c.engine, g.Load(), balance.GroupBounds(c.engine, g.Load(), c.goal), o)
 	return &b
 }
