Admission: requests of ranked services are decided by urgency

Cause: in a burst of the least urgent route, requests of all urgencies waited equally long, and groups were so full that a shift of demand made the streams of all routes late.

Change: requests carry urgency and level. Waiting requests of a ranked service are ordered by urgency, then those that can still be in time, then returning ones. Pool.Pick keeps a limited level out of groups at or above PickOptions.MaxMean. Starving requests get up to a tenth of the grants. Permitted waits follow the route's goals. New requests that cannot be in time are rejected immediately, with a retry time that is spread over a range. Forecasts count the same and more urgent levels only. Routers report their demand by level. Log lines and metrics by level.

Measured: go test -race passes for admission, balance, relay, entry and platform.

--- a/modules/metrics/metrics.go
+++ b/modules/metrics/metrics.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,8 @@
 	requests  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
+	// admissions and late count the requests of ranked services.
+	admissions, late *prometheus.CounterVec
 }
 
 // New returns the metrics of a process. Those registered here have the label process; those added
@@ -40,9 +43,15 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at upstreams, retries included.",
 		}, []string{"service"}),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "admission_requests_total", Help: "Requests of ranked services by level and outcome at the admission queue.",
+		}, []string{"service", "level", "outcome"}),
+		late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_late_total", Help: "Streams of ranked services whose first event or a pause missed its goal.",
+		}, []string{"service", "level"}),
 	}
 	labelled := prometheus.WrapRegistererWith(prometheus.Labels{"process": process}, m.Registry)
-	labelled.MustRegister(m.requests, m.durations, m.attempts,
+	labelled.MustRegister(m.requests, m.durations, m.attempts, m.admissions, m.late,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -54,6 +63,41 @@
 	m.attempts.WithLabelValues(service).Add(float64(attempts))
 }
 
+// CountAdmission records the outcome of a request at the admission queue.
+func (m *Metrics) CountAdmission(service string, level int, outcome string) {
+	m.admissions.WithLabelValues(service, strconv.Itoa(level), outcome).Inc()
+}
+
+// CountLate records a stream that missed a goal.
+func (m *Metrics) CountLate(service string, level int) {
+	m.late.WithLabelValues(service, strconv.Itoa(level)).Inc()
+}
+
+// WaitingByLevel registers a gauge of the requests that wait for each ranked service. Read returns
+// them by service and level.
+func (m *Metrics) WaitingByLevel(read func() map[string][]int) {
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", "admission_waiting"), "Waiting requests of ranked services.", []string{"service", "level"}, nil)
+	m.Registry.MustRegister(&waiting{desc: desc, read: read})
+}
+
+// waiting is the collector of the waiting requests.
+type waiting struct {
+	desc *prometheus.Desc
+	read func() map[string][]int
+}
+
+// Describe implements prometheus.Collector.
+func (w *waiting) Describe(ch chan<- *prometheus.Desc) { ch <- w.desc }
+
+// Collect implements prometheus.Collector.
+func (w *waiting) Collect(ch chan<- prometheus.Metric) {
+	for service, levels := range w.read() {
+		for level, n := range levels {
+			ch <- prometheus.MustNewConstMetric(w.desc, prometheus.GaugeValue, float64(n), service, strconv.Itoa(level))
+		}
+	}
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *Metrics) Gauge(name, help string, labels prometheus.Labels, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: labels}, read))
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -13,6 +13,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/services/balance"
 )
 
@@ -22,6 +23,13 @@
 	// events, earn full credit.
 	Route string
 	Goal  time.Duration
+	// PauseGoal is the longest pause between events that earns full credit; 0 if none is given.
+	PauseGoal time.Duration
+	// Levels is the number of levels of the service, which is ranked if there are several. Urgency
+	// and Level are those with which the request arrived, and have an effect only then.
+	Levels  int
+	Urgency urgency.Urgency
+	Level   urgency.Level
 	// Arrived is when the request arrived, and Deadline when its caller disconnects. Patience is
 	// the timeout that the caller gave; 0 if none was given.
 	Arrived, Deadline time.Time
@@ -39,6 +47,8 @@
 	// should be sent at the latest once it can no longer be answered in time.
 	retried bool
 	due     time.Time
+	// floorAt is when a request of a limited level may be admitted above the limit.
+	floorAt time.Time
 }
 
 // Outcome is the decision on a request.
@@ -62,6 +72,10 @@
 	// Wait is the longest time that a waiting request may wait. RetryAfter is the forecast time
 	// until a rejected request would find room, also if it is rejected after its wait.
 	Wait, RetryAfter time.Duration
+	// Spread reports whether RetryAfter already includes a random part.
+	Spread bool
+	// Forecast is the forecast wait of a rejected request.
+	Forecast Forecast
 	// Opening is the forecast time until the upstreams, by their own reports, accept the request;
 	// the queue should be checked again then.
 	Opening time.Duration
@@ -129,6 +143,11 @@
 	waiting []*Request
 	// granted holds the times of recent grants, oldest first.
 	granted []time.Time
+	// levels is the number of levels of a ranked service; 0 for others. levelMeans holds the latest
+	// limit of each, and levelGrants the recent grants by level, oldest first.
+	levels      int
+	levelMeans  [urgency.MaxLevels]float64
+	levelGrants []levelGrant
 	// longestTimeout holds the longest caller timeout seen on each route.
 	longestTimeout map[string]time.Duration
 	// firstArrival and lastArrival are when the first and the latest request arrived.
@@ -146,17 +165,21 @@
 		q.firstArrival = now
 	}
 	q.lastArrival = now
+	q.learnLevel(x)
 	x.retried = q.isRetry(now, x)
 	opening := q.pool.TimeToAccept(now, usable, len(q.waiting)+1)
 	wait := q.wait(now, x, len(usable) == 0, opening)
-	if len(q.waiting) == 0 {
+	if !q.blocked(now, x) {
 		if u, ok := q.pick(now, x.Ask, usable); ok {
+			q.recordLevel(now, x, false)
 			return Decision{Outcome: OutcomeGranted, Upstream: u}
 		}
 	}
-	v := Decision{Outcome: OutcomeRejected, RetryAfter: q.retryAfter(now, x, opening), Opening: opening}
-	if len(q.waiting) < maxWaiting && wait > 0 {
+	v := Decision{Outcome: OutcomeRejected, Opening: opening, Forecast: q.forecast(now, x)}
+	v.RetryAfter, v.Spread = q.retryAfter(now, x, opening), q.spreads(now, x)
+	if len(q.waiting) < q.capacity(x) && wait > 0 {
 		x.due = now.Add(time.Duration(dueFraction * float64(wait)))
+		x.floorAt = now.Add(time.Duration(floorFraction * float64(wait)))
 		q.waiting = append(q.waiting, x)
 		v.Outcome, v.Wait = OutcomeWaits, wait
 	}
@@ -179,6 +202,9 @@
 // Admit returns the waiting requests for which there is room now. A request that has already tried
 // the only upstream with room, or may not run there, does not block the others.
 func (q *Queue) Admit(now time.Time, usable []upstream.Instance) []Grant {
+	if slices.ContainsFunc(q.waiting, (*Request).Ranked) {
+		return q.admitRanked(now, usable)
+	}
 	var out []Grant
 	var skipped []*Request
 	for x := q.next(now, skipped); x != nil; x = q.next(now, skipped) {
@@ -187,7 +213,7 @@
 		case ok:
 			q.Leave(x)
 			out = append(out, Grant{Request: x, Upstream: u})
-		case len(x.Ask.Exclude) > 0 || x.Ask.Allows != nil:
+		case x.selective():
 			skipped = append(skipped, x)
 		default:
 			return out
@@ -198,6 +224,13 @@
 
 // Wanted forecasts how many requests could be sent until the next load report of a group.
 func (q *Queue) Wanted(now time.Time) int {
+	if q.levels > 0 {
+		wanted := 0
+		for _, d := range q.LevelDemands(now) {
+			wanted += d.Wanted
+		}
+		return wanted
+	}
 	return len(q.waiting) + int(math.Ceil(q.Rate(now)*reportInterval.Seconds()))
 }
 
--- a/services/admission/forecast.go
+++ b/services/admission/forecast.go
@@ -35,18 +35,12 @@
 // retried when there is room. Unlisted reports whether no upstream is listed, and opening is the
 // time until the listed ones accept the request by their own reports.
 func (q *Queue) wait(now time.Time, x *Request, unlisted bool, opening time.Duration) time.Duration {
-	left := float64(x.Deadline.Sub(now))
 	closed := unlisted || q.closed(now, x.Ask.Engine)
-	limit := q.maxSilentWait(now, x, closed)
-	if x.retried {
-		limit = min(maxRetryWait, time.Duration(retryWaitFraction*left), limit)
-	} else {
-		limit = min(maxWait, time.Duration(maxWaitFraction*left), limit)
-	}
+	limit := min(x.maxWait(now), q.maxSilentWait(now, x, closed))
 	if limit -= x.Waited; limit <= opening {
 		return 0
 	}
-	if !x.retried && (closed || q.queueWait(now, x.Ask.Engine, x.Ask.Bounds) > limit) {
+	if !x.retried && (closed || q.forecast(now, x).Wait > x.maxForecast(limit)) {
 		return 0
 	}
 	return limit
@@ -72,9 +66,9 @@
 // length of its next passes is unknown.
 func (q *Queue) maxSilentWait(now time.Time, x *Request, closed bool) time.Duration {
 	if x.Ask.Engine == nil || closed {
-		return silentStreamTimeout
+		return x.silentTimeout()
 	}
-	return max(silentStreamTimeout-balance.FirstEvent(x.Ask.Engine, q.pool.GroupLoad(now)), 0)
+	return max(x.silentTimeout()-balance.FirstEvent(x.Ask.Engine, q.pool.GroupLoad(now)), 0)
 }
 
 // isRetry reports whether the caller was rejected before and retries. Such a caller has less time
@@ -92,6 +86,9 @@
 
 // retryAfter forecasts when a request that is rejected now would find room.
 func (q *Queue) retryAfter(now time.Time, x *Request, opening time.Duration) time.Duration {
+	if q.spreads(now, x) {
+		return max(q.spreadRetryAfter(now, x, q.forecast(now, x).Wait), openingRetryAfter(opening))
+	}
 	wait := max(min(q.queueWait(now, x.Ask.Engine, x.Ask.Bounds), maxRetryAfter), openingRetryAfter(opening))
 	if x.Ask.Engine != nil && (q.closed(now, x.Ask.Engine) || len(q.granted) == 0) {
 		return max(wait, q.reopening(now, x, x.Ask.Engine))
@@ -99,6 +96,12 @@
 	return wait
 }
 
+// spreads reports whether the retry time of a request is spread over a range: that of a ranked
+// service whose groups work.
+func (q *Queue) spreads(now time.Time, x *Request) bool {
+	return x.Ranked() && !q.closed(now, x.Ask.Engine)
+}
+
 // reopening forecasts when a broken group is back: it needs its form time, and its ranks need time
 // to be listed. The return of a missing rank cannot be forecast, so the caller is asked to retry as
 // late as callers accept: it retries only once or twice.
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -18,6 +18,8 @@
 	at time.Time
 	// valid is how long the report is used.
 	valid time.Duration
+	// requests is the number of running and unstarted requests of all ranks.
+	requests int
 	// opened is when the group was first reported open after it was not.
 	opened time.Time
 }
@@ -104,7 +106,8 @@
 			opened = last.opened
 		}
 	}
-	p.groups[g.ID] = groupReport{Group: g, at: now, valid: valid, opened: opened}
+	p.groups[g.ID] = groupReport{Group: g, at: now, valid: valid, opened: opened, requests: g.requests()}
+	p.sends[g.ID] = 0
 	reply := Unstarted{}
 	for _, r := range g.Ranks {
 		id, ok := ids[r.Address]
@@ -115,6 +118,7 @@
 		s.report, s.reportedAt, s.valid, s.started, s.ended, s.group = r, now, valid, 0, 0, g.ID
 		s.slots, s.allotted = g.Places[r.Address], g.Places != nil
 		s.counted, s.lastReported = s.lastReported, s.unstarted
+		p.sends[g.ID] += s.unstarted - min(s.counted, r.Unstarted)
 		if s.unstarted > 0 {
 			reply[r.Address] = s.unstarted
 		}
@@ -236,12 +240,71 @@
 func (p *Pool) Backlog(now time.Time) (Backlog, bool) {
 	var b Backlog
 	groups := p.recentGroups(now)
+	levels := true
 	for _, g := range groups {
+		levels = levels && (g.Backlog.Levels != nil || g.Backlog.Waiting == 0)
+		b.addLevels(g.Backlog.Levels)
 		b.Waiting, b.Free, b.Rate = b.Waiting+g.Backlog.Waiting, b.Free+g.Backlog.Free, b.Rate+g.Backlog.Rate
 	}
+	if !levels {
+		b.Levels = nil
+	}
 	return b, len(groups) > 0
 }
 
+// addLevels adds the waiting requests of another group by level.
+func (b *Backlog) addLevels(levels []int) {
+	for l, waiting := range levels {
+		if l == len(b.Levels) {
+			b.Levels = append(b.Levels, 0)
+		}
+		b.Levels[l] += waiting
+	}
+}
+
+// requests returns the number of running and unstarted requests of the group. An engine may have
+// received unstarted requests of routers that have not reported them yet.
+func (g *Group) requests() int {
+	sum := 0
+	for _, r := range g.Ranks {
+		sum += r.Running + max(r.Waiting, r.Unstarted)
+	}
+	return sum
+}
+
+// groupsFrom returns the groups with a valid report whose mean number of requests per rank is at
+// least the given one; none if it is 0.
+func (p *Pool) groupsFrom(now time.Time, mean float64) []group.ID {
+	if mean <= 0 {
+		return nil
+	}
+	var out []group.ID
+	for id, g := range p.groups {
+		if now.Sub(g.at) < g.valid && float64(g.requests+p.sends[id]) >= mean*float64(len(g.Ranks)) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// BelowMean reports whether a group that is reported to work has less than the given mean number of
+// requests per rank. It is true if the mean is 0 or no such group is reported.
+func (p *Pool) BelowMean(now time.Time, mean float64) bool {
+	if mean <= 0 {
+		return true
+	}
+	full, working := p.groupsFrom(now, mean), 0
+	for id, g := range p.groups {
+		if !g.Open || g.Stalled || now.Sub(g.at) >= g.valid {
+			continue
+		}
+		if working++; !slices.Contains(full, id) {
+			return true
+		}
+	}
+	return working == 0
+}
+
 // OpenRanks returns the number of ranks in groups that are reported open, and whether one of these
 // groups has opened within the given time.
 func (p *Pool) OpenRanks(now time.Time, within time.Duration) (ranks int, opened bool) {
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
@@ -66,7 +67,10 @@
 	// conditions holds the conditions that the upstreams report in their answers.
 	conditions *condition.Register
 	// groups holds the latest report of each group of the service.
-	groups   map[group.ID]groupReport
+	groups map[group.ID]groupReport
+	// sends holds, for each group, this router's requests that are not in its latest report, less
+	// those that have ended since.
+	sends    map[group.ID]int
 	rotation int
 	// rejectedAt is when an upstream last answered that it did not run a request, and startedAt
 	// when an answer last began.
@@ -77,7 +81,7 @@
 
 // NewPool returns an empty pool for a router in a data centre.
 func NewPool(dataCentre vm.DataCentre) *Pool {
-	return &Pool{dataCentre: dataCentre, states: map[upstream.Run]*state{}, conditions: condition.NewRegister(), groups: map[group.ID]groupReport{}, random: rand.Float64}
+	return &Pool{dataCentre: dataCentre, states: map[upstream.Run]*state{}, conditions: condition.NewRegister(), groups: map[group.ID]groupReport{}, sends: map[group.ID]int{}, random: rand.Float64}
 }
 
 // Conditions returns the conditions that the upstreams report in their answers.
@@ -86,6 +90,9 @@
 // SetRandom sets the source of random numbers in [0, 1), so that choices are reproducible.
 func (p *Pool) SetRandom(random func() float64) { p.random = random }
 
+// Random returns a random number in [0, 1).
+func (p *Pool) Random() float64 { return p.random() }
+
 func (p *Pool) state(id upstream.Run) *state {
 	s, ok := p.states[id]
 	if !ok {
@@ -129,11 +136,12 @@
 		return upstream.Instance{}, false
 	}
 	v := p.estimator(now, cands, a)
+	full := p.groupsFrom(now, a.MaxMean)
 	for k := range cands {
 		i := (k + p.rotation) % len(cands)
 		c := cands[i]
 		s := p.state(c.Run())
-		if a.Exclude[c.ID] || a.Allows != nil && !a.Allows(c.DataCentre) || p.closed(now, s) {
+		if a.Exclude[c.ID] || a.Allows != nil && !a.Allows(c.DataCentre) || p.closed(now, s) || slices.Contains(full, s.group) {
 			continue
 		}
 		if _, wait := p.conditions.Judge(now, c.Run()); wait > 0 {
@@ -283,6 +291,7 @@
 	s.inFlight++
 	s.unstarted++
 	s.slots--
+	p.sends[s.group]++
 }
 
 // Started records that the answer to an attempt has begun.
@@ -298,6 +307,7 @@
 func (p *Pool) Done(now time.Time, id upstream.Run, r Result, took time.Duration, started bool) {
 	s := p.state(id)
 	s.inFlight--
+	p.sends[s.group]--
 	if started {
 		// This router may reuse the slot of a stream that has ended until the next report.
 		s.ended++
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -45,7 +45,7 @@
 	demand := r.opts.Relay.Report(now, g)
 	return balance.ReportReply{
 		List: list.Number, Unstarted: list.PackUnstarted(demand.Unstarted), Wanted: demand.Wanted, Waiting: demand.Waiting, Rate: demand.Rate, Idle: demand.Idle,
-		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting),
+		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting), Levels: demand.Levels,
 	}
 }
 
@@ -196,6 +196,10 @@
 		if clock.Since(l.reportedAt) < reportStaleAfter {
 			continue
 		}
+		want.Levels = r.opts.Relay.LevelDemands(clock.Now(), id)
+		for _, d := range want.Levels {
+			want.Wanted += d.Wanted
+		}
 		var report balance.Report
 		if err := r.callWithTimeout(ctx, c.Address, "Rank.Report", want, &report); err != nil {
 			r.opts.Logger.Debug().Str("coordinator", c.Address).Err(err).Msg("coordinator-silent")
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -31,13 +31,15 @@
 	}
 	r.wake(now, svc) // room changes without a report too: a binding report may have expired
 	v := svc.queue.Arrive(now, asked, usable)
-	x.retryAfter = v.RetryAfter
+	x.retryAfter, x.spread, x.forecast = v.RetryAfter, v.Spread, v.Forecast
 	switch v.Outcome {
 	case admission.OutcomeGranted:
 		r.mu.Unlock()
+		x.countAdmission(asked, admissionGranted)
 		return v.Upstream, true
 	case admission.OutcomeRejected:
 		r.mu.Unlock()
+		x.countAdmission(asked, admissionRejected)
 		return upstream.Instance{}, false
 	case admission.OutcomeWaits:
 	}
@@ -47,7 +49,7 @@
 	if v.Opening > 0 {
 		defer time.AfterFunc(v.Opening, func() { r.admitWaiting(svc) }).Stop()
 	}
-	return r.await(ctx, svc, asked, ready, v.Wait)
+	return x.await(ctx, svc, asked, ready, v.Wait)
 }
 
 // coverageInterval is the time between two checks whether the load of each rank is reported: a
@@ -64,6 +66,17 @@
 	return len(ranks) == 0 || len(svc.pool.Unreported(now, ranks)) > 0
 }
 
+// await waits until a request is admitted, and counts whether it was.
+func (x *exchange) await(ctx context.Context, svc *serviceState, asked *admission.Request, ready chan upstream.Instance, wait time.Duration) (upstream.Instance, bool) {
+	u, ok := x.r.await(ctx, svc, asked, ready, wait)
+	if ok {
+		x.countAdmission(asked, admissionWaited)
+	} else {
+		x.countAdmission(asked, admissionExpired)
+	}
+	return u, ok
+}
+
 // await waits until a request is admitted.
 func (r *Relay) await(ctx context.Context, svc *serviceState, asked *admission.Request, ready chan upstream.Instance, wait time.Duration) (upstream.Instance, bool) {
 	t := time.NewTimer(wait)
@@ -96,7 +109,7 @@
 // admissionRequest describes a request to the admission queue. The caller holds the lock.
 func (r *Relay) admissionRequest(now time.Time, svc *serviceState, x *exchange) *admission.Request {
 	return &admission.Request{
-		Route: x.route.Name, Goal: x.route.Goal, Arrived: x.arrived, Deadline: x.deadline, Patience: x.meta.Patience, Timeout: x.route.Timeout,
+		Route: x.route.Name, Goal: x.route.Goal, PauseGoal: x.route.PauseGoal, Levels: x.levels, Urgency: x.order, Level: x.level, Arrived: x.arrived, Deadline: x.deadline, Patience: x.meta.Patience, Timeout: x.route.Timeout,
 		Ask: r.pickOptions(now, svc, x), Waited: x.waitedUnsent,
 	}
 }
@@ -106,7 +119,12 @@
 	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows()}
 	if s := r.state.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
-		a.Bounds = balance.GroupBounds(s.Engine, svc.pool.GroupLoad(now), x.route.PauseGoal)
+		load := svc.pool.GroupLoad(now)
+		a.Bounds = balance.GroupBounds(s.Engine, load, x.route.PauseGoal)
+		if !x.stream.begun {
+			// A stream that another upstream continues was admitted before.
+			a.MaxMean = balance.LevelMean(s.Engine, load.Pace, x.route.PauseGoal, x.level, x.levels)
+		}
 		a.Leaderless = balance.GroupBounds(s.Engine, balance.GroupLoad{Skew: balance.InitialMapSkew}, x.route.PauseGoal)
 	}
 	return a
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -16,9 +16,11 @@
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/admission"
 )
 
 // Reason states why a router answers a request itself. Reasons appear in logs and metrics.
@@ -81,7 +83,13 @@
 	route    *catalog.Route
 	service  service.ID
 	account  account.ID
-	urgency  int
+	// urgency is the priority that upstreams are told.
+	urgency int
+	// order and level are the urgency among the requests that wait for the same service, which has
+	// a number of levels.
+	order  urgency.Urgency
+	level  urgency.Level
+	levels int
 	// homes restricts the regions whose upstreams may get the request.
 	homes homes
 	// maxBytes bounds the body.
@@ -116,6 +124,9 @@
 	// retryAfter is the forecast time until there is room for a request that found none; advised is
 	// the retry advice sent to the caller.
 	retryAfter, advised time.Duration
+	// spread reports whether retryAfter includes a random part, and forecast is the forecast wait.
+	spread   bool
+	forecast admission.Forecast
 	// evacuated reports whether all upstreams were in evacuated data centres when the request was
 	// last to be sent.
 	evacuated bool
@@ -201,8 +212,9 @@
 	if x.route == nil {
 		return x.deny(http.StatusNotFound, ReasonNoRoute)
 	}
+	var a *catalog.Account
 	if index.RequiresKeys() && !x.route.Anonymous {
-		a := index.Account(x.meta.Key)
+		a = index.Account(x.meta.Key)
 		if a == nil {
 			return x.deny(http.StatusUnauthorized, ReasonUnknownKey)
 		}
@@ -218,6 +230,8 @@
 	}
 	x.homes.restrict(x.route.Homes)
 	x.service = pickService(x.route)
+	levels := index.Levels(x.service)
+	x.order, x.level, x.levels = index.Urgency(x.route, a), levels.Level(x.route.Priority), len(levels)
 	x.r.serviceState(x.arrived, x.service).budget.Request(x.arrived)
 	left := defaultTimeout
 	if x.route.Timeout > 0 {
@@ -288,6 +302,8 @@
 	}
 	x.r.opts.Metrics.ObserveRequest(string(x.service), outcome, string(reason), took, x.attempts)
 	x.stream.log(event, x.arrived)
+	x.logUrgency(event, reason)
+	x.countLate()
 	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Int("status", status).Str("reason", string(reason)).
 		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
 		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).Int64("patience_ms", x.meta.Patience.Milliseconds()).
@@ -301,5 +317,9 @@
 		return refusal{status: http.StatusServiceUnavailable, reason: ReasonEvacuated, retryAfter: retryEvacuated + spread}
 	}
 	after := max(x.retryAfter, retryBusy) + spread
+	if x.spread {
+		asked := admission.Request{Deadline: x.deadline}
+		after = min(x.retryAfter, asked.LongestRetryAfter(clock.Now()))
+	}
 	return refusal{status: http.StatusServiceUnavailable, reason: ReasonNoRoom, retryAfter: after}
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -101,6 +101,7 @@
 	}
 	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.RefusedCount(clock.Now())) })
 	r.measureConditions(o.Metrics, clock.Now)
+	r.measureWaiting(o.Metrics)
 	return r
 }
 
@@ -164,6 +165,8 @@
 	// Wanted is the number of requests that the router would like to send until the next report;
 	// Waiting is how many of them wait.
 	Wanted, Waiting int
+	// Levels divides both by level; nil if the service is not ranked.
+	Levels []balance.LevelDemand
 	// Rate is the number of requests that the router sends per second.
 	Rate float64
 	// Idle reports whether there has been no request for a while.
@@ -210,10 +213,22 @@
 	}
 	return RouterLoad{
 		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
-		Most: most, Resting: resting,
+		Most: most, Resting: resting, Levels: svc.queue.LevelDemands(now),
 	}
 }
 
+// LevelDemands returns this router's demand for a service by level; nil if the service is not
+// ranked.
+func (r *Relay) LevelDemands(now time.Time, id service.ID) []balance.LevelDemand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	svc, ok := r.pools[id]
+	if !ok {
+		return nil
+	}
+	return svc.queue.LevelDemands(now)
+}
+
 // Coverage states for how many ranks of a service with model groups a coordinator has recently
 // reported the load.
 type Coverage struct {
--- a/services/relay/reroute.go
+++ b/services/relay/reroute.go
@@ -60,7 +60,9 @@
 	if x.attempts >= x.route.MaxAttempts || !now.Before(x.deadline) {
 		return false
 	}
-	next, ok := svc.queue.Reroute(now, r.pickOptions(now, svc, x), x.allowed(r.state.Usable(now, x.service)))
+	ask := r.pickOptions(now, svc, x)
+	ask.MaxMean = 0 // the request was admitted before
+	next, ok := svc.queue.Reroute(now, ask, x.allowed(r.state.Usable(now, x.service)))
 	if !ok {
 		return false
 	}
