Balance: the size of a request, and headers with a stated maximum

Cause: decisions by size need the sizes that callers declare, also where these are missing, contradict each other or are huge. A maximum without a hint was taken for the caller's estimate of the answer.

--- a/services/protocol.go
+++ b/services/protocol.go
@@ -23,8 +23,9 @@
 	Key      catalog.Key
 	// PromptTokens is the size of the prompt; 0 if it is not given.
 	PromptTokens int
-	// AnswerTokens is the caller's estimate of the size of the answer; 0 if it is not given.
-	AnswerTokens int
+	// AnswerTokens is the caller's estimate of the size of the answer, and MaxAnswerTokens the
+	// largest answer that it accepts; 0 if they are not given.
+	AnswerTokens, MaxAnswerTokens int
 	// LastEvent is the ID of the last event that the caller received of a stream it wants to
 	// resume.
 	LastEvent string
