Balance: unread prompts in tokens, and forecasts by size

Cause: limits count unread prompts, whatever their size, so a rank reads several long prompts in one pass and makes all streams of the group late. Forecasts assume usual prompts and answers.

Change: routers count the prompt tokens of their unstarted requests and report them in units of 64 tokens if a caller has declared a prompt and the service is ranked. Coordinators sum them, count requests of routers that report none with usual prompts, and limit the tokens of a rank in Allot; a place counts with the mean reported prompt, at least the usual one. Routers that decide by themselves apply the same limit. The forecast of a first event takes the declared prompt, and the drain rate of a newly opened group takes the mean answer of the waiting requests. A request that waits for a rank to read a prompt is admitted when the answer before it begins.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -127,6 +127,8 @@
 type Queue struct {
 	pool    *balance.Pool
 	waiting []*Request
+	// sizes sums their declared sizes.
+	sizes waitingSizes
 	// granted holds the times of recent grants, oldest first.
 	granted []time.Time
 	// longestTimeout holds the longest caller timeout seen on each route.
@@ -158,6 +160,7 @@
 	if len(q.waiting) < maxWaiting && wait > 0 {
 		x.due = now.Add(time.Duration(dueFraction * float64(wait)))
 		q.waiting = append(q.waiting, x)
+		q.sizes.add(x.Ask.Size)
 		v.Outcome, v.Wait = OutcomeWaits, wait
 	}
 	return v
@@ -173,6 +176,7 @@
 func (q *Queue) Leave(x *Request) {
 	if i := slices.Index(q.waiting, x); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.sizes.remove(x.Ask.Size)
 	}
 }
 
@@ -230,6 +234,7 @@
 	u, ok := q.pool.Pick(now, usable, ask)
 	if ok {
 		q.pool.Sent(now, u.Run())
+		q.pool.SentPrompt(u.Run(), ask.Size)
 		q.granted = append(q.granted, now)
 	}
 	return u, ok
--- a/services/admission/forecast.go
+++ b/services/admission/forecast.go
@@ -19,7 +19,7 @@
 func (q *Queue) queueWait(now time.Time, e *catalog.Engine, b balance.Bounds) time.Duration {
 	ahead, rate := float64(len(q.waiting)+1), q.Rate(now)
 	if ranks, opened := q.pool.OpenRanks(now, rateWindow); opened && e != nil {
-		rate = max(rate, float64(ranks)*balance.DrainRate(e, q.pool.GroupLoad(now), b))
+		rate = max(rate, float64(ranks)*balance.DrainRateOf(e, q.pool.GroupLoad(now), b, q.sizes.meanAnswer(e.UsualAnswer, len(q.waiting))))
 	}
 	wait := 0.0
 	if b, ok := q.pool.Backlog(now); ok {
@@ -74,7 +74,7 @@
 	if x.Ask.Engine == nil || closed {
 		return silentStreamTimeout
 	}
-	return max(silentStreamTimeout-balance.FirstEvent(x.Ask.Engine, q.pool.GroupLoad(now)), 0)
+	return max(silentStreamTimeout-balance.FirstEventOf(x.Ask.Engine, q.pool.GroupLoad(now), x.Ask.Size.KnownPrompt()), 0)
 }
 
 // isRetry reports whether the caller was rejected before and retries. Such a caller has less time
--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -51,6 +51,8 @@
 	Unstarted int
 	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
 	Unread int
+	// Prompt is the number of prompt tokens with which a place counts against Unread.
+	Prompt int
 	// LevelMeans holds the mean number of requests per rank up to which each level gets places; 0
 	// means that only Rank and Mean apply, as for services without levels.
 	LevelMeans [urgency.MaxLevels]float64
@@ -104,7 +106,7 @@
 	left := float64(b.Mean * len(ranks))
 	for i, r := range ranks {
 		loads[i] = float64(r.requests() + outstanding[r.Address])
-		unstarted[i] = max(r.Waiting, r.Unstarted) + outstanding[r.Address]
+		unstarted[i] = b.unstarted(&r) + outstanding[r.Address]
 		left -= loads[i]
 	}
 	skipSlow := canSkipSlow(ranks)
@@ -169,7 +171,7 @@
 		if loads[i] >= float64(b.Rank) || ranks[i].Silent || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
 			continue
 		}
-		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
+		load := (loads[i] + unstartedWeight*b.unreadPrompts(&ranks[i])) * max(ranks[i].Pace, 1)
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -115,6 +115,7 @@
 		s.report, s.reportedAt, s.valid, s.started, s.ended, s.group = r, now, valid, 0, 0, g.ID
 		s.slots, s.allotted = g.Places[r.Address], g.Places != nil
 		s.counted, s.lastReported = s.lastReported, s.unstarted
+		s.unread.report()
 		if s.unstarted > 0 {
 			reply[r.Address] = s.unstarted
 		}
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
@@ -124,6 +125,20 @@
 	return l.pass(e, 0) + l.pass(e, e.UsualPrompt)
 }
 
+// FirstEventOf is FirstEvent for a request with a prompt of the given size; 0 is the usual size. A
+// prompt of more than a pass can read takes several passes.
+func FirstEventOf(e *catalog.Engine, l GroupLoad, prompt int) time.Duration {
+	if prompt <= 0 {
+		return FirstEvent(e, l)
+	}
+	total, left, perPass := l.pass(e, 0), float64(prompt), float64(e.Chunk*e.Stride)
+	if whole := math.Ceil(left/max(perPass, 1)) - 1; perPass > 0 && whole > 0 {
+		total += time.Duration(whole * float64(l.pass(e, perPass)))
+		left -= whole * perPass
+	}
+	return total + l.pass(e, left)
+}
+
 // InitialMapSkew is the skew assumed while none is known. A newly formed group is on its first map,
 // on which skews of 2.2 to 3.6 were observed; a shift of demand causes about the same.
 const InitialMapSkew = 3.0
@@ -142,7 +157,7 @@
 	if mean < minStreams {
 		return all
 	}
-	all.Unstarted = promptsAtOnce(e, l, min(time.Duration(readFraction*float64(pauseGoal)), within-l.pass(e, 0)))
+	all.Unstarted = promptsAtOnce(e, l, readTime(e, l, pauseGoal))
 	if mean >= e.Slots-1 {
 		return all
 	}
@@ -152,12 +167,17 @@
 // DrainRate returns the streams per second that a rank completes with as many streams as its bounds
 // allow, which is the drain rate of a queue. It is 0 if the engine's figures are missing.
 func DrainRate(e *catalog.Engine, l GroupLoad, b Bounds) float64 {
-	if e.UsualAnswer <= 0 || e.Stride <= 0 {
+	return DrainRateOf(e, l, b, e.UsualAnswer)
+}
+
+// DrainRateOf is DrainRate for answers of the given mean length.
+func DrainRateOf(e *catalog.Engine, l GroupLoad, b Bounds, meanAnswer float64) float64 {
+	if meanAnswer <= 0 || e.Stride <= 0 {
 		return 0
 	}
 	n := float64(min(b.Mean, e.Slots))
 	pass := Pass(e, PassLoad{Mean: n, Max: n, Context: e.UsualPrompt, Skew: max(l.Skew, 1), Pace: l.Pace})
-	return n / (e.UsualAnswer / float64(e.Stride) * pass.Seconds())
+	return n / (meanAnswer / float64(e.Stride) * pass.Seconds())
 }
 
 // promptsAtOnce returns how many prompts of usual length a rank reads within a duration, at least
--- a/services/balance/pool.go
+++ b/services/balance/pool.go
@@ -115,6 +115,8 @@
 	// MaxMean is the mean number of requests per rank from which a group accepts no more requests
 	// of this level; 0 means no limit.
 	MaxMean float64
+	// Size is the size of the request.
+	Size    Size
 	Routers int
 	Exclude map[upstream.ID]bool
 	// Allows reports whether upstreams in a data centre may get the request; nil if all may.
@@ -140,10 +142,10 @@
 			continue
 		}
 		load := v.load(now, p, s)
-		if !s.room(now, load, v.others, v.limit(now, s)) {
+		if !s.room(now, load, v.others, v.limit(now, s)) || !s.fits(now, &a) {
 			continue
 		}
-		if score := p.score(now, s, c, load, a.Engine != nil); score < bestScore {
+		if score := p.score(now, s, c, load, &a); score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -235,9 +237,9 @@
 	return sum
 }
 
-func (p *Pool) score(now time.Time, s *state, c upstream.Instance, load float64, group bool) float64 {
+func (p *Pool) score(now time.Time, s *state, c upstream.Instance, load float64, a *PickOptions) float64 {
 	score := load + errorWeight*s.errorRate(now)
-	if !group {
+	if a.Engine == nil {
 		// A plain upstream works at its own speed: each waiting request takes as long as those
 		// before it.
 		score = (score + 1) * (s.answerTime(now) + latencyFloor)
@@ -247,7 +249,7 @@
 		return score * (1 + plainJitter*p.random())
 	}
 	if s.fresh(now) {
-		score += unstartedWeight * float64(s.allUnstarted())
+		score += unstartedWeight * s.unreadPrompts(a)
 	}
 	// A stream at a slow rank makes the pass longer for all ranks; a fuller rank of normal pace
 	// does not.
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -27,6 +27,9 @@
 	Addresses []string
 	// Running, Waiting and Unstarted hold the request counts of each rank.
 	Running, Waiting, Unstarted []uint
+	// Unread holds the unread prompt tokens of each rank, in units of UnreadUnit; nil if routers do
+	// not report them.
+	Unread []uint
 	// Slow holds the pace of the ranks that are slower than normal.
 	Slow map[int]float64
 	// Silent holds the positions in the list of the ranks that do not answer the coordinator.
@@ -133,6 +136,7 @@
 			r.Silent = append(r.Silent, i)
 		}
 	}
+	r.Unread = packUnread(g.Ranks)
 	if r.Allotted {
 		r.Places = l.counts(g.Places)
 	}
@@ -149,6 +153,7 @@
 	for i, address := range l.Addresses {
 		g.Ranks[i] = RankLoad{Address: address, Running: int(r.Running[i]), Waiting: int(r.Waiting[i]), Unstarted: int(r.Unstarted[i]), Pace: max(r.Slow[i], 1), Silent: slices.Contains(r.Silent, i)}
 	}
+	unpackUnread(g.Ranks, r.Unread)
 	if r.Allotted {
 		g.Places = l.byAddress(r.Places)
 	}
--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -44,6 +44,8 @@
 	// report is the number of the latest report that the router has answered.
 	report    uint64
 	unstarted Unstarted
+	// unread holds the prompt tokens of these requests; nil if the router does not report them.
+	unread Unread
 	// wanted, waiting and rate are from the router's latest reply.
 	wanted, waiting int
 	rate            float64
@@ -108,6 +110,7 @@
 	e.activeAt, e.list = now, w.List
 	if w.List == b.list.Number {
 		e.answeredAt, e.unstarted, e.wanted = now, b.list.UnpackUnstarted(w.Unstarted), w.Wanted
+		e.unread = nil
 	}
 	g.Backlog = b.backlog
 	return b.list.Pack(g, w.List)
@@ -238,6 +241,7 @@
 		return // the router could not read the report; the next one includes the list
 	}
 	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
+	e.unread = list.UnpackUnread(reply.Unread)
 	e.waiting, e.rate = reply.Waiting, reply.Rate
 	e.maxSends, e.backingOff = list.UnpackLimits(reply.Most), list.UnpackRanks(reply.Resting)
 	for n := range e.outstanding {
--- a/services/balance/upstream_state.go
+++ b/services/balance/upstream_state.go
@@ -38,6 +38,8 @@
 	// count last reported to the coordinator, and counted is the part of the latest report that
 	// comes from this router.
 	unstarted, lastReported, counted int
+	// unread holds the prompts of the unstarted requests.
+	unread unreadPrompts
 	// started and ended count this router's answers that have begun and ended since the report.
 	started, ended int
 	report         RankLoad
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -117,6 +117,10 @@
 // load returns the latest known load of the group.
 func (c *coordinator) load(now time.Time) balance.Group {
 	g := balance.Group{Service: c.service, ID: c.first.Group, Open: true, Whole: true, Stalled: c.stalled}
+	usualPrompt := 0
+	if c.engine != nil {
+		usualPrompt = int(c.engine.UsualPrompt)
+	}
 	for _, m := range c.members {
 		if m.ended.After(m.sent) {
 			// The other ranks report the group as broken only when their wait for the rank times
@@ -128,7 +132,7 @@
 			g.Open = g.Open && m.status.Open
 			g.Ranks = append(g.Ranks, balance.RankLoad{
 				Address: m.info.Engine, DataCentre: m.info.DataCentre, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.registry.Unstarted(now, m.info.Engine), Pace: m.status.Pace,
-				Silent: m.silent,
+				Silent: m.silent, Unread: c.registry.Unread(now, m.info.Engine, usualPrompt),
 			})
 		}
 	}
@@ -203,6 +207,7 @@
 	if c.engine == nil {
 		return nil
 	}
-	b := balance.GroupBounds(c.engine, g.Load(), c.goal)
+	load := g.Load()
+	b := balance.GroupBounds(c.engine, load, c.goal).LimitUnread(c.engine, load, c.goal).ForRanks(g.Ranks)
 	return &b
 }
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -103,10 +103,14 @@
 
 // pickOptions describes the requirements of a request for an upstream. The caller holds the lock.
 func (r *Relay) pickOptions(now time.Time, svc *serviceState, x *exchange) balance.PickOptions {
-	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows()}
+	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows(), Size: x.size}
 	if s := r.state.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
-		a.Bounds = balance.GroupBounds(s.Engine, svc.pool.GroupLoad(now), x.route.PauseGoal)
+		load := svc.pool.GroupLoad(now)
+		a.Bounds = balance.GroupBounds(s.Engine, load, x.route.PauseGoal)
+		if x.size.Prompt > 0 {
+			a.Bounds = a.Bounds.LimitUnread(s.Engine, load, x.route.PauseGoal)
+		}
 		a.Leaderless = balance.GroupBounds(s.Engine, balance.GroupLoad{Skew: balance.InitialMapSkew}, x.route.PauseGoal)
 	}
 	return a
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -74,7 +74,7 @@
 		sent := clock.Now()
 		a, res, err := x.attempt(ctx, u)
 		if res == balance.ResultUnsent && ctx.Err() == nil {
-			x.r.release(x.service, u, res, clock.Since(began), false)
+			x.release(u, res, clock.Since(began), false)
 			continue
 		}
 		x.waitedUnsent = 0
@@ -83,7 +83,7 @@
 				return
 			}
 		} else {
-			x.r.release(x.service, u, res, clock.Since(began), false)
+			x.release(u, res, clock.Since(began), false)
 			x.logFailedAttempt(u, res, err)
 			if res == balance.ResultBroken {
 				x.r.probeAfterBreak(ctx, x, u, sent, 0)
@@ -270,7 +270,7 @@
 	} else {
 		a.reuseConn(x.r.conns)
 	}
-	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
+	x.release(a.upstream, res, clock.Since(a.began), a.started)
 	x.logFailedAttempt(a.upstream, res, err)
 }
 
@@ -332,7 +332,7 @@
 	}
 	x.r.recordRun(clock.Now(), x.key(), quarantine.CompletedRun)
 	a.reuseConn(x.r.conns)
-	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
+	x.release(a.upstream, res, clock.Since(a.began), a.started)
 	return &completeAnswer{upstream: a.upstream.ID, status: a.resp.StatusCode, header: x.r.opts.Protocol.CallerHeader(a.resp.Header), body: body}, true
 }
 
--- a/services/relay/bench_test.go
+++ b/services/relay/bench_test.go
@@ -79,7 +79,7 @@
 		if !ok {
 			b.Fatal("no rank has room")
 		}
-		r.release("s", u, balance.ResultOK, time.Second, false)
+		x.release(u, balance.ResultOK, time.Second, false)
 		r.mu.Lock()
 		r.pools["s"].queue = admission.NewQueue(r.pools["s"].pool) // its counters for the last second would grow without bound
 		r.mu.Unlock()
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -200,7 +200,7 @@
 // recordBreak records that an answer was truncated.
 func (x *exchange) recordBreak(ctx context.Context, a *answer, err error) {
 	res := x.brokenResult(ctx)
-	x.r.release(x.service, a.upstream, res, clock.Since(a.began), a.started)
+	x.release(a.upstream, res, clock.Since(a.began), a.started)
 	x.logFailedAttempt(a.upstream, res, err)
 	if res == balance.ResultBroken {
 		x.r.probeAfterBreak(ctx, x, a.upstream, a.began, a.lasted(clock.Now()))
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -19,6 +19,7 @@
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 )
 
 // Reason states why a router answers a request itself. Reasons appear in logs and metrics.
@@ -82,6 +83,9 @@
 	service  service.ID
 	account  account.ID
 	urgency  int
+	// size is the size of the request. It does not change when the catalog does, as the pool counts
+	// the request with it until its answer begins.
+	size balance.Size
 	// homes restricts the regions whose upstreams may get the request.
 	homes homes
 	// maxBytes bounds the body.
@@ -218,6 +222,7 @@
 	}
 	x.homes.restrict(x.route.Homes)
 	x.service = pickService(x.route)
+	x.size = sizeOf(index, x.service, &x.meta)
 	x.r.serviceState(x.arrived, x.service).budget.Request(x.arrived)
 	left := defaultTimeout
 	if x.route.Timeout > 0 {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -161,6 +161,8 @@
 type RouterLoad struct {
 	// Unstarted counts the requests at each rank whose answer has not begun.
 	Unstarted balance.Unstarted
+	// Unread holds the prompt tokens of these requests; nil if none are declared.
+	Unread balance.Unread
 	// Wanted is the number of requests that the router would like to send until the next report;
 	// Waiting is how many of them wait.
 	Wanted, Waiting int
@@ -202,6 +204,7 @@
 	}
 	svc := r.serviceState(now, id)
 	unstarted := svc.pool.Report(now, g, ids)
+	unread := svc.pool.Unread(&g, ids)
 	r.wake(now, svc)
 	r.rerouteStuck(now, svc)
 	most, resting := svc.pool.SendLimits(now, ids)
@@ -209,7 +212,7 @@
 		most[u.Address] = 0
 	}
 	return RouterLoad{
-		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
+		Unstarted: unstarted, Unread: unread, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
 		Most: most, Resting: resting,
 	}
 }
@@ -303,12 +306,15 @@
 }
 
 // release records the end of an attempt.
-func (r *Relay) release(id service.ID, u upstream.Instance, res balance.Result, took time.Duration, started bool) {
-	now := clock.Now()
+func (x *exchange) release(u upstream.Instance, res balance.Result, took time.Duration, started bool) {
+	now, r := clock.Now(), x.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	svc := r.serviceState(now, id)
+	svc := r.serviceState(now, x.service)
 	svc.pool.Done(now, u.Run(), res, took, started)
+	if !started {
+		svc.pool.PromptRead(u.Run(), x.size)
+	}
 	r.wake(now, svc)
 	if res == balance.ResultUnreached || res == balance.ResultStranger {
 		r.conns.CloseIdle(u.Address)
@@ -327,11 +333,16 @@
 }
 
 // started records that the answer of an upstream has begun.
-func (r *Relay) started(id service.ID, u upstream.Instance) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (x *exchange) started(u upstream.Instance) {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
 	now := clock.Now()
-	r.serviceState(now, id).pool.Started(now, u.Run())
+	svc := x.r.serviceState(now, x.service)
+	svc.pool.Started(now, u.Run())
+	svc.pool.PromptRead(u.Run(), x.size)
+	if x.size.PromptDeclared || svc.queue.WaitsBySize() {
+		x.r.wake(now, svc) // the upstream may read another prompt
+	}
 }
 
 // mayRetry takes one retry out of the budget of a service.
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -42,7 +42,8 @@
 
 func (protocol) ParseRequest(h http.Header) services.CallerMeta {
 	ms, _ := strconv.Atoi(h.Get("Patience"))
-	return services.CallerMeta{ID: request.ID(h.Get("Id")), Key: catalog.Key(h.Get("Key")), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last")}
+	prompt, _ := strconv.Atoi(h.Get("Prompt"))
+	return services.CallerMeta{ID: request.ID(h.Get("Id")), Key: catalog.Key(h.Get("Key")), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), PromptTokens: prompt}
 }
 
 func (protocol) UpstreamHeader(h http.Header, o services.OutgoingMeta) http.Header {
--- a/services/relay/reroute.go
+++ b/services/relay/reroute.go
@@ -66,6 +66,7 @@
 	}
 	if !svc.budget.Take(now) {
 		svc.pool.Done(now, next.Run(), balance.ResultUnsent, 0, false)
+		svc.pool.PromptRead(next.Run(), x.size)
 		return false
 	}
 	x.retryTaken, x.next = true, &next
@@ -106,6 +107,6 @@
 // the request was rerouted.
 func (x *exchange) releaseNext() {
 	if u, ok := x.takeNext(); ok {
-		x.r.release(x.service, u, balance.ResultUnsent, 0, false)
+		x.release(u, balance.ResultUnsent, 0, false)
 	}
 }
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -72,13 +72,13 @@
 	case err == nil:
 		x.r.recordRun(clock.Now(), x.key(), quarantine.CompletedRun)
 		a.reuseConn(x.r.conns)
-		x.r.release(x.service, a.upstream, balance.ResultOK, clock.Since(a.began), a.started)
+		x.release(a.upstream, balance.ResultOK, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonAnswered)
 		return true
 	case x.req.Context().Err() != nil:
 		x.r.recordRun(clock.Now(), x.key(), a.lasted(a.latestAt))
 		a.drop()
-		x.r.release(x.service, a.upstream, balance.ResultCancelled, clock.Since(a.began), a.started)
+		x.release(a.upstream, balance.ResultCancelled, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonCallerDisconnected)
 		panic(http.ErrAbortHandler)
 	}
@@ -104,7 +104,7 @@
 		a.latestAt = clock.Now()
 		if !a.started {
 			a.started, a.startedAt = true, a.latestAt
-			x.r.started(x.service, a.upstream)
+			x.started(a.upstream)
 		}
 		if !x.stream.begun {
 			x.stream.begun = true
