--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -44,8 +44,9 @@
 	}
 	demand := r.opts.Relay.Report(now, g)
 	return balance.ReportReply{
-		List: list.Number, Unstarted: list.PackUnstarted(demand.Unstarted), Unread: list.PackUnread(demand.Unread), Wanted: demand.Wanted, Waiting: demand.Waiting, Rate: demand.Rate, Idle: demand.Idle,
+		List: list.Number, Unstarted: list.PackUnstarted(demand.Unstarted), Wanted: demand.Wanted, Waiting: demand.Waiting, Rate: demand.Rate, Idle: demand.Idle,
 		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting),
+		Unread: list.PackUnread(demand.Unread),
 	}
 }
 
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -212,8 +212,9 @@
 		most[u.Address] = 0
 	}
 	return RouterLoad{
-		Unstarted: unstarted, Unread: unread, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
+		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
 		Most: most, Resting: resting,
+		Unread: unread,
 	}
 }
 
