--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -51,6 +51,8 @@
 	Unstarted int
 	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
 	Unread int
+	// Prompt is the number of prompt tokens with which a place counts against Unread.
+	Prompt int
 	// LevelMeans holds the mean number of requests per rank up to which each level gets places; 0
 	// means that only Rank and Mean apply, as for services without levels.
 	LevelMeans [urgency.MaxLevels]float64
@@ -130,7 +132,7 @@
 	}
 	for i, rank := range ranks {
 		r.loads[i] = float64(rank.requests() + outstanding[rank.Address])
-		r.unstarted[i] = max(rank.Waiting, rank.Unstarted) + outstanding[rank.Address]
+		r.unstarted[i] = b.unstarted(&rank) + outstanding[rank.Address]
 		r.free -= r.loads[i]
 	}
 	return r
@@ -200,7 +202,7 @@
 		if blocked[i] || rank.Silent || r.skipSlow && rank.slow() || !r.room(i) {
 			continue
 		}
-		load := (r.loads[i] + unstartedWeight*float64(max(rank.Waiting, rank.Unstarted))) * max(rank.Pace, 1)
+		load := (r.loads[i] + unstartedWeight*r.bounds.unreadPrompts(rank)) * max(rank.Pace, 1)
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -119,6 +119,7 @@
 		s.slots, s.allotted = g.Places[r.Address], g.Places != nil
 		s.counted, s.lastReported = s.lastReported, s.unstarted
 		p.sends[g.ID] += s.unstarted - min(s.counted, r.Unstarted)
+		s.unread.report()
 		if s.unstarted > 0 {
 			reply[r.Address] = s.unstarted
 		}
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -116,7 +116,7 @@
 
 // pickOptions describes the requirements of a request for an upstream. The caller holds the lock.
 func (r *Relay) pickOptions(now time.Time, svc *serviceState, x *exchange) balance.PickOptions {
-	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows()}
+	a := balance.PickOptions{Routers: r.routers, Exclude: x.tried, Allows: x.allows(), Size: x.size}
 	if s := r.state.Index().Service(x.service); s != nil && s.Engine != nil {
 		a.Engine = s.Engine
 		load := svc.pool.GroupLoad(now)
@@ -125,6 +125,9 @@
 			// A stream that another upstream continues was admitted before.
 			a.MaxMean = balance.LevelMean(s.Engine, load.Pace, x.route.PauseGoal, x.level, x.levels)
 		}
+		if x.size.Prompt > 0 {
+			a.Bounds = a.Bounds.LimitUnread(s.Engine, load, x.route.PauseGoal)
+		}
 		a.Leaderless = balance.GroupBounds(s.Engine, balance.GroupLoad{Skew: balance.InitialMapSkew}, x.route.PauseGoal)
 	}
 	return a
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -21,6 +21,7 @@
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/admission"
+	"fawnwinch.org/fawnwinch/services/balance"
 )
 
 // Reason states why a router answers a request itself. Reasons appear in logs and metrics.
@@ -90,6 +91,9 @@
 	order  urgency.Urgency
 	level  urgency.Level
 	levels int
+	// size is the size of the request. It does not change when the catalog does, as the pool counts
+	// the request with it until its answer begins.
+	size balance.Size
 	// homes restricts the regions whose upstreams may get the request.
 	homes homes
 	// maxBytes bounds the body.
@@ -232,6 +236,7 @@
 	x.service = pickService(x.route)
 	levels := index.Levels(x.service)
 	x.order, x.level, x.levels = index.Urgency(x.route, a), levels.Level(x.route.Priority), len(levels)
+	x.size = sizeOf(index, x.service, &x.meta)
 	x.r.serviceState(x.arrived, x.service).budget.Request(x.arrived)
 	left := defaultTimeout
 	if x.route.Timeout > 0 {
