--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		if !x.allowAttempt(ctx) {
-			x.retryAfter = x.r.afterNotRun(x)
+			x.retryAfter, x.spread = x.r.afterNotRun(x), false
 			ref := x.busy()
 			ref.reason = ReasonNotRun
 			x.fail(ctx, ref)
