Replay: recovery from a power failure

Cause: nothing measured how long callers are late after groups open again. Patterns may set goals and the skew that coordinators assume.

--- a/services/rank/cluster_view_test.go
+++ b/services/rank/cluster_view_test.go
@@ -7,7 +7,10 @@
 	"context"
 	"slices"
 	"testing"
+	"time"
 
+	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -76,3 +79,20 @@
 	}
 	return out
 }
+
+// TestGoals checks that a coordinator uses the shortest goals of the routes to its service, and that
+// routes without a goal or to another service do not count: bounds by a wrong goal make all streams
+// late.
+func TestGoals(t *testing.T) {
+	route := func(to string, goal, pauseGoal time.Duration) catalog.Route {
+		return catalog.Route{Goal: goal, PauseGoal: pauseGoal, Targets: []catalog.Target{{Service: service.ID(to)}}}
+	}
+	k := &catalog.Catalog{Routes: []catalog.Route{
+		route("m", time.Second, 0), route("m", 400*time.Millisecond, 150*time.Millisecond), route("m", 0, 120*time.Millisecond), route("other", time.Millisecond, time.Millisecond),
+	}}
+	var s clusterView
+	s.addCatalog(k, "m")
+	if s.answerGoal != 400*time.Millisecond || s.goal != 120*time.Millisecond {
+		t.Errorf("goals %s and %s, want 400ms and 120ms", s.answerGoal, s.goal)
+	}
+}
--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -4,6 +4,7 @@
 package replay
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -39,6 +40,8 @@
 	rate func(at time.Duration) float64
 	skew func(at time.Duration) float64
 	pace func(rank int, at time.Duration) float64
+	// assumedSkew returns the skew that coordinators report at a time; nil if it is the actual one.
+	assumedSkew func(at time.Duration) float64
 	// closed reports whether the group is broken: ranks refuse everything.
 	closed func(at time.Duration) bool
 	// ledFrom is when a coordinator starts to report on the group.
@@ -54,6 +57,10 @@
 	ignoreBackOff bool
 	// withoutSendLimits reports whether routers do not report their send limits to coordinators.
 	withoutSendLimits bool
+	// withoutCatchUp reports whether coordinators keep the usual bounds after an opening.
+	withoutCatchUp bool
+	// goal and pauseGoal are the goals of all callers; 0 for those of instant transfers.
+	goal, pauseGoal time.Duration
 	// reportAge is the age of a report when the next one arrives; negative if there are none.
 	reportAge time.Duration
 	duration  time.Duration
@@ -76,9 +83,16 @@
 	networkDelay = time.Millisecond
 )
 
+// goals returns the goals for the first event and for pauses.
+func (p *pattern) goals() (first, pause time.Duration) {
+	return cmp.Or(p.goal, goal), cmp.Or(p.pauseGoal, pauseGoal)
+}
+
 // caller is one request with its retry.
 type caller struct {
 	arrived time.Time
+	// tried is when the request was last sent to a router.
+	tried   time.Time
 	tries   int
 	first   time.Duration
 	latest  time.Time
@@ -182,15 +196,24 @@
 	loads []balance.RankLoad
 	// ledger grants the permits for ranks that limit their requests.
 	ledger *quota.Ledger
-	res    result
+	// openedAt holds when each group was first reported open after it was not.
+	openedAt []time.Time
+	// callers holds all callers.
+	callers []*caller
+	res     result
 }
 
 // play simulates a pattern with the project's decisions, or with another policy.
-func play(p pattern, choose policy) result {
+func play(p pattern, choose policy) result { return playWorld(p, choose).res }
+
+// playWorld is play; it returns the world at its end.
+func playWorld(p pattern, choose policy) *world {
 	w := &world{
 		p: p, rand: rand.New(rand.NewPCG(p.seed, 7)), arrivalRand: rand.New(rand.NewPCG(p.seed, 8)), begin: time.Unix(1000, 0), now: time.Unix(1000, 0), choose: choose,
-		ids: map[string]upstream.Run{}, ledger: quota.NewLedger(), leaderless: balance.GroupBounds(p.params, balance.GroupLoad{Skew: balance.InitialMapSkew}, pauseGoal),
+		ids: map[string]upstream.Run{}, ledger: quota.NewLedger(),
 	}
+	_, pause := p.goals()
+	w.leaderless = balance.GroupBounds(p.params, balance.GroupLoad{Skew: balance.InitialMapSkew}, pause)
 	w.createGroups()
 	for i := range p.ranks {
 		id := fmt.Sprint("e", i)
@@ -219,7 +242,7 @@
 	for _, e := range w.engines {
 		w.res.longest = max(w.res.longest, e.longest)
 	}
-	return w.res
+	return w
 }
 
 // firstSkew is the skew of a group without a coordinator, which stays on its first map.
@@ -237,6 +260,7 @@
 		pace := func(rank int, at time.Duration) float64 { return w.p.pace(g*size+rank, at) }
 		w.engines = append(w.engines, &engine{params: w.p.params, queue: w.p.queue, ranks: make([]engineRank, size), skew: skew, pace: pace})
 		w.books = append(w.books, balance.NewRouterRegistry(1))
+		w.openedAt = append(w.openedAt, time.Time{})
 	}
 }
 
@@ -274,6 +298,7 @@
 		c.tries++
 	}
 	w.res.callers++
+	w.callers = append(w.callers, c)
 	w.after(c.arrived.Add(callerTimeout).Sub(w.now), func() { w.expire(c) })
 	w.try(c)
 }
@@ -284,6 +309,7 @@
 		return
 	}
 	c.tries++
+	c.tried = w.now
 	r := w.routers[w.rand.IntN(len(w.routers))]
 	r.budget.Request(w.now)
 	w.decide(c, r, map[upstream.ID]bool{})
@@ -300,6 +326,7 @@
 		return
 	}
 	left := c.arrived.Add(callerTimeout).Sub(w.now)
+	goal, _ := w.p.goals()
 	x := &admission.Request{Route: "r", Goal: goal, Arrived: w.now, Deadline: w.now.Add(left), Patience: left, Timeout: callerTimeout, Ask: w.askFor(r, tried)}
 	c.request = x
 	w.wake(r)
@@ -325,6 +352,7 @@
 
 // askFor returns what a request requires of the ranks.
 func (w *world) askFor(r *router, tried map[upstream.ID]bool) balance.PickOptions {
+	_, pauseGoal := w.p.goals()
 	return balance.PickOptions{
 		Engine: w.p.params, Routers: len(w.routers), Exclude: tried,
 		Bounds:     balance.GroupBounds(w.p.params, r.pool.GroupLoad(w.now), pauseGoal),
@@ -481,7 +509,7 @@
 	s.router.pool.Done(w.now, w.ups[s.rank].Run(), balance.ResultOK, 0, true)
 	w.wake(s.router)
 	c.done = true
-	if c.first <= goal && c.pause <= pauseGoal {
+	if goal, pauseGoal := w.p.goals(); c.first <= goal && c.pause <= pauseGoal {
 		w.res.earned++
 		return
 	}
@@ -522,12 +550,15 @@
 	w.after(max(age, 70*time.Millisecond), func() { w.reportGroup(index) })
 	e, book := w.engines[index], w.books[index]
 	g := balance.Group{Service: "s", ID: group.ID(fmt.Sprint("g", index)), Open: !w.closed(), Whole: true, Skew: e.skew(w.at())}
+	if w.p.assumedSkew != nil {
+		g.Skew = w.p.assumedSkew(w.at())
+	}
 	for rank := range e.ranks {
 		running, waiting, pace := e.load(rank, w.at())
 		address := string(w.ups[index*len(e.ranks)+rank].ID)
 		g.Ranks = append(g.Ranks, balance.RankLoad{Address: address, Running: running, Waiting: waiting, Pace: pace, Unstarted: book.Unstarted(w.now, address)})
 	}
-	bounds := balance.GroupBounds(w.p.params, g.Load(), pauseGoal)
+	bounds := w.bounds(index, g)
 	targets := book.Targets(w.now, w.infos)
 	number, allotments := book.StartReport(w.now, targets, g.Ranks, &bounds)
 	for _, n := range targets {
@@ -542,6 +573,23 @@
 	}
 }
 
+// bounds returns the bounds that the coordinator of a group applies.
+func (w *world) bounds(index int, g balance.Group) balance.Bounds {
+	goal, pauseGoal := w.p.goals()
+	usual := balance.GroupBounds(w.p.params, g.Load(), pauseGoal)
+	switch {
+	case !g.Open:
+		w.openedAt[index] = time.Time{}
+	case w.openedAt[index].IsZero():
+		w.openedAt[index] = w.now
+	}
+	if w.p.withoutCatchUp {
+		return usual
+	}
+	o := balance.Opening{At: w.openedAt[index], Waiting: w.books[index].Waiting(w.now), Ranks: len(g.Ranks), Goal: goal}
+	return balance.CatchUpBounds(w.now, w.p.params, g.Load(), usual, o)
+}
+
 func (w *world) indexOf(name string) int {
 	var i int
 	_, _ = fmt.Sscanf(name, "r%d", &i)
