Admission: new requests of a limited level that can be in time come first

Cause: returning requests came before new ones, and all waiting requests of a level counted as ahead of a new one.

Change: at limited levels new requests that can be in time precede returning ones; the forecast counts only the requests that precede.

--- a/services/admission/ranked.go
+++ b/services/admission/ranked.go
@@ -84,16 +84,20 @@
 	return wait
 }
 
-// precedes reports whether a waiting request of a ranked service comes before another one.
+// precedes reports whether a waiting request of a ranked service comes before another one. Returning
+// requests come first, as their callers do not return again, with one exception: at a limited level,
+// new requests that can be in time do. In a replay of an overload without it, each caller was
+// rejected once before it was served, nobody was in time, and this went on after the overload.
 func (x *Request) precedes(now time.Time, o *Request) bool {
 	if c := x.Urgency.Compare(o.Urgency); c != 0 {
 		return c < 0
 	}
-	if mine, theirs := now.Before(x.inTimeUntil()), now.Before(o.inTimeUntil()); mine != theirs {
-		return mine
+	inTime := now.Before(x.inTimeUntil())
+	if inTime != now.Before(o.inTimeUntil()) {
+		return inTime
 	}
 	if x.retried != o.retried {
-		return x.retried
+		return x.retried != (inTime && x.limited())
 	}
 	return x.before(now, o)
 }
@@ -251,7 +255,7 @@
 // Forecast is the forecast wait of a request.
 type Forecast struct {
 	Wait time.Duration
-	// Ahead is the number of requests of the same and more urgent levels that wait at all routers.
+	// Ahead is the number of requests that wait at all routers and come before the request.
 	Ahead int
 }
 
@@ -260,7 +264,8 @@
 	if !x.Ranked() {
 		return Forecast{Wait: q.queueWait(now, x.Ask.Engine, x.Ask.Bounds), Ahead: len(q.waiting)}
 	}
-	ahead, rate, free, wait := q.ahead(x.Level), q.Rate(now), 0, 0.0
+	local, waiting := q.preceding(now, x), q.ahead(x.Level)
+	ahead, rate, free, wait := local, q.Rate(now), 0, 0.0
 	if ranks, opened := q.pool.OpenRanks(now, rateWindow); opened {
 		b := x.Ask.Bounds
 		if x.Ask.MaxMean > 0 {
@@ -269,7 +274,11 @@
 		rate = max(rate, float64(ranks)*balance.DrainRate(x.Ask.Engine, q.pool.GroupLoad(now), b))
 	}
 	if b, ok := q.pool.Backlog(now); ok {
-		ahead, rate, wait = max(ahead, q.reportedAhead(b, x)), max(rate, b.Rate), reportInterval.Seconds()
+		reported := q.reportedAhead(b, x)
+		if waiting > 0 {
+			reported = reported * local / waiting // as many at other routers come before it as here
+		}
+		ahead, rate, wait = max(ahead, reported), max(rate, b.Rate), reportInterval.Seconds()
 		if q.pool.BelowMean(now, x.Ask.MaxMean) {
 			free = b.Free
 		}
@@ -279,6 +288,17 @@
 	return Forecast{Wait: time.Duration(wait * float64(time.Second)), Ahead: ahead}
 }
 
+// preceding returns the number of requests that wait here and come before a request.
+func (q *Queue) preceding(now time.Time, x *Request) int {
+	n := 0
+	for _, o := range q.waiting {
+		if !x.precedes(now, o) {
+			n++
+		}
+	}
+	return n
+}
+
 // ahead returns the number of requests of a level and of more urgent ones that wait here.
 func (q *Queue) ahead(level urgency.Level) int {
 	n := 0
