Rank: a candidate asks on until an agent of its own group answers

Cause: before a claim a candidate asks random agents of the service until three of its group have answered, and it counted silent agents as such, although they may be of other groups. With the coordinators of five groups of three dead, three of the five dead agents were often drawn before the one agent of the group that was alive; the candidate took itself for cut off and backed off.

The simulated deployments print all claims with their answers, and the agents' logs, when a test fails.

--- a/services/rank/campaign.go
+++ b/services/rank/campaign.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,7 +25,8 @@
 	// registerAfter is how long an agent that has started waits for contact before it registers:
 	// one that was registered before is known already, and each registration is paid for.
 	registerAfter = 1500 * time.Millisecond
-	// probedAgents is the number of other agents that are asked for a coordinator before a claim.
+	// probedAgents is the number of other agents that are asked for a coordinator before a claim. More
+	// are asked until one of the group answers.
 	probedAgents = 3
 )
 
@@ -125,15 +127,15 @@
 			return
 		}
 	}
-	led, reached := a.othersLed(ctx, s.agents, r.Status.Group)
+	p := a.probe(ctx, s.agents, r.Status.Group)
 	switch {
-	case led:
+	case p.led:
 		a.recordTry(TryOthersLed)
 		return
-	case !reached && r.Status.Size > 1:
+	case p.answered == 0 && r.Status.Size > 1:
 		// An agent that is cut off from the others cannot lead them, but its claim would depose the
 		// coordinator that does.
-		a.failed(TryNoAgent, errNoAgent)
+		a.failed(TryNoAgent, fmt.Errorf("%w: %d silent, %d of other groups", errNoAgent, p.silent, p.foreign))
 		return
 	}
 	authority, err := a.claim(ctx, s.agents, r.Status.Group)
@@ -204,24 +206,42 @@
 // errNoAgent reports that no other agent of the group has answered.
 var errNoAgent = eris.New("no other agent of the group answered")
 
-// othersLed asks randomly chosen other agents of the group whether they have contact with a
-// coordinator, and processes their answers. It also reports whether any has answered. Agents of
-// other groups are not counted; their group is known only when they answer.
-func (a *Agent) othersLed(ctx context.Context, agents []peer.Info, g group.ID) (led, reached bool) {
+// probeResult is what the agents that were asked before a claim have answered.
+type probeResult struct {
+	// led reports whether the group has a coordinator.
+	led bool
+	// answered counts the agents of the group that have answered, silent those without an answer,
+	// whose group is not known, and foreign those of other groups.
+	answered, silent, foreign int
+}
+
+// enough reports whether no further agents need to be asked. Silent agents alone are not enough:
+// they may all be of other groups, whose agents have died.
+func (p *probeResult) enough() bool { return p.answered > 0 && p.answered+p.silent >= probedAgents }
+
+// probe asks randomly chosen other agents whether they have contact with a coordinator of the
+// group, and processes their answers. Which agents are of the group is known only when they answer.
+func (a *Agent) probe(ctx context.Context, agents []peer.Info, g group.ID) (p probeResult) {
 	order := rand.Perm(len(agents)) //nolint:gosec // no secret
-	for own := 0; own < probedAgents && len(order) > 0; {
-		n := min(probedAgents, len(order))
+	for n := probedAgents; !p.enough() && len(order) > 0; {
+		n = min(n, len(order))
 		for _, r := range a.askLeads(ctx, agents, order[:n], g) {
-			if r != nil && r.Foreign {
-				continue
+			switch {
+			case r == nil:
+				p.silent++
+			case r.Foreign:
+				p.foreign++
+			default:
+				p.answered++
+				p.led = a.accept(*r) || p.led
 			}
-			own++
-			reached = reached || r != nil
-			led = r != nil && a.accept(*r) || led
 		}
 		order = order[n:]
+		if p.silent >= probedAgents {
+			n *= 2 // each round takes peerTimeout
+		}
 	}
-	return led, reached
+	return p
 }
 
 // askLeads asks agents, given by their indexes, for their coordinator. The answer of a silent agent
--- a/services/rank/lead_test.go
+++ b/services/rank/lead_test.go
@@ -21,6 +21,7 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/election"
 	"fawnwinch.org/fawnwinch/services/peer"
 
 	"github.com/rs/zerolog"
@@ -41,6 +42,9 @@
 	agents map[string]*simAgent
 	nodes  []services.Change[peer.Info]
 	claims map[group.ID][]string
+	// history holds what the agents logged and the answers to their claims; it is printed when a
+	// test fails.
+	history history
 	// era is the era of the store.
 	era services.Era
 	// away reports whether the store is unavailable; loss is the fraction of calls without an
@@ -94,7 +98,7 @@
 		Self: a.info, Engine: idleEngine{d, a}, Store: simStore{d, a.info.Name}, Pool: simPool{d, a}, Bootstrap: bootstrap,
 		Dial: func(engine string) services.RankEngine {
 			return idleEngine{d, d.agents[strings.TrimPrefix(engine, "engine of ")]}
-		}, Logger: zerolog.Nop(),
+		}, Logger: zerolog.New(&d.history).Hook(historyHook{a.info.Name}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	d.mu.Lock()
@@ -134,6 +138,9 @@
 
 // finish ends a simulation, also one that has failed.
 func (d *deployment) finish() {
+	if d.t.Failed() {
+		d.t.Log(d.history.String())
+	}
 	d.killAll()
 	time.Sleep(2 * loadTimeout) // calls under way end
 }
@@ -267,6 +274,37 @@
 	return b
 }
 
+// history holds lines with the times at which they were written.
+type history struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (h *history) add(line string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	fmt.Fprintln(&h.lines, time.Now().Format("04:05.000"), strings.TrimSpace(line))
+}
+
+// Write implements io.Writer for the loggers of agents.
+func (h *history) Write(p []byte) (int, error) {
+	h.add(string(p))
+	return len(p), nil
+}
+
+// String returns all lines.
+func (h *history) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lines.String()
+}
+
+// historyHook adds the name of the agent to its log lines.
+type historyHook struct{ name string }
+
+// Run implements zerolog.Hook.
+func (h historyHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) { e.Str("agent", h.name) }
+
 // simPool carries the calls of one agent.
 type simPool struct {
 	d    *deployment
@@ -411,11 +449,14 @@
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	claims := s.d.claims[group.ID(g)]
-	if int(end.Offset) != len(claims) {
-		return s.d.end(len(claims)), false, nil
-	}
-	s.d.claims[group.ID(g)] = append(claims, name)
-	return s.d.end(len(claims) + 1), true, nil
+	won := int(end.Offset) == len(claims)
+	if won {
+		claims = append(claims, name)
+		s.d.claims[group.ID(g)] = claims
+	}
+	after := s.d.end(len(claims))
+	s.d.history.add(fmt.Sprintf("%s claims %s after %s: won=%t authority=%d", name, g, end, won, election.AuthorityAt(after)))
+	return after, won, nil
 }
 
 func (s simStore) LastClaimant(ctx context.Context, g string, end services.Position) (string, error) {
