Balance: shares by pace, and waiting times decide between data centres

Cause: a rank got as many requests as the others below twice the usual pace, and none above it. The weight of a router's demand for ranks in other data centres stayed a quarter, however long its requests had waited.

Change: a rank that is slower than the mean gets at most the mean limit x mean pace / its pace, where the pause goal limits the group. Routers report how long their oldest request has waited (ReportReply.Oldest), and the weight rises from 0.25 to 1 at half of the goal. RankLoad.AssumedPace replaces Pace for the shares if it is set.

--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -23,8 +23,9 @@
 	DataCentre vm.DataCentre
 	// Levels divides Requests by level; nil if the service has no levels.
 	Levels []LevelDemand
-	// Oldest is how long the router's oldest request has waited.
-	Oldest time.Duration
+	// Oldest is how long the router's oldest request has waited, and Goal the time within which
+	// requests should be answered; 0 if unknown.
+	Oldest, Goal time.Duration
 	// Most limits the requests to some ranks, by the limits that these ranks report; others are
 	// unlimited.
 	Most SendLimits
@@ -49,6 +50,9 @@
 	// Unstarted is the limit for requests at a rank whose prompts are still to be read; 0 means no
 	// limit.
 	Unstarted int
+	// Goal is the shortest time within which routes to the service want the first event; 0 if
+	// unknown.
+	Goal time.Duration
 	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
 	Unread int
 	// LevelMeans holds the mean number of requests per rank up to which each level gets places; 0
@@ -82,7 +86,7 @@
 func NewAllotter() *Allotter { return &Allotter{credit: map[creditKey]float64{}} }
 
 // remoteWeight is the weight of demand from another data centre, relative to demand from the same
-// one. Routers get allotments in both, so that a data centre with more callers than its ranks can
+// one, while no request waits. Routers get allotments in both, so that a data centre with more callers than its ranks can
 // serve makes progress; traffic between data centres is billed.
 const remoteWeight = 0.25
 
@@ -107,10 +111,10 @@
 		unstarted[i] = max(r.Waiting, r.Unstarted) + outstanding[r.Address]
 		left -= loads[i]
 	}
-	skipSlow := canSkipSlow(ranks)
+	limits, skipSlow := rankLimits(ranks, b), canSkipSlow(ranks)
 	allotted := Allotment{}
 	for left >= 1 {
-		i := leastLoaded(ranks, loads, unstarted, b, skipSlow)
+		i := leastLoaded(ranks, loads, unstarted, limits, b, skipSlow)
 		if i < 0 {
 			break
 		}
@@ -147,7 +151,7 @@
 )
 
 // slow reports whether a rank takes much longer than normal.
-func (r *RankLoad) slow() bool { return r.Pace >= slowPace }
+func (r *RankLoad) slow() bool { return r.pace() >= slowPace }
 
 // canSkipSlow reports whether the slow ranks are few enough to skip them.
 func canSkipSlow(ranks []RankLoad) bool {
@@ -163,13 +167,13 @@
 // leastLoaded returns the rank for the next allotted request, or -1 if there is none. A stream at a
 // slow rank makes the pass longer for all ranks, so its load is weighted by the pace; with
 // skipSlow, slow ranks get none. Silent ranks never get any.
-func leastLoaded(ranks []RankLoad, loads []float64, unstarted []int, b Bounds, skipSlow bool) int {
+func leastLoaded(ranks []RankLoad, loads []float64, unstarted []int, limits []float64, b Bounds, skipSlow bool) int {
 	best, bestLoad := -1, math.Inf(1)
 	for i := range ranks {
-		if loads[i] >= float64(b.Rank) || ranks[i].Silent || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
+		if loads[i] >= limits[i] || ranks[i].Silent || skipSlow && ranks[i].slow() || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
 			continue
 		}
-		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
+		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * ranks[i].pace()
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
@@ -182,7 +186,7 @@
 func (d Demand) weight(at vm.DataCentre) float64 {
 	weight := float64(d.Requests + 1)
 	if d.DataCentre != at {
-		weight *= remoteWeight
+		weight *= d.remoteWeight()
 	}
 	return weight
 }
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -85,6 +85,9 @@
 	Unread int
 	// Pace is the rank's step time relative to the normal one; 1 is normal.
 	Pace float64
+	// AssumedPace is the pace by which the coordinator allots requests; 0 for Pace. It is higher than
+	// Pace for some time after the rank was slow, and it is not sent to routers.
+	AssumedPace float64
 	// Silent reports whether neither the rank's agent nor its engine answers the coordinator. Its VM
 	// may be frozen.
 	Silent bool
--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -44,9 +44,10 @@
 	// report is the number of the latest report that the router has answered.
 	report    uint64
 	unstarted Unstarted
-	// wanted, waiting and rate are from the router's latest reply.
+	// wanted, waiting, rate and oldest are from the router's latest reply.
 	wanted, waiting int
 	rate            float64
+	oldest          time.Duration
 	// maxSends limits the requests that the router may send to some ranks.
 	maxSends SendLimits
 	// backingOff holds the ranks that have asked the router to back off.
@@ -167,7 +168,7 @@
 		}
 		b.backlog.Waiting += e.waiting
 		b.backlog.Rate += e.rate
-		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Most: e.maxSends, Resting: e.backingOff})
+		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Most: e.maxSends, Resting: e.backingOff, Oldest: e.oldest, Goal: bounds.Goal})
 		for _, allotment := range e.outstanding {
 			for address, n := range allotment {
 				outstanding[address] += n
@@ -238,7 +239,7 @@
 		return // the router could not read the report; the next one includes the list
 	}
 	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
-	e.waiting, e.rate = reply.Waiting, reply.Rate
+	e.waiting, e.rate, e.oldest = reply.Waiting, reply.Rate, oldestOf(reply)
 	e.maxSends, e.backingOff = list.UnpackLimits(reply.Most), list.UnpackRanks(reply.Resting)
 	for n := range e.outstanding {
 		if n < report {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -166,6 +166,8 @@
 	Wanted, Waiting int
 	// Rate is the number of requests that the router sends per second.
 	Rate float64
+	// Oldest is how long the oldest waiting request has waited.
+	Oldest time.Duration
 	// Idle reports whether there has been no request for a while.
 	Idle bool
 	// Most bounds the number of requests that the router may send to some ranks. It is 0 for ranks
@@ -210,7 +212,7 @@
 	}
 	return RouterLoad{
 		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
-		Most: most, Resting: resting,
+		Oldest: svc.queue.Oldest(now), Most: most, Resting: resting,
 	}
 }
 
