--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -58,6 +58,8 @@
 	reportAge time.Duration
 	duration  time.Duration
 	seed      uint64
+	// uneven describes the data centres of the deployment; nil for one.
+	uneven *uneven
 }
 
 // Expectations of the simulated callers, as for instant transfers.
@@ -84,8 +86,10 @@
 	latest  time.Time
 	pause   time.Duration
 	done    bool
-	request *admission.Request
-	stream  *stream
+	// dataCentre is where the caller is, if the pattern has several data centres.
+	dataCentre int
+	request    *admission.Request
+	stream     *stream
 	// waitFrom is when the caller began to wait at a router.
 	waitFrom time.Time
 }
@@ -112,6 +116,8 @@
 	// rejectedByRanks the rejections by ranks, and lost the callers that were never served.
 	late, rejected, rejectedWithRoom, rejectedAfterWait, rejectedByRanks, lost int
 	longest                                                                    time.Duration
+	// at holds the callers of each data centre, and those of them that were answered in time.
+	at []dataCentreResult
 }
 
 func (r result) goodput() float64 { return r.earned / r.callers }
@@ -194,16 +200,16 @@
 	w.createGroups()
 	for i := range p.ranks {
 		id := fmt.Sprint("e", i)
-		w.ups = append(w.ups, upstream.Instance{ID: upstream.ID(id), Service: "s", Address: id, Slots: p.params.Slots, State: upstream.StateReady})
+		w.ups = append(w.ups, upstream.Instance{ID: upstream.ID(id), Service: "s", Address: id, Slots: p.params.Slots, State: upstream.StateReady, DataCentre: p.uneven.name(i)})
 		w.ids[id] = w.ups[i].Run()
 	}
 	for i := range p.routers {
-		pool := balance.NewPool("")
+		pool := balance.NewPool(p.uneven.name(i))
 		pool.SetRandom(rand.New(rand.NewPCG(p.seed, uint64(i)+100)).Float64)
 		r := &router{name: fmt.Sprint("r", i), pool: pool, queue: admission.NewQueue(pool), waiting: map[*admission.Request]*caller{}, inFlight: make([]int, p.ranks), lists: make([]balance.RankList, len(w.engines))}
 		r.budget = balance.NewBudget(w.now, 0.2, 5*float64(p.ranks), 10*time.Second, p.routers)
 		w.routers = append(w.routers, r)
-		w.infos = append(w.infos, peer.Info{Name: r.name})
+		w.infos = append(w.infos, peer.Info{Name: r.name, DataCentre: p.uneven.name(i)})
 	}
 	w.after(0, w.arrive)
 	for g := range len(w.engines) - p.leaderless {
@@ -274,6 +280,7 @@
 		c.tries++
 	}
 	w.res.callers++
+	w.locateCaller(c)
 	w.after(c.arrived.Add(callerTimeout).Sub(w.now), func() { w.expire(c) })
 	w.try(c)
 }
@@ -284,7 +291,7 @@
 		return
 	}
 	c.tries++
-	r := w.routers[w.rand.IntN(len(w.routers))]
+	r := w.routerFor(c)
 	r.budget.Request(w.now)
 	w.decide(c, r, map[upstream.ID]bool{})
 }
@@ -483,6 +490,7 @@
 	c.done = true
 	if c.first <= goal && c.pause <= pauseGoal {
 		w.res.earned++
+		w.countInTime(c)
 		return
 	}
 	w.res.late++
@@ -525,9 +533,10 @@
 	for rank := range e.ranks {
 		running, waiting, pace := e.load(rank, w.at())
 		address := string(w.ups[index*len(e.ranks)+rank].ID)
-		g.Ranks = append(g.Ranks, balance.RankLoad{Address: address, Running: running, Waiting: waiting, Pace: pace, Unstarted: book.Unstarted(w.now, address)})
+		g.Ranks = append(g.Ranks, balance.RankLoad{Address: address, DataCentre: w.ups[index*len(e.ranks)+rank].DataCentre, Running: running, Waiting: waiting, Pace: pace, Unstarted: book.Unstarted(w.now, address)})
 	}
 	bounds := balance.GroupBounds(w.p.params, g.Load(), pauseGoal)
+	bounds.Goal = goal
 	targets := book.Targets(w.now, w.infos)
 	number, allotments := book.StartReport(w.now, targets, g.Ranks, &bounds)
 	for _, n := range targets {
@@ -558,6 +567,9 @@
 		unstarted := r.pool.Report(w.now, g, w.ids)
 		w.wake(r)
 		reply = balance.ReportReply{List: r.lists[index].Number, Unstarted: r.lists[index].PackUnstarted(unstarted), Wanted: r.queue.Wanted(w.now), Waiting: r.queue.Waiting(), Rate: r.queue.Rate(w.now), Idle: r.queue.Idle(w.now)}
+		if w.p.uneven.reportsWaits() {
+			reply.Oldest = uint(r.queue.Oldest(w.now).Milliseconds())
+		}
 		if !w.p.withoutSendLimits {
 			sendLimits, backingOff := r.pool.SendLimits(w.now, w.ids)
 			reply.Most, reply.Resting = r.lists[index].PackLimits(sendLimits), r.lists[index].PackRanks(backingOff)
