Rank: ranks that were slow are believed step by step

Cause: a rank that flapped got its full share of requests at its first normal report, and made all streams of its group late in its next slow moment.

Change: the coordinator assumes a pace for each rank. A slow pace (1.25 and more) holds at once; after it the difference to the reported pace halves each 500 ms, and that time doubles up to 4 s with each relapse within 30 s. Allotments use the assumed pace; bounds, forecasts and maps the reported one. A successor and another engine begin without a record. The coordinator takes the shortest goal of the routes to its service for the weight of waiting times. Log line rank-pace.

--- a/services/rank/cluster_view.go
+++ b/services/rank/cluster_view.go
@@ -32,6 +32,8 @@
 	engine   *catalog.Engine
 	// goal is the shortest pause goal of the routes to the service; 0 if there is none.
 	goal time.Duration
+	// firstEventGoal is the shortest goal of these routes for the first event; 0 if there is none.
+	firstEventGoal time.Duration
 }
 
 // followNodes reads the processes at an interval until ctx ends, sooner after a failure and while
@@ -149,6 +151,9 @@
 			if string(t.Service) == service && r.PauseGoal > 0 && (s.goal == 0 || r.PauseGoal < s.goal) {
 				s.goal = r.PauseGoal
 			}
+			if string(t.Service) == service && r.Goal > 0 && (s.firstEventGoal == 0 || r.Goal < s.firstEventGoal) {
+				s.firstEventGoal = r.Goal
+			}
 		}
 	}
 }
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -64,6 +64,8 @@
 	ended  time.Time
 	counts heldCounts
 	known  bool
+	// probation determines the pace that is assumed for the rank.
+	probation paceProbation
 }
 
 // coordinator holds the state of one agent's term as coordinator.
--- a/services/rank/members.go
+++ b/services/rank/members.go
@@ -272,6 +272,7 @@
 	if m.known && (sent.Before(m.sent) || n.Engine == m.info.Engine && r.Status.Born < m.status.Born) {
 		return
 	}
+	c.notePace(sent, m, n, r.Status)
 	m.info, m.status, m.sent, m.lastContact, m.known, m.direct = n, r.Status, sent, clock.Now(), true, direct
 	if r.Start != 0 {
 		m.start = r.Start
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -127,7 +127,7 @@
 		if m.known && now.Sub(m.lastContact) < 2*directInterval {
 			g.Open = g.Open && m.status.Open
 			g.Ranks = append(g.Ranks, balance.RankLoad{
-				Address: m.info.Engine, DataCentre: m.info.DataCentre, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.registry.Unstarted(now, m.info.Engine), Pace: m.status.Pace,
+				Address: m.info.Engine, DataCentre: m.info.DataCentre, Running: m.status.Running, Waiting: m.status.Waiting, Unstarted: c.registry.Unstarted(now, m.info.Engine), Pace: m.status.Pace, AssumedPace: m.probation.pace(),
 				Silent: m.silent,
 			})
 		}
@@ -204,5 +204,6 @@
 		return nil
 	}
 	b := balance.GroupBounds(c.engine, g.Load(), c.goal)
+	b.Goal = c.firstEventGoal
 	return &b
 }
