--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -94,12 +94,12 @@
 type caller struct {
 	arrived time.Time
 	// tried is when the request was last sent to a router.
-	tried   time.Time
-	tries   int
-	first   time.Duration
-	latest  time.Time
-	pause   time.Duration
-	done    bool
+	tried  time.Time
+	tries  int
+	first  time.Duration
+	latest time.Time
+	pause  time.Duration
+	done   bool
 	// dataCentre is where the caller is, if the pattern has several data centres.
 	dataCentre int
 	request    *admission.Request
