--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -23,8 +23,9 @@
 	DataCentre vm.DataCentre
 	// Levels divides Requests by level; nil if the service has no levels.
 	Levels []LevelDemand
-	// Oldest is how long the router's oldest request has waited.
-	Oldest time.Duration
+	// Oldest is how long the router's oldest request has waited, and Goal the time within which
+	// requests should be answered; 0 if unknown.
+	Oldest, Goal time.Duration
 	// Most limits the requests to some ranks, by the limits that these ranks report; others are
 	// unlimited.
 	Most SendLimits
@@ -49,6 +50,9 @@
 	// Unstarted is the limit for requests at a rank whose prompts are still to be read; 0 means no
 	// limit.
 	Unstarted int
+	// Goal is the shortest time within which routes to the service want the first event; 0 if
+	// unknown.
+	Goal time.Duration
 	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
 	Unread int
 	// Prompt is the number of prompt tokens with which a place counts against Unread.
@@ -78,7 +82,7 @@
 func NewAllotter() *Allotter { return &Allotter{credit: map[creditKey]float64{}} }
 
 // remoteWeight is the weight of demand from another data centre, relative to demand from the same
-// one. Routers get allotments in both, so that a data centre with more callers than its ranks can
+// one, while no request waits. Routers get allotments in both, so that a data centre with more callers than its ranks can
 // serve makes progress; traffic between data centres is billed.
 const remoteWeight = 0.25
 
