Balance: the limits of levels follow the demand

Cause: with a limit that leaves capacity for a shift, three groups of 24 ranks complete little more than the usual load, so the backlog of a burst lasted for ten seconds after it.

Change: routers report how many new requests arrive; a level gets as many streams as the demand needs if all slots suffice for it. While not all can be served anyway, the capacity for a shift is kept. Waiting requests use the present limit of their level, not that of their arrival.

--- a/services/admission/ranked.go
+++ b/services/admission/ranked.go
@@ -136,7 +136,7 @@
 // admitRanked returns the waiting requests of a ranked service for which there is room now.
 func (q *Queue) admitRanked(now time.Time, usable []upstream.Instance) []Grant {
 	var out []Grant
-	pass := rankedPass{now: now}
+	pass := rankedPass{now: now, means: q.levelMeans[:max(q.levels, 1)]}
 	for {
 		pass.floorLeft = q.floorLeft(now)
 		x := pass.next(q.waiting)
@@ -163,6 +163,8 @@
 	now time.Time
 	// floorLeft is the number of requests that may be admitted above the limit of their level.
 	floorLeft int
+	// means holds the present limit of each level; the limit when a request arrived may be outdated.
+	means []float64
 	// full holds the limits within which there is no room, and skipped the requests that found none
 	// at the upstreams that they accept.
 	full    []limit
@@ -172,6 +174,9 @@
 // ask returns what a request requires now, and whether it is admitted above the limit of its level.
 func (p *rankedPass) ask(x *Request) (ask balance.PickOptions, floor bool) {
 	ask = x.Ask
+	if mean := p.means[min(int(x.Level), len(p.means)-1)]; x.limited() && mean > 0 {
+		ask.MaxMean = mean
+	}
 	if floor = p.floorLeft > 0 && x.starving(p.now); floor {
 		ask.MaxMean = 0
 	}
@@ -240,6 +245,25 @@
 	}
 }
 
+// recordArrival records a new request of a ranked service.
+func (q *Queue) recordArrival(now time.Time, x *Request) {
+	if x.Ranked() && !x.retried {
+		q.ArrivalRate(now) // drops old entries
+		q.arrivals = append(q.arrivals, now)
+	}
+}
+
+// ArrivalRate returns the number of new requests per second over rateWindow; 0 if the service is not
+// ranked.
+func (q *Queue) ArrivalRate(now time.Time) float64 {
+	old := 0
+	for old < len(q.arrivals) && now.Sub(q.arrivals[old]) > rateWindow {
+		old++
+	}
+	q.arrivals = q.arrivals[old:]
+	return float64(len(q.arrivals)) / rateWindow.Seconds()
+}
+
 // index returns the position of a level among those of the service. Requests that have waited since
 // before a change of the catalog may have a level that no longer exists; they count as the last.
 func (q *Queue) index(l urgency.Level) int { return max(0, min(int(l), q.levels-1)) }
@@ -366,7 +390,7 @@
 		d := &out[q.index(x.Level)]
 		d.Waiting++
 		switch {
-		case q.pool.BelowMean(now, x.Ask.MaxMean):
+		case q.pool.BelowMean(now, q.levelMeans[q.index(x.Level)]):
 			d.Wanted++
 		case floor > 0 && x.starving(now):
 			d.Wanted++
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -31,6 +31,9 @@
 	Waiting, Free int
 	// Rate is the number of requests sent to the group per second.
 	Rate float64
+	// Arrivals is the number of new requests for the group that arrive per second; 0 if the service
+	// has no levels.
+	Arrivals float64
 	// Levels holds the waiting requests of each level; nil if the service has none.
 	Levels []int
 }
@@ -252,7 +255,7 @@
 	for _, g := range groups {
 		levels = levels && (g.Backlog.Levels != nil || g.Backlog.Waiting == 0)
 		b.addLevels(g.Backlog.Levels)
-		b.Waiting, b.Free, b.Rate = b.Waiting+g.Backlog.Waiting, b.Free+g.Backlog.Free, b.Rate+g.Backlog.Rate
+		b.Waiting, b.Free, b.Rate, b.Arrivals = b.Waiting+g.Backlog.Waiting, b.Free+g.Backlog.Free, b.Rate+g.Backlog.Rate, b.Arrivals+g.Backlog.Arrivals
 	}
 	if !levels {
 		b.Levels = nil
@@ -295,6 +298,29 @@
 	return out
 }
 
+// Working returns the number of groups that are reported to work.
+func (p *Pool) Working(now time.Time) int {
+	n := 0
+	for _, g := range p.recentGroups(now) {
+		if g.Open && !g.Stalled {
+			n++
+		}
+	}
+	return n
+}
+
+// ArrivalsPerRank returns the number of new requests per second that arrive for each rank of the
+// reported groups; 0 if it is not known.
+func (p *Pool) ArrivalsPerRank(now time.Time) float64 {
+	arrivals, ranks := 0.0, 0
+	for _, g := range p.recentGroups(now) {
+		if g.Open && !g.Stalled {
+			arrivals, ranks = arrivals+g.Backlog.Arrivals, ranks+len(g.Ranks)
+		}
+	}
+	return arrivals / float64(max(ranks, 1))
+}
+
 // BelowMean reports whether a group that is reported to work has less than the given mean number of
 // requests per rank. It is true if the mean is 0 or no such group is reported.
 func (p *Pool) BelowMean(now time.Time, mean float64) bool {
--- a/services/balance/pace.go
+++ b/services/balance/pace.go
@@ -100,7 +100,8 @@
 	// map follows some passes later.
 	minAssumedSkew = 1.6
 	// shiftSkew is the typical skew of a map after a shift of demand, until the map follows: 2.2 to 3.1
-	// were observed. Limits for a skew of 3 left too little capacity for a usual load.
+	// were observed. Limits for a skew of 3 served the least urgent requests of a burst worse, and the
+	// most urgent ones hardly better.
 	shiftSkew = 2.7
 	// maxOverMean is how many requests above the mean a rank may have.
 	maxOverMean = 2
