Relay: log a shortage of a service at its beginning and end

Cause: a router's log did not say since when requests of a service lack room. It counts rejected and late requests by level. The relay writes the line shortage at the beginning and at the end, at most two lines of a service in 2 s.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -49,6 +49,9 @@
 	due     time.Time
 	// floorAt is when a request of a limited level may be admitted above the limit.
 	floorAt time.Time
+	// queued is when the request joined the queue, and forecast the forecast at that time.
+	queued   time.Time
+	forecast Forecast
 }
 
 // Outcome is the decision on a request.
@@ -186,6 +189,7 @@
 	if len(q.waiting) < q.capacity(x) && wait > 0 {
 		x.due = now.Add(time.Duration(dueFraction * float64(wait)))
 		x.floorAt = now.Add(time.Duration(floorFraction * float64(wait)))
+		x.queued, x.forecast = now, v.Forecast
 		q.waiting = append(q.waiting, x)
 		q.sizes.add(x.Ask.Size)
 		v.Outcome, v.Wait = OutcomeWaits, wait
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -325,6 +325,23 @@
 	return ranks, opened
 }
 
+// ReportAge returns the age of the oldest valid report of a group; false if there is none.
+func (p *Pool) ReportAge(now time.Time) (time.Duration, bool) {
+	age, reported := time.Duration(0), false
+	for _, g := range p.groups {
+		if a := now.Sub(g.at); a < g.valid {
+			age, reported = max(age, a), true
+		}
+	}
+	return age, reported
+}
+
+// CatchingUp reports whether a reported group has opened so recently that it may be in catch-up.
+func (p *Pool) CatchingUp(now time.Time) bool {
+	_, opened := p.OpenRanks(now, catchUpTime)
+	return opened
+}
+
 // Load returns the load from which the bounds of the group are computed.
 func (g *Group) Load() GroupLoad {
 	l := GroupLoad{Skew: g.Skew, Pace: g.Pace()}
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -38,6 +38,7 @@
 		x.countAdmission(asked, admissionGranted)
 		return v.Upstream, true
 	case admission.OutcomeRejected:
+		r.noteRejected(now, svc, asked, v.Forecast)
 		r.mu.Unlock()
 		x.countAdmission(asked, admissionRejected)
 		return upstream.Instance{}, false
@@ -69,6 +70,7 @@
 // await waits until a request is admitted, and counts whether it was.
 func (x *exchange) await(ctx context.Context, svc *serviceState, asked *admission.Request, ready chan upstream.Instance, wait time.Duration) (upstream.Instance, bool) {
 	u, ok := x.r.await(ctx, svc, asked, ready, wait)
+	x.r.noteWaited(clock.Now(), svc, asked, !ok && ctx.Err() == nil)
 	if ok {
 		x.countAdmission(asked, admissionWaited)
 	} else {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -89,6 +89,7 @@
 	ready map[*admission.Request]chan upstream.Instance
 	// coverageAt is when the ranks were last checked for missing load reports.
 	coverageAt time.Time
+	shortage   shortage
 }
 
 // New returns a relay without a catalog or upstreams. Until SetRouters and SetPermits are called,
@@ -212,6 +213,7 @@
 	unread := svc.pool.Unread(&g, ids)
 	r.wake(now, svc)
 	r.rerouteStuck(now, svc)
+	r.checkShortage(now, svc)
 	most, resting := svc.pool.SendLimits(now, ids)
 	for _, u := range r.state.EvacuatedUpstreams(id) {
 		most[u.Address] = 0
@@ -286,6 +288,7 @@
 	for _, svc := range r.pools {
 		svc.pool.Forget(now, listed)
 		r.wake(now, svc)
+		r.checkShortage(now, svc)
 	}
 }
 
--- a/services/relay/urgency.go
+++ b/services/relay/urgency.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 
+	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/services/admission"
 
@@ -50,9 +51,13 @@
 	return x.route.Goal > 0 && s.first.Sub(x.arrived) > x.route.Goal || x.route.PauseGoal > 0 && s.pause > x.route.PauseGoal
 }
 
-// countLate counts a late stream of a ranked service.
+// countLate counts a late stream, in the metrics if its service is ranked.
 func (x *exchange) countLate() {
-	if x.levels > 1 && x.late() {
+	if !x.late() {
+		return
+	}
+	x.r.noteLate(clock.Now(), x)
+	if x.levels > 1 {
 		x.r.opts.Metrics.CountLate(string(x.service), int(x.level))
 	}
 }
