Platform status: show the shortages of services

Cause: operators saw no shortage in the state of routers. Change: Router.Groups returns since when requests of a service lack room and how many wait, were rejected or were late by level; platform status prints them if there are any. The output without a shortage is unchanged.

--- a/cmd/platform_status.go
+++ b/cmd/platform_status.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -34,6 +35,7 @@
 		Use:   "status ADDRESS...",
 		Short: "Show the model groups and the store as routers see them; ADDRESS is a router's address for other processes",
 		Long: "Show which groups report their load, their coordinators, and the ranks that no coordinator reports; then the\n" +
+			"services whose requests lack room, since when, and the requests waiting, rejected and late by level; then the\n" +
 			"data centres that are evacuated, and how many upstreams are cold, limit their requests, rest or leave; then how\n" +
 			"far each router has read the platform's store, and whether that was recently restored from a copy.\n" +
 			"The exit code is 2 if ranks are unreported at a router, and 1 if a router does not answer.",
@@ -86,17 +88,38 @@
 	return nil
 }
 
-// printAll prints the groups, the upstreams by condition, and the state of the store.
+// printAll prints the groups, the shortages, the upstreams by condition, and the state of the store.
 func printAll(w io.Writer, all []entry.GroupsStatus) error {
 	if err := printGroups(w, all); err != nil {
 		return err
 	}
+	if err := printShortages(w, all); err != nil {
+		return err
+	}
 	if err := printUpstreams(w, all); err != nil {
 		return err
 	}
 	return printStore(w, all)
 }
 
+// printShortages prints a line for each level of each service with a shortage at each router, and
+// nothing if there is none.
+func printShortages(w io.Writer, all []entry.GroupsStatus) error {
+	if !slices.ContainsFunc(all, func(s entry.GroupsStatus) bool { return len(s.Shortages) > 0 }) {
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "ROUTER\tSERVICE\tSHORTAGE s\tLEVEL\tWAITING\tREJECTED\tLATE")
+	for _, s := range all {
+		for _, short := range s.Shortages {
+			for level, c := range short.Levels {
+				_, _ = fmt.Fprintf(t, "%s\t%s\t%.1f\t%d\t%d\t%d\t%d\n", s.Router, short.Service, short.Lasted.Seconds(), level, c.Waiting, c.Rejected, c.Late)
+			}
+		}
+	}
+	return wrap(t.Flush(), "print shortages")
+}
+
 // printUpstreams prints a line for each router with the evacuated data centres and the number of
 // upstreams in each condition.
 func printUpstreams(w io.Writer, all []entry.GroupsStatus) error {
--- a/cmd/platform_status_test.go
+++ b/cmd/platform_status_test.go
@@ -17,6 +17,7 @@
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/platform"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/entry"
 	"fawnwinch.org/fawnwinch/services/rank"
@@ -53,6 +54,34 @@
 	}
 }
 
+// TestPrintShortages checks the lines of services with a shortage, and guards against output for
+// routers without one that differs from the output of earlier versions.
+func TestPrintShortages(t *testing.T) {
+	short := entry.GroupsStatus{Router: "a", Shortages: []relay.ServiceShortage{
+		{Service: "m", Lasted: 4250 * time.Millisecond, Levels: []admission.LevelShortage{{}, {Waiting: 3, Rejected: 12, Late: 1}}},
+		{Service: "n", Lasted: time.Minute, Levels: []admission.LevelShortage{{Waiting: 1}}},
+	}}
+	var out bytes.Buffer
+	if err := printShortages(&out, []entry.GroupsStatus{{Router: "b"}, short}); err != nil {
+		t.Fatal(err)
+	}
+	want := `ROUTER  SERVICE  SHORTAGE s  LEVEL  WAITING  REJECTED  LATE
+a       m        4.2         0      0        0         0
+a       m        4.2         1      3        12        1
+a       n        60.0        0      1        0         0
+`
+	if got := out.String(); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
+	}
+	out.Reset()
+	if err := printShortages(&out, []entry.GroupsStatus{{Router: "b"}}); err != nil || out.Len() > 0 {
+		t.Errorf("without a shortage printed %q, %v", out.String(), err)
+	}
+	if err := printJSON(&out, entry.GroupsStatus{Router: "b"}); err != nil || strings.Contains(out.String(), "Shortages") {
+		t.Errorf("without a shortage printed %s, %v", out.String(), err)
+	}
+}
+
 // TestPrintStore checks the lines with routers' state of the store.
 func TestPrintStore(t *testing.T) {
 	at := func(era services.Era, o services.Offset) services.Position {
--- a/services/entry/coverage.go
+++ b/services/entry/coverage.go
@@ -45,15 +45,17 @@
 	Router   string
 	Groups   []GroupStatus
 	Coverage []relay.Coverage
-	Store    StoreStatus
+	// Shortages holds the services whose requests lack room.
+	Shortages []relay.ServiceShortage `json:",omitempty"`
+	Store     StoreStatus
 	// Evacuated holds the evacuated data centres, and Conditions counts the upstreams in each
 	// condition.
 	Evacuated  []vm.DataCentre
 	Conditions map[condition.Kind]int
 }
 
-// Groups returns, for operators, the reported groups of a service and the ranks that no group
-// reports; of all services if none is given.
+// Groups returns, for operators, the reported groups of a service, the ranks that no group reports
+// and its shortage; of all services if none is given.
 func (a *API) Groups(of service.ID, reply *GroupsStatus) error {
 	*reply = a.r.groupsStatus(clock.Now(), of)
 	return nil
@@ -67,6 +69,11 @@
 			out.Coverage = append(out.Coverage, c)
 		}
 	}
+	for _, s := range r.opts.Relay.Shortages(now) {
+		if of == "" || s.Service == of {
+			out.Shortages = append(out.Shortages, s)
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out.Router = r.table.Self().Name
--- a/services/entry/coverage_test.go
+++ b/services/entry/coverage_test.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -17,7 +19,9 @@
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/httpx"
+	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/rpc"
+	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
@@ -83,6 +87,50 @@
 	}
 }
 
+// TestShortageStatus checks that operators see a service's shortage, and only that of the service
+// for which they ask.
+func TestShortageStatus(t *testing.T) {
+	rl := relay.New(relay.Options{Bounds: setting.Bounds{ApplyTime: time.Second}, Protocol: returningCaller{}, Metrics: metrics.New("test"), Logger: zerolog.Nop()})
+	t.Cleanup(rl.Close)
+	pool := rpc.NewPool()
+	t.Cleanup(pool.Close)
+	l, err := httpx.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer(l)
+	if err := server.Register("Router", NewAPI(New(Options{Store: silentStore{}, Pool: pool, Relay: rl, Logger: zerolog.Nop()}))); err != nil {
+		t.Fatal(err)
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	rl.WithState(func(s *knowledge.State) {
+		now := time.Now()
+		route := catalog.Route{Name: "r", Host: "h", Prefix: "/", Kind: catalog.KindStream, Goal: time.Second, MaxAttempts: 1, Targets: []catalog.Target{{Service: "m", Weight: 1}}}
+		c := catalog.Catalog{Version: 1, Routes: []catalog.Route{route}, Services: []catalog.Service{{ID: "m", Engine: &catalog.Engine{Slots: 4}}, {ID: "n", Engine: &catalog.Engine{Slots: 4}}}}
+		s.ApplyCatalogs(now, knowledge.Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
+		s.ApplyUpstreams(now, knowledge.Segment[upstream.Instance]{Whole: true, Next: position(1), AsOf: now})
+	})
+	w := httptest.NewRecorder()
+	if rl.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h/x", nil)); w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("answered %d without an upstream", w.Code)
+	}
+	for of, want := range map[service.ID]int{"": 1, "m": 1, "n": 0} {
+		var s GroupsStatus
+		if err := pool.Call(t.Context(), l.Addr().String(), "Router.Groups", of, &s); err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Shortages) != want {
+			t.Errorf("of %q: shortages %+v, want %d", of, s.Shortages, want)
+		}
+		for _, short := range s.Shortages {
+			if short.Service != "m" || len(short.Levels) != 1 || short.Levels[0].Rejected != 1 {
+				t.Errorf("of %q: shortage %+v", of, short)
+			}
+		}
+	}
+}
+
 // TestLogCoverage checks when a router logs unreported ranks: after a delay, at long intervals,
 // and once when they are reported again.
 func TestLogCoverage(t *testing.T) {
