Relay: test the shortage of requests whose wait is over

Cause: no test failed when a request that waited until its end was not counted, or when a caller that disconnected was. Change: TestShortageExpired.

--- a/services/relay/shortage_test.go
+++ b/services/relay/shortage_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"reflect"
 	"strings"
@@ -122,6 +123,31 @@
 	}
 }
 
+// TestShortageExpired guards against a request that is not counted as rejected when its permitted
+// wait is over, and against a count of callers that disconnected while they waited.
+func TestShortageExpired(t *testing.T) {
+	r, _ := newUrgencyRelay(t, rankedCatalog())
+	reportRunning(r, 11, 0)
+	acquire := func(ctx context.Context, patience time.Duration) {
+		x, _ := newExchange(t, r, "urgent", "k1")
+		x.meta.Patience = patience // returning, and so not rejected by the forecast
+		x.deadline = time.Now().Add(patience)
+		if _, ok := r.acquire(ctx, x); ok {
+			t.Fatal("sent to a full rank")
+		}
+	}
+	disconnected, cancel := context.WithCancel(t.Context())
+	cancel()
+	acquire(disconnected, 5*time.Second)
+	if got := r.Shortages(time.Now()); got != nil {
+		t.Errorf("shortages %+v after a caller has disconnected", got)
+	}
+	acquire(t.Context(), 50*time.Millisecond)
+	if got := r.Shortages(time.Now()); len(got) != 1 || got[0].Levels[0].Rejected != 1 {
+		t.Errorf("shortages %+v after a permitted wait, want one rejection", got)
+	}
+}
+
 // TestShortagePlain guards against a shortage of a plain service, and against one of a request that
 // was granted immediately.
 func TestShortagePlain(t *testing.T) {
