Soak: bursts and priorities of the model service

Cause: the soak has no routes of several priorities, so no fault meets the decisions by urgency.

After the first burst and after all faults each route must answer a request within 5 s.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -27,6 +27,10 @@
 	kindSafe   kind = "view"
 	kindStream kind = "draft"
 	kindProbe  kind = "probe"
+	// kindUrgent and kindBatch are streams of the ranked model service, more and less urgent than
+	// kindStream.
+	kindUrgent kind = "rush"
+	kindBatch  kind = "bulk"
 )
 
 // call is one request of a caller.
@@ -125,6 +129,9 @@
 		c.kind = kindProbe
 		c.version = w.configs[rng.IntN(len(w.configs))].version
 	}
+	if c.kind == kindStream && isRanked(w.seed) {
+		c.kind = modelKinds[rng.IntN(len(modelKinds))]
+	}
 	if rng.IntN(8) == 0 {
 		old := w.configs[max(0, len(w.configs)-1-rng.IntN(2*keptVersions))]
 		c.key, c.keyVersion = old.key, old.version
@@ -158,6 +165,7 @@
 	req.Header.Set("X-Fawnwinch-Request-Id", c.id)
 	req.Header.Set("X-Fawnwinch-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	req.Header.Set("Api-Key", c.key)
+	w.setSize(rng, c, req.Header)
 	w.mu.Lock()
 	c.sent = time.Now()
 	w.mu.Unlock()
@@ -172,7 +180,7 @@
 	if c.status == http.StatusOK && resp.Header.Get("X-Fawnwinch-Request-Id") != c.id {
 		w.fail("call %s got the answer to %q", c.id, resp.Header.Get("X-Fawnwinch-Request-Id"))
 	}
-	if c.kind == kindStream && c.status == http.StatusOK {
+	if c.kind.streams() && c.status == http.StatusOK {
 		c.err = w.readStream(c, resp.Body)
 		return
 	}
--- a/tests/soak/check_test.go
+++ b/tests/soak/check_test.go
@@ -36,13 +36,13 @@
 	if c.kind == kindUnsafe && runs > 1 {
 		w.fail("call %s must not be repeated but runs again, at %s", id, r.id)
 	}
-	if ended && notRun[status] && c.kind != kindStream && c.kind != kindSafe {
+	if ended && notRun[status] && !c.kind.streams() && c.kind != kindSafe {
 		w.fail("call %s got status %d (not run) but runs at %s", id, status, r.id)
 	}
 	if string(body) != "body of "+id || req.URL.Path != c.path || req.Header.Get("X-Fawnwinch-Tenant-Id") != "seiryu" || req.Header.Get("Api-Key") != "" {
 		w.fail("call %s reaches %s changed: %s, account %q, %d bytes", id, r.id, req.URL.Path, req.Header.Get("X-Fawnwinch-Tenant-Id"), len(body))
 	}
-	if want := map[bool]string{true: "pool", false: "ledger"}[c.kind == kindStream]; r.service != want {
+	if want := map[bool]string{true: "pool", false: "ledger"}[c.kind.streams()]; r.service != want {
 		w.fail("call %s is for %s and runs at %s of %s", id, want, r.id, r.service)
 	}
 	if at, removed := w.removedAt(c.keyVersion); c.keyVersion > 0 && removed && c.sent.Sub(at) > revokeTime {
--- a/tests/soak/final_test.go
+++ b/tests/soak/final_test.go
@@ -45,6 +45,9 @@
 		w.checkUsage(a)
 	}
 	w.checkRecovered(quietSince)
+	if isRanked(w.seed) {
+		w.logLevels()
+	}
 }
 
 // checkUsage checks that a process has not grown beyond its bounds.
@@ -59,7 +62,7 @@
 	sent, arrived := map[string][]time.Time{}, map[string][]time.Time{}
 	for _, c := range w.ended {
 		service := "ledger"
-		if c.kind == kindStream {
+		if c.kind.streams() {
 			service = "pool"
 		}
 		sent[service] = append(sent[service], c.sent)
--- a/tests/soak/plan_test.go
+++ b/tests/soak/plan_test.go
@@ -66,12 +66,7 @@
 	}},
 	{"settings change", 2, func(w *world, rng *rand.Rand, _ time.Duration) { w.anyRouter(rng).signal(syscall.SIGHUP) }},
 	{"an agent is killed", 2, func(w *world, rng *rand.Rand, duration time.Duration) {
-		a := w.agents[rng.IntN(len(w.agents))]
-		a.lifecycle.Lock()
-		defer a.lifecycle.Unlock()
-		a.kill()
-		pause(duration / 2)
-		a.start()
+		w.restartAgent(w.agents[rng.IntN(len(w.agents))], duration/2)
 	}},
 	{"an agent freezes", 2, func(w *world, rng *rand.Rand, duration time.Duration) {
 		w.agents[rng.IntN(len(w.agents))].freeze(duration)
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -26,7 +26,11 @@
 //	go test ./tests/soak -run TestSoak -args -seed 7 -for 60s
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	play(t, *seedFlag, *forFlag, *sizeFlag, faults)
+	plan := faults
+	if isRanked(*seedFlag) {
+		plan = rankedFaults
+	}
+	play(t, *seedFlag, *forFlag, *sizeFlag, plan)
 }
 
 // TestSoakRegressions replays plans that have found a fault.
@@ -59,12 +63,20 @@
 	for n := range callerCount {
 		callers.Go(func() { w.caller(ctx, n) })
 	}
-	w.injectFaults(ctx, time.Now().Add(duration-recoveryTime-observedTime))
-	pause(recoveryTime)
+	until := time.Now().Add(duration - recoveryTime - observedTime)
+	if isRanked(seed) {
+		w.burst(firstBurstTime)
+		w.checkServedAgain(time.Now())
+	}
+	w.injectFaults(ctx, until)
+	end := time.Now()
+	w.checkServedAgain(end)
+	pause(time.Until(end.Add(recoveryTime)))
 	quietSince := time.Now()
 	pause(observedTime)
 	cancel()
 	callers.Wait()
+	w.bursts.Wait()
 	w.checkFinal(quietSince)
 	w.report()
 }
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -89,6 +89,11 @@
 	configs  []config
 	// newest is the text of the newest configuration.
 	newest string
+	// priorityShift is added to the priorities of the ranked routes, modulo their number.
+	priorityShift int
+	// burstCount is the number of bursts so far, and bursts are their callers.
+	burstCount int
+	bursts     sync.WaitGroup
 	// evacuatedAt is when the second data centre was evacuated; zero if it is not.
 	evacuatedAt time.Time
 	// obligations holds the notices of replicas that oblige routers, and backOffRequests the number
@@ -225,6 +230,9 @@
 	routes := []string{
 		route("peek", "unsafe", "ledger", 2), route("view", "safe", "ledger", 2), route("draft", "streaming", "pool", 2),
 	}
+	if isRanked(w.seed) {
+		routes = append(routes[:2], w.rankedRoutes()...)
+	}
 	for _, old := range append(w.configs[max(0, len(w.configs)-keptVersions+1):], c) {
 		keys = append(keys, old.key)
 		routes = append(routes, route(probeOf(old.version), "safe", "ledger", 2))
