Logs: the level of a request is urgency_level

Cause: a field named level has the key of the line's severity, and the writer of log lines keeps one of both: lines read level=2 instead of level=info.

Measured: tests of relay, cmd and entry pass.

--- a/services/relay/shortage.go
+++ b/services/relay/shortage.go
@@ -132,7 +132,7 @@
 	if a, ok := svc.pool.ReportAge(now); ok {
 		age = a.Milliseconds()
 	}
-	e := r.opts.Logger.Info().Str("service", string(svc.service)).Bool("ended", ended).Int("level", int(s.level)).Int("waiting", svc.queue.Waiting()).
+	e := r.opts.Logger.Info().Str("service", string(svc.service)).Bool("ended", ended).Int("urgency_level", int(s.level)).Int("waiting", svc.queue.Waiting()).
 		Int64("forecast_ms", s.forecast.Milliseconds()).Int64("report_age_ms", age).Bool("catch_up", svc.pool.CatchingUp(now))
 	if ended {
 		logCounts(e, s.Counts(svc.waitingByLevel()))
--- a/services/relay/shortage_test.go
+++ b/services/relay/shortage_test.go
@@ -43,7 +43,7 @@
 	}
 	first := log.String()[:strings.Index(log.String(), "\n")+1]
 	line := lastLine(t, bytes.NewBufferString(first))
-	for field, want := range map[string]any{"message": "shortage", "service": "s", "ended": false, "level": 2.0, "waiting": 0.0, "catch_up": true} {
+	for field, want := range map[string]any{"message": "shortage", "service": "s", "ended": false, "urgency_level": 2.0, "waiting": 0.0, "catch_up": true} {
 		if line[field] != want {
 			t.Errorf("%s=%v, want %v", field, line[field], want)
 		}
@@ -105,7 +105,7 @@
 	}
 	r.Report(now.Add(110*time.Millisecond), full)
 	line := lastLine(t, log)
-	if line["message"] != "shortage" || line["ended"] != false || line["level"] != 0.0 || line["waiting"] != 1.0 || line["forecast_ms"] != float64(v.Forecast.Wait.Milliseconds()) {
+	if line["message"] != "shortage" || line["ended"] != false || line["urgency_level"] != 0.0 || line["waiting"] != 1.0 || line["forecast_ms"] != float64(v.Forecast.Wait.Milliseconds()) {
 		t.Errorf("log line %v", line)
 	}
 	later := now.Add(1900 * time.Millisecond)
--- a/services/relay/urgency.go
+++ b/services/relay/urgency.go
@@ -36,7 +36,7 @@
 	if x.route == nil {
 		return
 	}
-	e.Str("route", x.route.Name).Int("level", int(x.level)).Str("urgency", fmt.Sprintf("%d.%d", x.order.Account, x.order.Route))
+	e.Str("route", x.route.Name).Int("urgency_level", int(x.level)).Str("urgency", fmt.Sprintf("%d.%d", x.order.Account, x.order.Route))
 	if reason == ReasonNoRoom {
 		e.Int64("forecast_ms", x.forecast.Wait.Milliseconds()).Int("ahead", x.forecast.Ahead)
 	}
--- a/services/relay/urgency_test.go
+++ b/services/relay/urgency_test.go
@@ -168,7 +168,7 @@
 		t.Errorf("answered %d, header %v", w.Code, w.Header())
 	}
 	line := lastLine(t, log)
-	if line["route"] != "batch" || line["level"] != 2.0 || line["urgency"] != "1.7" || line["forecast_ms"] == nil || line["ahead"] != 400.0 {
+	if line["route"] != "batch" || line["urgency_level"] != 2.0 || line["urgency"] != "1.7" || line["forecast_ms"] == nil || line["ahead"] != 400.0 {
 		t.Errorf("log line %v", line)
 	}
 	if after, _ := line["retry_after_ms"].(float64); after <= 0 || after > 8000/3 {
