--- a/services/balance/remote_weight_test.go
+++ b/services/balance/remote_weight_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -108,10 +107,10 @@
 func TestEvenAllotment(t *testing.T) {
 	r := rand.New(rand.NewPCG(5, 5))
 	for range 300 {
-		now, before := NewAllotter(), &evenAllotter{credit: map[creditKey]float64{}}
+		now, before := NewAllotter(), &referenceAllotter{credit: map[referenceKey]float64{}}
 		for range 5 {
 			ranks, bounds, outstanding, demands, caps := randomAllotment(r)
-			got, want := now.Allot(ranks, bounds, outstanding, demands, caps), before.Allot(ranks, bounds, outstanding, demands, caps)
+			got, want := now.Allot(ranks, bounds, outstanding, demands, caps), before.allot(ranks, bounds, outstanding, demands, caps)
 			if fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Fatalf("allotment %v, was %v\nranks %+v\nbounds %+v\ndemands %+v", got, want, ranks, bounds, demands)
 			}
@@ -145,113 +144,3 @@
 	}
 	return ranks, b, outstanding, demands, caps
 }
-
-// evenAllotter is a copy of Allotter as it was before shares by pace and the weight of waiting
-// times.
-type evenAllotter struct{ credit map[creditKey]float64 }
-
-func (a *evenAllotter) Allot(ranks []RankLoad, b Bounds, outstanding Allotment, demands []Demand, caps SendLimits) map[string]Allotment {
-	out := map[string]Allotment{}
-	for _, d := range demands {
-		out[d.Router] = Allotment{}
-	}
-	if len(demands) == 0 || len(ranks) == 0 {
-		return out
-	}
-	a.prune(demands)
-	loads := make([]float64, len(ranks))
-	unstarted := make([]int, len(ranks))
-	left := float64(b.Mean * len(ranks))
-	for i, r := range ranks {
-		loads[i] = float64(r.requests() + outstanding[r.Address])
-		unstarted[i] = max(r.Waiting, r.Unstarted) + outstanding[r.Address]
-		left -= loads[i]
-	}
-	skipSlow := evenCanSkipSlow(ranks)
-	allotted := Allotment{}
-	for left >= 1 {
-		i := evenLeastLoaded(ranks, loads, unstarted, b, skipSlow)
-		if i < 0 {
-			break
-		}
-		router := ""
-		if caps.allows(ranks[i].Address, allotted) {
-			router = a.next(demands, &ranks[i], out)
-		}
-		if router == "" {
-			loads[i] = math.Inf(1) // no router may send there
-			continue
-		}
-		allotted[ranks[i].Address]++
-		loads[i]++
-		unstarted[i]++
-		left--
-		out[router][ranks[i].Address]++
-	}
-	return out
-}
-
-func evenCanSkipSlow(ranks []RankLoad) bool {
-	slow := 0
-	for i := range ranks {
-		if ranks[i].Pace >= slowPace {
-			slow++
-		}
-	}
-	return float64(slow) <= maxSlowFraction*float64(len(ranks))
-}
-
-func evenLeastLoaded(ranks []RankLoad, loads []float64, unstarted []int, b Bounds, skipSlow bool) int {
-	best, bestLoad := -1, math.Inf(1)
-	for i := range ranks {
-		if loads[i] >= float64(b.Rank) || ranks[i].Silent || skipSlow && ranks[i].Pace >= slowPace || b.Unstarted > 0 && unstarted[i] >= b.Unstarted {
-			continue
-		}
-		load := (loads[i] + unstartedWeight*float64(max(ranks[i].Waiting, ranks[i].Unstarted))) * max(ranks[i].Pace, 1)
-		if load < bestLoad {
-			best, bestLoad = i, load
-		}
-	}
-	return best
-}
-
-func evenWeight(d Demand, at vm.DataCentre) float64 {
-	weight := float64(d.Requests + 1)
-	if d.DataCentre != at {
-		weight *= remoteWeight
-	}
-	return weight
-}
-
-func (a *evenAllotter) next(demands []Demand, rank *RankLoad, allotted map[string]Allotment) string {
-	at := rank.DataCentre
-	total := 0.0
-	for _, d := range demands {
-		if d.Most.allows(rank.Address, allotted[d.Router]) {
-			total += evenWeight(d, at)
-		}
-	}
-	best := creditKey{}
-	for _, d := range demands {
-		if !d.Most.allows(rank.Address, allotted[d.Router]) {
-			continue
-		}
-		key := creditKey{router: d.Router, dataCentre: at}
-		a.credit[key] += evenWeight(d, at) / total
-		if best.router == "" || a.credit[key] > a.credit[best] {
-			best = key
-		}
-	}
-	if best.router != "" {
-		a.credit[best]--
-	}
-	return best.router
-}
-
-func (a *evenAllotter) prune(demands []Demand) {
-	for key := range a.credit {
-		if !slices.ContainsFunc(demands, func(d Demand) bool { return d.Router == key.router }) {
-			delete(a.credit, key)
-		}
-	}
-}
