Balance: the limits of levels do not follow the demand

Cause: limits that rise while all slots suffice for the demand let shifts of demand make more streams late.

Waiting requests still use the present limit of their level.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -153,8 +153,6 @@
 	levels      int
 	levelMeans  [urgency.MaxLevels]float64
 	levelGrants []levelGrant
-	// arrivals holds the times of recent new requests of a ranked service, oldest first.
-	arrivals []time.Time
 	// longestTimeout holds the longest caller timeout seen on each route.
 	longestTimeout map[string]time.Duration
 	// firstArrival and lastArrival are when the first and the latest request arrived.
@@ -178,7 +176,6 @@
 	q.lastArrival = now
 	q.learnLevel(x)
 	x.retried = q.isRetry(now, x)
-	q.recordArrival(now, x)
 	opening := q.pool.TimeToAccept(now, usable, len(q.waiting)+1)
 	wait := q.wait(now, x, len(usable) == 0, opening)
 	if !q.blocked(now, x) {
--- a/services/admission/level_demand.go
+++ b/services/admission/level_demand.go
@@ -60,22 +60,3 @@
 	}
 	return out
 }
-
-// recordArrival records a new request of a ranked service.
-func (q *Queue) recordArrival(now time.Time, x *Request) {
-	if x.Ranked() && !x.retried {
-		q.ArrivalRate(now) // drops old entries
-		q.arrivals = append(q.arrivals, now)
-	}
-}
-
-// ArrivalRate returns the number of new requests per second over rateWindow; 0 if the service is not
-// ranked.
-func (q *Queue) ArrivalRate(now time.Time) float64 {
-	old := 0
-	for old < len(q.arrivals) && now.Sub(q.arrivals[old]) > rateWindow {
-		old++
-	}
-	q.arrivals = q.arrivals[old:]
-	return float64(len(q.arrivals)) / rateWindow.Seconds()
-}
--- a/services/balance/group.go
+++ b/services/balance/group.go
@@ -31,9 +31,6 @@
 	Waiting, Free int
 	// Rate is the number of requests sent to the group per second.
 	Rate float64
-	// Arrivals is the number of new requests for the group that arrive per second; 0 if the service
-	// has no levels.
-	Arrivals float64
 	// Levels holds the waiting requests of each level; nil if the service has none.
 	Levels []int
 }
@@ -255,7 +252,7 @@
 	for _, g := range groups {
 		levels = levels && (g.Backlog.Levels != nil || g.Backlog.Waiting == 0)
 		b.addLevels(g.Backlog.Levels)
-		b.Waiting, b.Free, b.Rate, b.Arrivals = b.Waiting+g.Backlog.Waiting, b.Free+g.Backlog.Free, b.Rate+g.Backlog.Rate, b.Arrivals+g.Backlog.Arrivals
+		b.Waiting, b.Free, b.Rate = b.Waiting+g.Backlog.Waiting, b.Free+g.Backlog.Free, b.Rate+g.Backlog.Rate
 	}
 	if !levels {
 		b.Levels = nil
--- a/services/balance/group_demand.go
+++ b/services/balance/group_demand.go
@@ -35,29 +35,6 @@
 	return out
 }
 
-// Working returns the number of groups that are reported to work.
-func (p *Pool) Working(now time.Time) int {
-	n := 0
-	for _, g := range p.recentGroups(now) {
-		if g.Open && !g.Stalled {
-			n++
-		}
-	}
-	return n
-}
-
-// ArrivalsPerRank returns the number of new requests per second that arrive for each rank of the
-// reported groups; 0 if it is not known.
-func (p *Pool) ArrivalsPerRank(now time.Time) float64 {
-	arrivals, ranks := 0.0, 0
-	for _, g := range p.recentGroups(now) {
-		if g.Open && !g.Stalled {
-			arrivals, ranks = arrivals+g.Backlog.Arrivals, ranks+len(g.Ranks)
-		}
-	}
-	return arrivals / float64(max(ranks, 1))
-}
-
 // BelowMean reports whether a group that is reported to work has less than the given mean number of
 // requests per rank. It is true if the mean is 0 or no such group is reported.
 func (p *Pool) BelowMean(now time.Time, mean float64) bool {
--- a/services/balance/level_allotment.go
+++ b/services/balance/level_allotment.go
@@ -16,11 +16,11 @@
 // levels while a more urgent one takes all places.
 const floorPart = 10
 
-// LevelMeans returns the limits of a service's levels; see LevelLimit.
-func LevelMeans(e *catalog.Engine, pace float64, pauseGoal time.Duration, levels int, arrivals float64) [urgency.MaxLevels]float64 {
+// LevelMeans returns the limits of a service's levels; see LevelMean.
+func LevelMeans(e *catalog.Engine, pace float64, pauseGoal time.Duration, levels int) [urgency.MaxLevels]float64 {
 	var out [urgency.MaxLevels]float64
 	for l := range min(levels, urgency.MaxLevels) {
-		out[l] = LevelLimit(e, pace, pauseGoal, urgency.Level(l), levels, arrivals)
+		out[l] = LevelMean(e, pace, pauseGoal, urgency.Level(l), levels)
 	}
 	return out
 }
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -62,9 +62,6 @@
 	Wanted, Waiting int
 	// Rate is the number of requests that the router sends to the group per second.
 	Rate float64
-	// Arrivals is the number of new requests for the group that arrive at the router per second; 0
-	// if the service has no levels.
-	Arrivals float64
 	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
 	Levels []LevelDemand
 	// Oldest is how long the oldest waiting request has waited, in milliseconds.
--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -46,11 +46,10 @@
 	unstarted Unstarted
 	// unread holds the prompt tokens of these requests; nil if the router does not report them.
 	unread Unread
-	// wanted, waiting, rate, oldest and arrivals are from the router's latest reply.
+	// wanted, waiting, rate and oldest are from the router's latest reply.
 	wanted, waiting int
 	rate            float64
 	oldest          time.Duration
-	arrivals        float64
 	// levels divides wanted and waiting by level; nil if the router does not.
 	levels []LevelDemand
 	// maxSends limits the requests that the router may send to some ranks.
@@ -175,7 +174,6 @@
 		}
 		b.backlog.Waiting += e.waiting
 		b.backlog.Rate += e.rate
-		b.backlog.Arrivals += e.arrivals
 		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Levels: e.levels, Most: e.maxSends, Resting: e.backingOff, Oldest: e.oldest, Goal: bounds.Goal})
 		for _, allotment := range e.outstanding {
 			for address, n := range allotment {
@@ -208,20 +206,6 @@
 	return levels
 }
 
-// Arrivals returns the number of new requests for the group that arrive per second, by the routers'
-// valid replies.
-func (b *RouterRegistry) Arrivals(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	sum := 0.0
-	for _, e := range b.routers {
-		if now.Sub(e.answeredAt) <= b.valid() {
-			sum += e.arrivals
-		}
-	}
-	return sum
-}
-
 // waitingByLevel returns the waiting requests of each level at all routers with a demand; nil if
 // the service has no levels. The caller holds the lock.
 func (b *RouterRegistry) waitingByLevel(demands []Demand) []int {
@@ -297,7 +281,6 @@
 	}
 	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
 	e.waiting, e.rate, e.oldest, e.levels = reply.Waiting, reply.Rate, oldestOf(reply), limitLevels(reply.Levels)
-	e.arrivals = min(max(reply.Arrivals, 0), maxDemand)
 	e.unread = list.UnpackUnread(reply.Unread)
 	e.maxSends, e.backingOff = list.UnpackLimits(reply.Most), list.UnpackRanks(reply.Resting)
 	for n := range e.outstanding {
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -45,7 +45,7 @@
 	demand := r.opts.Relay.Report(now, g)
 	return balance.ReportReply{
 		List: list.Number, Unstarted: list.PackUnstarted(demand.Unstarted), Wanted: demand.Wanted, Waiting: demand.Waiting, Rate: demand.Rate, Idle: demand.Idle,
-		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting), Levels: demand.Levels, Arrivals: demand.Arrivals,
+		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting), Levels: demand.Levels,
 		Unread: list.PackUnread(demand.Unread),
 		Oldest: uint(max(demand.Oldest, 0).Milliseconds()), //nolint:gosec // not negative
 	}
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -125,7 +125,7 @@
 		a.Bounds = balance.GroupBounds(s.Engine, load, x.route.PauseGoal)
 		if !x.stream.begun {
 			// A stream that another upstream continues was admitted before.
-			a.MaxMean = balance.LevelLimit(s.Engine, load.Pace, x.route.PauseGoal, x.level, x.levels, svc.pool.ArrivalsPerRank(now))
+			a.MaxMean = balance.LevelMean(s.Engine, load.Pace, x.route.PauseGoal, x.level, x.levels)
 		}
 		if x.size.Prompt > 0 {
 			a.Bounds = a.Bounds.LimitUnread(s.Engine, load, x.route.PauseGoal)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -172,9 +172,6 @@
 	Rate float64
 	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
 	Levels []balance.LevelDemand
-	// Arrivals is the number of new requests per second for each group; 0 if the service is not
-	// ranked.
-	Arrivals float64
 	// Oldest is how long the oldest waiting request has waited.
 	Oldest time.Duration
 	// Idle reports whether there has been no request for a while.
@@ -225,7 +222,7 @@
 		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
 		Most: most, Resting: resting, Levels: svc.queue.LevelDemands(now),
 		Unread: unread,
-		Oldest: svc.queue.Oldest(now), Arrivals: svc.queue.ArrivalRate(now) / float64(max(svc.pool.Working(now), 1)),
+		Oldest: svc.queue.Oldest(now),
 	}
 }
 
--- a/tests/replay/kinds_test.go
+++ b/tests/replay/kinds_test.go
@@ -105,10 +105,10 @@
 }
 
 // setKind sets the goals, the urgency and the limit of a request.
-func (w *world) setKind(x *admission.Request, k *kind, arrivals float64) {
+func (w *world) setKind(x *admission.Request, k *kind) {
 	x.Route, x.Goal, x.PauseGoal = k.name, k.goal, k.pauseGoal
 	x.Levels, x.Level, x.Urgency = w.p.levels(), k.level, urgency.Urgency{Route: int(k.level)}
-	x.Ask.MaxMean = balance.LevelLimit(w.p.params, 1, k.pauseGoal, k.level, w.p.levels(), arrivals)
+	x.Ask.MaxMean = balance.LevelMean(w.p.params, 1, k.pauseGoal, k.level, w.p.levels())
 }
 
 // beginTry starts a caller's try. The caller disconnects if it gets no event.
--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -363,7 +363,7 @@
 	goal, _ := w.p.goals()
 	x := &admission.Request{Route: "r", Goal: goal, Arrived: w.now, Deadline: w.now.Add(left), Patience: left, Timeout: callerTimeout, Ask: w.askFor(r, tried)}
 	if c.kind != nil {
-		w.setKind(x, c.kind, r.pool.ArrivalsPerRank(w.now))
+		w.setKind(x, c.kind)
 	}
 	c.request = x
 	w.wake(r)
@@ -611,7 +611,7 @@
 	}
 	bounds := w.bounds(index, g)
 	goal, pauseGoal := w.p.goals()
-	bounds.LevelMeans = balance.LevelMeans(w.p.params, g.Pace(), pauseGoal, book.Levels(w.now), book.Arrivals(w.now)/float64(len(g.Ranks)))
+	bounds.LevelMeans = balance.LevelMeans(w.p.params, g.Pace(), pauseGoal, book.Levels(w.now))
 	bounds.Goal = goal
 	targets := book.Targets(w.now, w.infos)
 	number, allotments := book.StartReport(w.now, targets, g.Ranks, &bounds)
@@ -659,7 +659,7 @@
 	if g, ok := r.lists[index].Unpack(report); ok {
 		unstarted := r.pool.Report(w.now, g, w.ids)
 		w.wake(r)
-		reply = balance.ReportReply{List: r.lists[index].Number, Unstarted: r.lists[index].PackUnstarted(unstarted), Wanted: r.queue.Wanted(w.now), Waiting: r.queue.Waiting(), Rate: r.queue.Rate(w.now), Idle: r.queue.Idle(w.now), Levels: r.queue.LevelDemands(w.now), Arrivals: r.queue.ArrivalRate(w.now) / float64(max(r.pool.Working(w.now), 1))}
+		reply = balance.ReportReply{List: r.lists[index].Number, Unstarted: r.lists[index].PackUnstarted(unstarted), Wanted: r.queue.Wanted(w.now), Waiting: r.queue.Waiting(), Rate: r.queue.Rate(w.now), Idle: r.queue.Idle(w.now), Levels: r.queue.LevelDemands(w.now)}
 		if w.p.uneven.reportsWaits() {
 			reply.Oldest = uint(r.queue.Oldest(w.now).Milliseconds())
 		}
