--- a/services/balance/allotment.go
+++ b/services/balance/allotment.go
@@ -6,7 +6,6 @@
 import (
 	"maps"
 	"math"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/models/vm"
@@ -23,9 +22,6 @@
 	DataCentre vm.DataCentre
 	// Levels divides Requests by level; nil if the service has no levels.
 	Levels []LevelDemand
-	// Oldest is how long the router's oldest request has waited, and Goal the time within which
-	// requests should be answered; 0 if unknown.
-	Oldest, Goal time.Duration
 	// Most limits the requests to some ranks, by the limits that these ranks report; others are
 	// unlimited.
 	Most SendLimits
@@ -50,9 +46,6 @@
 	// Unstarted is the limit for requests at a rank whose prompts are still to be read; 0 means no
 	// limit.
 	Unstarted int
-	// Goal is the shortest time within which routes to the service want the first event; 0 if
-	// unknown.
-	Goal time.Duration
 	// Unread is the limit for the unread prompt tokens of a rank that has any; 0 means no limit.
 	Unread int
 	// Prompt is the number of prompt tokens with which a place counts against Unread.
--- a/services/balance/level_allotment.go
+++ b/services/balance/level_allotment.go
@@ -61,7 +61,7 @@
 // weight returns the weight of a router's demand for ranks in a data centre.
 func (s *share) weight(router int, d *Demand, at vm.DataCentre) float64 {
 	if d.DataCentre != at {
-		return s.weights[router] * d.remoteWeight()
+		return s.weights[router] * remoteWeight
 	}
 	return s.weights[router]
 }
--- a/services/balance/report.go
+++ b/services/balance/report.go
@@ -64,8 +64,6 @@
 	Rate float64
 	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
 	Levels []LevelDemand
-	// Oldest is how long the oldest waiting request has waited, in milliseconds.
-	Oldest uint
 	// Unread holds the prompt tokens of the unstarted requests for each rank, in units of
 	// UnreadUnit; nil if there are none or the service has no levels.
 	Unread []uint
--- a/services/balance/router_registry.go
+++ b/services/balance/router_registry.go
@@ -46,10 +46,9 @@
 	unstarted Unstarted
 	// unread holds the prompt tokens of these requests; nil if the router does not report them.
 	unread Unread
-	// wanted, waiting, rate and oldest are from the router's latest reply.
+	// wanted, waiting and rate are from the router's latest reply.
 	wanted, waiting int
 	rate            float64
-	oldest          time.Duration
 	// levels divides wanted and waiting by level; nil if the router does not.
 	levels []LevelDemand
 	// maxSends limits the requests that the router may send to some ranks.
@@ -174,7 +173,7 @@
 		}
 		b.backlog.Waiting += e.waiting
 		b.backlog.Rate += e.rate
-		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Levels: e.levels, Most: e.maxSends, Resting: e.backingOff, Oldest: e.oldest, Goal: bounds.Goal})
+		demands = append(demands, Demand{Router: r.Name, Requests: e.wanted, DataCentre: r.DataCentre, Levels: e.levels, Most: e.maxSends, Resting: e.backingOff})
 		for _, allotment := range e.outstanding {
 			for address, n := range allotment {
 				outstanding[address] += n
@@ -280,7 +279,7 @@
 		return // the router could not read the report; the next one includes the list
 	}
 	e.answeredAt, e.report, e.unstarted, e.wanted = now, report, list.UnpackUnstarted(reply.Unstarted), reply.Wanted
-	e.waiting, e.rate, e.oldest, e.levels = reply.Waiting, reply.Rate, oldestOf(reply), limitLevels(reply.Levels)
+	e.waiting, e.rate, e.levels = reply.Waiting, reply.Rate, limitLevels(reply.Levels)
 	e.unread = list.UnpackUnread(reply.Unread)
 	e.maxSends, e.backingOff = list.UnpackLimits(reply.Most), list.UnpackRanks(reply.Resting)
 	for n := range e.outstanding {
--- a/services/entry/report.go
+++ b/services/entry/report.go
@@ -47,7 +47,6 @@
 		List: list.Number, Unstarted: list.PackUnstarted(demand.Unstarted), Wanted: demand.Wanted, Waiting: demand.Waiting, Rate: demand.Rate, Idle: demand.Idle,
 		Most: list.PackLimits(demand.Most), Resting: list.PackRanks(demand.Resting), Levels: demand.Levels,
 		Unread: list.PackUnread(demand.Unread),
-		Oldest: uint(max(demand.Oldest, 0).Milliseconds()), //nolint:gosec // not negative
 	}
 }
 
--- a/services/rank/report.go
+++ b/services/rank/report.go
@@ -227,6 +227,5 @@
 	o := balance.Opening{At: c.openedAt, Waiting: c.registry.Waiting(now), Ranks: len(g.Ranks), Goal: c.answerGoal}
 	b := balance.CatchUpBounds(now, c.engine, load, balance.GroupBounds(c.engine, load, c.goal).LimitUnread(c.engine, load, c.goal).ForRanks(g.Ranks), o)
 	b.LevelMeans = balance.LevelMeans(c.engine, load.Pace, c.goal, c.registry.Levels(now))
-	b.Goal = c.answerGoal
 	return &b
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -172,8 +172,6 @@
 	Rate float64
 	// Levels divides Wanted and Waiting by level; nil if the service has no levels.
 	Levels []balance.LevelDemand
-	// Oldest is how long the oldest waiting request has waited.
-	Oldest time.Duration
 	// Idle reports whether there has been no request for a while.
 	Idle bool
 	// Most bounds the number of requests that the router may send to some ranks. It is 0 for ranks
@@ -222,7 +220,6 @@
 		Unstarted: unstarted, Wanted: svc.queue.Wanted(now), Waiting: svc.queue.Waiting(), Rate: svc.queue.Rate(now), Idle: len(unstarted) == 0 && svc.queue.Idle(now),
 		Most: most, Resting: resting, Levels: svc.queue.LevelDemands(now),
 		Unread: unread,
-		Oldest: svc.queue.Oldest(now),
 	}
 }
 
