Retries: each is logged with the state of its budget, and counted

Cause: no log line and no metric told retries that the budget allowed from others, how long a retry waited for room, or among how many routers a budget divides its slack, so the hypotheses of the incident could not be told apart. Change: a line retry for each request that is sent once more, metrics of retries taken and denied, of what is left and of the number of routers. Decisions are as before. Result: go test ./services/relay ./services/balance passes.

--- a/services/balance/budget.go
+++ b/services/balance/budget.go
@@ -11,6 +11,7 @@
 	ratio, rate, capacity float64
 	tokens                float64
 	refilledAt            time.Time
+	routers               int
 }
 
 const (
@@ -36,6 +37,16 @@
 	share := budgetFraction * slack / float64(max(routers, minRouters)) / 2
 	b.ratio, b.rate, b.capacity = ratio*budgetFraction, share/window.Seconds(), share
 	b.tokens = min(b.tokens, b.capacity)
+	b.routers = routers
+}
+
+// Routers returns the number of routers among which the slack is divided.
+func (b *Budget) Routers() int { return b.routers }
+
+// Left returns the retries that the budget allows now.
+func (b *Budget) Left(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens
 }
 
 // Request records a request, which earns a fraction of a retry.
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -117,7 +117,7 @@
 		x.retryTaken = false
 		return true
 	}
-	return x.r.mayRetry(x.service)
+	return x.takeRetry()
 }
 
 // fail answers a request that no upstream has answered, or passes on an earlier failure.
@@ -156,6 +156,9 @@
 		return nil, res, err
 	}
 	a := &answer{upstream: u, conn: conn, began: clock.Now()}
+	if x.attempts > 0 {
+		x.logRetry(a.began, u)
+	}
 	// When the caller disconnects or the deadline passes, the closed connection ends the upstream's
 	// work too.
 	stopClosing := context.AfterFunc(ctx, conn.Close)
@@ -281,7 +284,7 @@
 		x.discard(a, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
 		return false
 	}
-	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.r.mayRetry(x.service) {
+	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.takeRetry() {
 		x.retryTaken = true
 		return x.saveFailure(ctx, a)
 	}
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -110,8 +110,10 @@
 	attempts int
 	// mayRun reports whether an attempt may have run or may still run.
 	mayRun bool
-	// retryTaken reports whether the next attempt has already been taken out of the retry budget.
+	// retryTaken reports whether the next attempt has already been taken out of the retry budget, and
+	// retryAt is when the latest one was.
 	retryTaken bool
+	retryAt    time.Time
 	last       upstream.ID
 	// next is the upstream to which the request was rerouted while an attempt ran; nil if it was
 	// not. It is guarded by the relay's lock.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -90,6 +90,8 @@
 	// coverageAt is when the ranks were last checked for missing load reports.
 	coverageAt time.Time
 	shortage   shortage
+	// retriesTaken and retriesDenied count the decisions of the budget.
+	retriesTaken, retriesDenied uint64
 }
 
 // New returns a relay without a catalog or upstreams. Until SetRouters and SetPermits are called,
@@ -103,6 +105,7 @@
 	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.RefusedCount(clock.Now())) })
 	r.measureConditions(o.Metrics, clock.Now)
 	r.measureWaiting(o.Metrics)
+	r.measureRetries(o.Metrics, clock.Now)
 	return r
 }
 
@@ -363,11 +366,3 @@
 		x.r.wake(now, svc) // the upstream may read another prompt
 	}
 }
-
-// mayRetry takes one retry out of the budget of a service.
-func (r *Relay) mayRetry(id service.ID) bool {
-	now := clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.serviceState(now, id).budget.Take(now)
-}
--- a/services/relay/reroute.go
+++ b/services/relay/reroute.go
@@ -66,7 +66,7 @@
 	if !ok {
 		return false
 	}
-	if !svc.budget.Take(now) {
+	if !x.takeRetryLocked(now, svc) {
 		svc.pool.Done(now, next.Run(), balance.ResultUnsent, 0, false)
 		svc.pool.PromptRead(next.Run(), x.size)
 		return false
