Retries: a retry counts when it is sent

A retry was taken out of the budget when it was decided, and its request then waited for room for up to 1.8 s. When a model group that stood still opened again, retries of all that time arrived at once, in a window that had its own. Cause: the budget counts decisions, the promise counts arrivals. Change: a request holds its retry while it waits; after a fiftieth of a window it is returned and taken again right before the request is sent, and a request for which none is left is answered then. A retry that is not used is returned and expires as if it had not been taken.

--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -56,6 +56,7 @@
 func (x *exchange) run(ctx context.Context) {
 	defer x.r.endRun(x)
 	defer x.releaseNext()
+	defer x.returnRetry()
 	for dials := 0; ; {
 		x.r.endRun(x)
 		if ref := x.r.quarantineRefusal(clock.Now(), x); ref != nil {
@@ -75,6 +76,10 @@
 		a, res, err := x.attempt(ctx, u)
 		if res == balance.ResultUnsent && ctx.Err() == nil {
 			x.release(u, res, clock.Since(began), false)
+			if errors.Is(err, errNoRetry) {
+				x.failNotRun(ctx)
+				return
+			}
 			continue
 		}
 		x.waitedUnsent = 0
@@ -98,26 +103,27 @@
 			continue
 		}
 		if !x.allowAttempt(ctx) {
-			x.retryAfter, x.spread = x.r.afterNotRun(x), false
-			ref := x.busy()
-			ref.reason = ReasonNotRun
-			x.fail(ctx, ref)
+			x.failNotRun(ctx)
 			return
 		}
 	}
 }
 
+// failNotRun answers a request that upstreams did not answer and that may not be sent once more.
+func (x *exchange) failNotRun(ctx context.Context) {
+	x.retryAfter, x.spread = x.r.afterNotRun(x), false
+	ref := x.busy()
+	ref.reason = ReasonNotRun
+	x.fail(ctx, ref)
+}
+
 // allowAttempt reports whether the request may be sent once more, and takes the retry out of the
 // budget.
 func (x *exchange) allowAttempt(ctx context.Context) bool {
 	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) || x.crashes >= maxCrashes {
 		return false
 	}
-	if x.retryTaken {
-		x.retryTaken = false
-		return true
-	}
-	return x.takeRetry()
+	return x.holdRetry()
 }
 
 // fail answers a request that no upstream has answered, or passes on an earlier failure.
@@ -156,8 +162,9 @@
 		return nil, res, err
 	}
 	a := &answer{upstream: u, conn: conn, began: clock.Now()}
-	if x.attempts > 0 {
-		x.logRetry(a.began, u)
+	if !x.useRetry(a.began, u) {
+		x.r.conns.Put(a.began, conn, maxIdleConn)
+		return nil, balance.ResultUnsent, fmt.Errorf("send to upstream %s: %w", u.ID, errNoRetry)
 	}
 	// When the caller disconnects or the deadline passes, the closed connection ends the upstream's
 	// work too.
@@ -284,8 +291,7 @@
 		x.discard(a, balance.ResultError, fmt.Errorf("upstream %s: status %d", a.upstream.ID, a.resp.StatusCode))
 		return false
 	}
-	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.takeRetry() {
-		x.retryTaken = true
+	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts && ctx.Err() == nil && x.holdRetry() {
 		return x.saveFailure(ctx, a)
 	}
 	return x.deliverComplete(ctx, a)
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -22,6 +22,7 @@
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/retry"
 )
 
 // Reason states why a router answers a request itself. Reasons appear in logs and metrics.
@@ -110,11 +111,11 @@
 	attempts int
 	// mayRun reports whether an attempt may have run or may still run.
 	mayRun bool
-	// retryTaken reports whether the next attempt has already been taken out of the retry budget, and
-	// retryAt is when the latest one was.
-	retryTaken bool
-	retryAt    time.Time
-	last       upstream.ID
+	// held is the retry for the next attempt that was taken out of the budget at heldSince; nil if
+	// there is none. They are guarded by the relay's lock.
+	held      *retry.Retry
+	heldSince time.Time
+	last      upstream.ID
 	// next is the upstream to which the request was rerouted while an attempt ran; nil if it was
 	// not. It is guarded by the relay's lock.
 	next *upstream.Instance
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -93,8 +93,9 @@
 	// coverageAt is when the ranks were last checked for missing load reports.
 	coverageAt time.Time
 	shortage   shortage
-	// retriesTaken and retriesDenied count the decisions of the budget.
-	retriesTaken, retriesDenied uint64
+	// retriesUsed counts the requests that were sent once more, and retriesDenied those for which the
+	// budget had no retry.
+	retriesUsed, retriesDenied uint64
 }
 
 // New returns a relay without a catalog or upstreams. Until SetRouters and SetPermits are called,
--- a/services/relay/reroute.go
+++ b/services/relay/reroute.go
@@ -66,12 +66,12 @@
 	if !ok {
 		return false
 	}
-	if !x.takeRetryLocked(now, svc) {
+	if !x.holdRetryLocked(now, svc) {
 		svc.pool.Done(now, next.Run(), balance.ResultUnsent, 0, false)
 		svc.pool.PromptRead(next.Run(), x.size)
 		return false
 	}
-	x.retryTaken, x.next = true, &next
+	x.next = &next
 	r.opts.Logger.Info().Str("request", string(x.meta.ID)).Str("upstream", string(x.last)).Str("next", string(next.ID)).
 		Int64("age_ms", now.Sub(x.arrived).Milliseconds()).Msg("request-rerouted")
 	return true
--- a/services/relay/retry.go
+++ b/services/relay/retry.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/upstream"
@@ -26,34 +27,67 @@
 	}
 }
 
-// takeRetry takes one retry out of the budget of the request's service.
-func (x *exchange) takeRetry() bool {
+// errNoRetry reports that the budget has no retry left for a request that waited for room.
+var errNoRetry = errors.New("retry budget used up")
+
+// holdRetry takes one retry out of the budget for the request's next attempt, unless it holds one.
+func (x *exchange) holdRetry() bool {
 	now := clock.Now()
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
-	return x.takeRetryLocked(now, x.r.serviceState(now, x.service))
+	return x.holdRetryLocked(now, x.r.serviceState(now, x.service))
 }
 
-// takeRetryLocked is takeRetry for a caller that holds the lock.
-func (x *exchange) takeRetryLocked(now time.Time, svc *serviceState) bool {
-	if !svc.budget.Take(now) {
+// holdRetryLocked is holdRetry for a caller that holds the lock.
+func (x *exchange) holdRetryLocked(now time.Time, svc *serviceState) bool {
+	if x.held != nil {
+		return true
+	}
+	taken, ok := svc.budget.Take(now)
+	if !ok {
 		svc.retriesDenied++
 		return false
 	}
-	svc.retriesTaken++
-	x.retryAt = now
+	x.held, x.heldSince = &taken, now
 	return true
 }
 
-// logRetry logs that a request is sent once more: how long ago the retry was taken out of the
-// budget, what is left there and among how many routers the budget is divided.
-func (x *exchange) logRetry(now time.Time, u upstream.Instance) {
+// useRetry uses the held retry for an attempt that is sent now. It returns false if the retry was
+// held for too long and the budget has no other.
+func (x *exchange) useRetry(now time.Time, u upstream.Instance) bool {
+	if x.attempts == 0 {
+		return true
+	}
 	x.r.mu.Lock()
 	svc := x.r.serviceState(now, x.service)
+	since := x.heldSince
+	if x.held != nil && svc.budget.Expired(now, *x.held) {
+		svc.budget.Return(now, *x.held)
+		x.held = nil
+	}
+	ok := x.holdRetryLocked(now, svc)
+	if ok {
+		x.held = nil
+		svc.retriesUsed++
+	}
 	left, routers := svc.budget.Left(now), x.r.sharers.Share()
 	x.r.mu.Unlock()
-	x.r.opts.Logger.Info().Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("service", string(x.service)).Str("upstream", string(u.ID)).Int("attempt", x.attempts).
-		Int64("taken_ms", now.Sub(x.retryAt).Milliseconds()).Float64("budget", left).Int("routers", routers).Msg("retry")
+	if ok {
+		x.r.opts.Logger.Info().Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("service", string(x.service)).Str("upstream", string(u.ID)).Int("attempt", x.attempts).
+			Int64("taken_ms", now.Sub(since).Milliseconds()).Float64("budget", left).Int("routers", routers).Msg("retry")
+	}
+	return ok
+}
+
+// returnRetry puts a retry back that the request holds and has not used.
+func (x *exchange) returnRetry() {
+	now := clock.Now()
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	if x.held != nil {
+		x.r.serviceState(now, x.service).budget.Return(now, *x.held)
+		x.held = nil
+	}
 }
 
 // measureRetries exports the retry budgets as metrics.
@@ -69,7 +103,7 @@
 			return out
 		}
 	}
-	m.LabelledValues("retries_total", "Retries taken out of the budget.", "service", true, byService(func(svc *serviceState) float64 { return float64(svc.retriesTaken) }))
+	m.LabelledValues("retries_total", "Requests that were sent once more.", "service", true, byService(func(svc *serviceState) float64 { return float64(svc.retriesUsed) }))
 	m.LabelledValues("retries_denied_total", "Retries that the budget did not allow.", "service", true, byService(func(svc *serviceState) float64 { return float64(svc.retriesDenied) }))
 	m.LabelledValues("retry_budget", "Retries that the budget allows now.", "service", false, byService(func(svc *serviceState) float64 { return svc.budget.Left(now()) }))
 	m.Gauge("retry_budget_routers", "Routers among which the slack of the retry budgets is divided; 0 while this process has no share.", nil, func() float64 {
--- a/services/relay/retry_test.go
+++ b/services/relay/retry_test.go
@@ -14,10 +14,12 @@
 	"testing"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
+	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/knowledge"
 
 	"github.com/rs/zerolog"
@@ -173,6 +175,48 @@
 	}
 }
 
+// TestHeldRetries lets retries of several windows wait for room, which they get together. It guards
+// against retries that are counted when they are decided and arrive much later, all in one window.
+func TestHeldRetries(t *testing.T) {
+	const window, rounds, perRound = 200 * time.Millisecond, 8, 50
+	f := newFleet(t, 1, 2)
+	r := f.routers[0]
+	f.setBehaviour(answerFull)
+	c := testCatalog
+	c.Version, c.Services = 4, []catalog.Service{{ID: "s", Engine: &catalog.Engine{Slots: 1000}}}
+	c.Routes = []catalog.Route{{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.KindSafe, Timeout: 8 * time.Second, Goal: 5 * time.Second, MaxAttempts: 2, Targets: []catalog.Target{{Service: "s", Weight: 1}}}}
+	now := time.Now()
+	r.WithState(func(s *knowledge.State) {
+		s.ApplyCatalogs(now, knowledge.Segment[catalog.Update]{Whole: true, Next: position(2), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
+	})
+	bounds := r.opts.Bounds
+	bounds.RetryWindow, bounds.RetrySlack = window, 0
+	r.SetBounds(now, bounds)
+	// The first rank has room for all requests, the second one only at the end.
+	report := func(second int) {
+		ranks := []balance.RankLoad{{Address: f.fakes[0].address, Pace: 1}, {Address: f.fakes[1].address, Pace: 1}}
+		r.Report(time.Now(), balance.Group{Service: "s", ID: "g", Open: true, Whole: true, Skew: 1, Ranks: ranks, Places: balance.Allotment{f.fakes[0].address: 1000, f.fakes[1].address: second}})
+	}
+	pace := time.NewTicker(window / 2)
+	defer pace.Stop()
+	var w sync.WaitGroup
+	for round := range rounds {
+		report(0)
+		for i := range perRound {
+			w.Go(func() { f.send(fmt.Sprintf("r%d-%d", round, i), "/safe/x", 0) })
+		}
+		<-pace.C
+	}
+	report(1000)
+	w.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	checkRetries(t, f.begun, f.sent, f.repeats, fleetRatio, 0, window)
+	if len(f.repeats) == 0 {
+		t.Error("no request was sent again")
+	}
+}
+
 // TestRetriesOfAllRouters sends requests through 32 routers while upstreams fail, demand jumps and
 // routers start again, in a random order. It guards against retries of all routers together that
 // exceed their common budget.
--- a/services/retry/budget.go
+++ b/services/retry/budget.go
@@ -28,6 +28,8 @@
 	slackFraction = 0.8
 	// intervals is the number of intervals of a window in which earned retries expire together.
 	intervals = 10
+	// maxHold is the fraction of a window for which a retry may be held before it is used.
+	maxHold = 0.02
 )
 
 // Limits are the limits on the retries of a service at all routers together.
@@ -59,6 +61,15 @@
 	rate float64
 }
 
+// Retry is one retry taken out of a budget.
+type Retry struct {
+	at time.Time
+	// interval is the oldest interval in which the retry was earned. Earned and slack are the parts
+	// that were earned and that came from the slack.
+	interval      int64
+	earned, slack float64
+}
+
 // NewBudget returns a budget without retries.
 func NewBudget(now time.Time, l Limits) *Budget {
 	return &Budget{limits: l, begun: now, refilledAt: now}
@@ -97,18 +108,40 @@
 }
 
 // Take takes one retry, or returns false if the budget has none. What expires first is taken first.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) (Retry, bool) {
 	if b.Left(now) < 1 {
-		return false
+		return Retry{}, false
 	}
-	need := 1.0
-	for i := max(b.interval-intervals+1, 0); i <= b.interval && need > 0; i++ {
-		part := min(b.earned[i%intervals], need)
+	r := Retry{at: now, interval: b.interval}
+	for i := max(b.interval-intervals+1, 0); i <= b.interval && r.earned < 1; i++ {
+		part := min(b.earned[i%intervals], 1-r.earned)
+		if part > 0 && r.earned == 0 {
+			r.interval = i
+		}
 		b.earned[i%intervals] -= part
-		need -= part
+		r.earned += part
 	}
-	b.slack = max(b.slack-need, 0)
-	return true
+	r.slack = 1 - r.earned
+	b.slack = max(b.slack-r.slack, 0)
+	return r, true
+}
+
+// Return puts a retry back that was not used. What was earned expires as if it had not been taken;
+// what came from the slack has been refilled if the retry was held for long.
+func (b *Budget) Return(now time.Time, r Retry) {
+	b.advance(now)
+	if r.interval > b.interval-intervals {
+		b.earned[r.interval%intervals] += r.earned
+	}
+	if !b.Expired(now, r) {
+		b.slack = min(b.slack+r.slack, b.share.capacity)
+	}
+}
+
+// Expired reports whether a retry has been held for so long that it must be taken again before it
+// is used. Otherwise retries of several windows could be used in one.
+func (b *Budget) Expired(now time.Time, r Retry) bool {
+	return now.Sub(r.at) > time.Duration(maxHold*float64(b.limits.Window))
 }
 
 // Left returns the retries that the budget allows now.
--- a/services/retry/budget_test.go
+++ b/services/retry/budget_test.go
@@ -39,6 +39,7 @@
 type simulatedRouter struct {
 	budget   *Budget
 	routers  Routers
+	held     []Retry
 	cut      bool
 	weight   int
 	learnsAt time.Duration
@@ -59,6 +60,9 @@
 	rate                 int
 	demand               float64
 	nextRate, nextDemand time.Duration
+	// standstill reports whether nothing can be sent, so that routers hold what they have taken.
+	standstill     bool
+	nextStandstill time.Duration
 	// pause is the mean number of steps between two events of a kind.
 	pause, most int
 }
@@ -95,6 +99,9 @@
 	if at >= s.nextDemand {
 		s.demand, s.nextDemand = pick(s.chance, 0, 0, 0.05, 0.3, 100, 100), at+phase()
 	}
+	if at >= s.nextStandstill {
+		s.standstill, s.nextStandstill = !s.standstill, at+phase()
+	}
 	if s.chance.IntN(s.pause) == 0 {
 		share := pick(s.chance, 0.1, 0.5, 1)
 		for i := range s.all {
@@ -143,7 +150,7 @@
 }
 
 // TestAllRouters draws how requests arrive at routers, how many of them are to be sent again, and
-// when routers restart, are added and are cut off. It guards against retries of
+// when routers restart, are added, are cut off and hold retries back. It guards against retries of
 // all routers together that exceed their limit.
 func TestAllRouters(t *testing.T) {
 	const step, end, seeds = 100 * time.Millisecond, 45 * time.Second, 300
@@ -158,12 +165,7 @@
 					s.all[i].budget.Request(now)
 					requests = append(requests, at.Seconds())
 				}
-				for range int(math.Ceil(s.demand * float64(max(n, 1)))) {
-					if !s.all[i].budget.Take(now) {
-						break
-					}
-					retries = append(retries, at.Seconds())
-				}
+				retries = append(retries, s.all[i].retry(now, at, s.standstill, int(math.Ceil(s.demand*float64(max(n, 1)))))...)
 			}
 		}
 		for _, from := range slices.Compact(slices.Clone(retries)) {
@@ -175,6 +177,33 @@
 	}
 }
 
+// retry uses what the router holds and may use, or holds it back. It returns the times of what it
+// sends.
+func (s *simulatedRouter) retry(now time.Time, at time.Duration, standstill bool, wanted int) times {
+	for range wanted {
+		r, ok := s.budget.Take(now)
+		if !ok {
+			break
+		}
+		s.held = append(s.held, r)
+	}
+	if standstill {
+		return nil
+	}
+	var sent times
+	for _, r := range s.held {
+		if s.budget.Expired(now, r) {
+			s.budget.Return(now, r)
+			if _, ok := s.budget.Take(now); !ok {
+				continue
+			}
+		}
+		sent = append(sent, at.Seconds())
+	}
+	s.held = nil
+	return sent
+}
+
 // TestBudget checks what a budget allows after some events.
 func TestBudget(t *testing.T) {
 	const second = time.Second
@@ -218,17 +247,40 @@
 				t.Errorf("%.2f retries, want %.2f", got, c.want)
 			}
 			for i := range int(c.want + 1e-6) {
-				if !b.Take(now) {
+				if _, ok := b.Take(now); !ok {
 					t.Fatalf("retry %d is denied", i)
 				}
 			}
-			if b.Take(now) {
+			if _, ok := b.Take(now); ok {
 				t.Error("one too many is allowed")
 			}
 		})
 	}
 }
 
+// TestReturn checks that a retry that was not used can be used later, and only until it expires.
+func TestReturn(t *testing.T) {
+	b := NewBudget(testStart, testLimits)
+	for range 13 {
+		b.Request(testStart)
+	}
+	r, ok := b.Take(testStart)
+	if !ok {
+		t.Fatal("the retry is denied")
+	}
+	b.Return(testStart.Add(time.Second), r)
+	if r, ok = b.Take(testStart.Add(2 * time.Second)); !ok {
+		t.Fatal("the retry that was returned is denied")
+	}
+	if b.Expired(testStart.Add(2*time.Second), r) || !b.Expired(testStart.Add(3*time.Second), r) {
+		t.Error("a retry may be held for a fiftieth of a window")
+	}
+	b.Return(testStart.Add(11*time.Second), r)
+	if got := b.Left(testStart.Add(11 * time.Second)); got != 0 {
+		t.Errorf("%.2f retries after they have expired", got)
+	}
+}
+
 // TestRouters checks the number of routers by which the slack is divided.
 func TestRouters(t *testing.T) {
 	const second = time.Second
@@ -270,7 +322,8 @@
 		b.Request(now)
 	}
 	for range 3 {
-		fmt.Println(b.Take(now))
+		_, ok := b.Take(now)
+		fmt.Println(ok)
 	}
 	// Output:
 	// true
