--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -469,9 +469,11 @@
 		r.pool.Done(w.now, run, balance.ResultFull, networkDelay, false)
 		w.wake(r)
 		tried[run.ID] = true
-		if len(tried) < 2 && r.budget.Take(w.now) && !c.done {
-			w.decide(c, r, tried)
-			return
+		if len(tried) < 2 && !c.done {
+			if _, ok := r.budget.Take(w.now); ok {
+				w.decide(c, r, tried)
+				return
+			}
 		}
 		w.reject(c, 250*time.Millisecond)
 	})
