Retries: a service that is requested for the first time has the share that was refilled so far

Cause: the budget of a service is made at its first request and began with an empty share, however long the process had run, so the first failures of a service that is seldom requested could not be retried. Change: a budget begins with what the share has been refilled with since the process got it. The sum over all routers is as before: the share of that service was not used until then. Result: TestFirstShare; TestAllRouters and the tests of relay pass.

--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -317,9 +317,8 @@
 		pool := balance.NewPool(r.opts.DataCentre)
 		svc = &serviceState{
 			service: id, pool: pool, queue: admission.NewQueue(pool), ready: map[*admission.Request]chan upstream.Instance{},
-			budget: retry.NewBudget(now, r.retryLimits()),
+			budget: retry.NewBudget(now, r.retryLimits(), r.sharers.Share()),
 		}
-		svc.budget.SetLimits(now, r.retryLimits(), r.sharers.Share())
 		r.pools[id] = svc
 	}
 	return svc
--- a/services/relay/retry.go
+++ b/services/relay/retry.go
@@ -70,7 +70,7 @@
 		x.held = nil
 		svc.retriesUsed++
 	}
-	left, routers := svc.budget.Left(now), x.r.sharers.Share()
+	left, routers := svc.budget.Left(now), x.r.sharers.Share().Routers
 	x.r.mu.Unlock()
 	if ok {
 		x.r.opts.Logger.Info().Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("service", string(x.service)).Str("upstream", string(u.ID)).Int("attempt", x.attempts).
@@ -109,6 +109,6 @@
 	m.Gauge("retry_budget_routers", "Routers among which the slack of the retry budgets is divided; 0 while this process has no share.", nil, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return float64(r.sharers.Share())
+		return float64(r.sharers.Share().Routers)
 	})
 }
--- a/services/retry/budget.go
+++ b/services/retry/budget.go
@@ -50,12 +50,12 @@
 	// slack is what is left of the share of the slack at refilledAt.
 	slack      float64
 	refilledAt time.Time
-	share      share
+	refill     refill
 }
 
-// share is a router's share of the slack: at most capacity at once, and capacity plus rate times
-// the window in a window.
-type share struct {
+// refill is how a router's share of the slack is refilled: it has at most capacity at once, and
+// capacity plus rate times the window in a window.
+type refill struct {
 	capacity float64
 	// rate is in retries per second.
 	rate float64
@@ -70,35 +70,37 @@
 	earned, slack float64
 }
 
-// NewBudget returns a budget without retries.
-func NewBudget(now time.Time, l Limits) *Budget {
-	return &Budget{limits: l, begun: now, refilledAt: now}
+// NewBudget returns the budget of a service that has got no request from this process so far: it
+// holds what the process's share of the slack has been refilled with.
+func NewBudget(now time.Time, l Limits, s Share) *Budget {
+	b := &Budget{limits: l, begun: now, refilledAt: now, refill: refillOf(l, s.Routers)}
+	b.slack = min(b.refill.rate*max(now.Sub(s.Since).Seconds(), 0), b.refill.capacity)
+	return b
 }
 
-// SetLimits changes the limits, and the number of routers that share the slack; with 0, this router
-// has no share.
-func (b *Budget) SetLimits(now time.Time, l Limits, routers int) {
+// SetLimits changes the limits and the share of the slack.
+func (b *Budget) SetLimits(now time.Time, l Limits, s Share) {
 	b.advance(now)
 	if l.Window != b.limits.Window {
 		b.earned, b.begun, b.interval = [intervals]float64{}, now, 0
 	}
 	b.limits = l
-	b.share = shareOf(l, routers)
-	b.slack = min(b.slack, b.share.capacity)
+	b.refill = refillOf(l, s.Routers)
+	b.slack = min(b.slack, b.refill.capacity)
 }
 
-// shareOf returns the share of one of several routers: half of it at once, and half over a window.
-// A share of more than one retry allows at least one at once.
-func shareOf(l Limits, routers int) share {
+// refillOf returns the refill of the share of one of several routers: half of it at once, and half
+// over a window. A share of more than one retry allows at least one at once.
+func refillOf(l Limits, routers int) refill {
 	if routers <= 0 || l.Window <= 0 {
-		return share{}
+		return refill{}
 	}
 	all := slackFraction * l.Slack / float64(routers)
 	capacity := all / 2
 	if all > 1 {
 		capacity = max(capacity, 1)
 	}
-	return share{capacity: capacity, rate: (all - capacity) / l.Window.Seconds()}
+	return refill{capacity: capacity, rate: (all - capacity) / l.Window.Seconds()}
 }
 
 // Request records a request, which earns a fraction of a retry.
@@ -134,7 +136,7 @@
 		b.earned[r.interval%intervals] += r.earned
 	}
 	if !b.Expired(now, r) {
-		b.slack = min(b.slack+r.slack, b.share.capacity)
+		b.slack = min(b.slack+r.slack, b.refill.capacity)
 	}
 }
 
@@ -157,7 +159,7 @@
 // advance drops expired retries, and refills the share of the slack.
 func (b *Budget) advance(now time.Time) {
 	passed := max(now.Sub(b.refilledAt), 0)
-	b.slack = min(b.slack+b.share.rate*passed.Seconds(), b.share.capacity)
+	b.slack = min(b.slack+b.refill.rate*passed.Seconds(), b.refill.capacity)
 	b.refilledAt = b.refilledAt.Add(passed)
 	length := b.limits.Window / intervals
 	if length <= 0 {
--- a/services/retry/budget_test.go
+++ b/services/retry/budget_test.go
@@ -85,7 +85,7 @@
 // start starts a router, which knows some of the others at first, and all of them a while later.
 func (s *schedule) start(now time.Time, i int) {
 	s.all[i] = &simulatedRouter{
-		budget: NewBudget(now, testLimits), weight: pick(s.chance, 0, 1, 1, 1, 20),
+		budget: NewBudget(now, testLimits, Share{}), weight: pick(s.chance, 0, 1, 1, 1, 20),
 		learnsAt: now.Sub(testStart) + time.Duration(s.chance.Int64N(int64(learnTime))),
 	}
 }
@@ -232,14 +232,14 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			b := NewBudget(testStart, testLimits)
+			b := NewBudget(testStart, testLimits, Share{})
 			for _, e := range c.events {
 				now := testStart.Add(e.at)
 				for range e.requests {
 					b.Request(now)
 				}
 				if e.requests == 0 {
-					b.SetLimits(now, testLimits, e.routers)
+					b.SetLimits(now, testLimits, Share{Routers: e.routers})
 				}
 			}
 			now := testStart.Add(c.at)
@@ -258,9 +258,29 @@
 	}
 }
 
+// TestFirstShare checks what the budget of a service begins with.
+func TestFirstShare(t *testing.T) {
+	cases := map[string]struct {
+		share Share
+		want  float64
+	}{
+		"a process that has just started": {Share{}, 0},
+		"a share that was just got":       {Share{Routers: 8, Since: testStart}, 0},
+		"five seconds ago":                {Share{Routers: 8, Since: testStart.Add(-5 * time.Second)}, 1.6},
+		"long ago":                        {Share{Routers: 8, Since: testStart.Add(-time.Hour)}, 3.2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := NewBudget(testStart, testLimits, c.share).Left(testStart); math.Abs(got-c.want) > 1e-6 {
+				t.Errorf("%.2f retries, want %.2f", got, c.want)
+			}
+		})
+	}
+}
+
 // TestReturn checks that a retry that was not used can be used later, and only until it expires.
 func TestReturn(t *testing.T) {
-	b := NewBudget(testStart, testLimits)
+	b := NewBudget(testStart, testLimits, Share{})
 	for range 13 {
 		b.Request(testStart)
 	}
@@ -308,7 +328,7 @@
 			for _, k := range c.counts {
 				r.Set(testStart.Add(k.at), k.n)
 			}
-			if got := r.Share(); got != c.want {
+			if got := r.Share().Routers; got != c.want {
 				t.Errorf("%d, want %d", got, c.want)
 			}
 		})
@@ -317,7 +337,7 @@
 
 func ExampleBudget() {
 	now := time.Unix(0, 0)
-	b := NewBudget(now, Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+	b := NewBudget(now, Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Share{})
 	for range 25 {
 		b.Request(now)
 	}
--- a/services/retry/routers.go
+++ b/services/retry/routers.go
@@ -15,12 +15,21 @@
 	rememberRouters = time.Minute
 )
 
+// Share is a router's share of the slack: it is divided by a number of routers. A share of 0 routers
+// is none.
+type Share struct {
+	Routers int
+	// Since is when the process got the share.
+	Since time.Time
+}
+
 // Routers counts the routers that share the slack: the most that were known within rememberRouters.
 // A count that is too high only makes the shares smaller.
 type Routers struct {
 	count   int
 	grownAt time.Time
-	settled bool
+	// settledAt is when the count was known for the first time; zero until then.
+	settledAt time.Time
 	// lower is the highest count since lowerSince, if all counts since then were lower than count.
 	lower      int
 	lowerSince time.Time
@@ -41,13 +50,15 @@
 			r.count, r.lowerSince = r.lower, time.Time{}
 		}
 	}
-	r.settled = r.settled || now.Sub(r.grownAt) >= settleTime
+	if r.settledAt.IsZero() && now.Sub(r.grownAt) >= settleTime {
+		r.settledAt = now
+	}
 }
 
-// Share returns the number of routers by which the slack is divided, or 0 while it is not known.
-func (r *Routers) Share() int {
-	if !r.settled {
-		return 0
+// Share returns the share of this router: none while the number of routers is not known.
+func (r *Routers) Share() Share {
+	if r.settledAt.IsZero() {
+		return Share{}
 	}
-	return r.count
+	return Share{Routers: r.count, Since: r.settledAt}
 }
--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -250,8 +250,7 @@
 		pool.SetRandom(rand.New(rand.NewPCG(p.seed, uint64(i)+100)).Float64)
 		r := &router{name: fmt.Sprint("r", i), pool: pool, queue: admission.NewQueue(pool), waiting: map[*admission.Request]*caller{}, inFlight: make([]int, p.ranks), lists: make([]balance.RankList, len(w.engines))}
 		limits := retry.Limits{Ratio: 0.2, Slack: 5 * float64(p.ranks), Window: 10 * time.Second}
-		r.budget = retry.NewBudget(w.now, limits)
-		r.budget.SetLimits(w.now, limits, p.routers)
+		r.budget = retry.NewBudget(w.now, limits, retry.Share{Routers: p.routers, Since: w.now.Add(-limits.Window)})
 		w.routers = append(w.routers, r)
 		w.infos = append(w.infos, peer.Info{Name: r.name, DataCentre: p.uneven.name(i)})
 	}
