Retries: who gets a retry while the budget is empty

Change: a caller that can come back is rejected at once and told when, as before. The request of a caller on its last attempt may wait for room without a retry if the budget is expected to have one by then, comes after all others, and takes the retry when it is sent. The replay starts routers with empty budgets and gives callers that ranks reject the advice of the router.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -42,6 +42,9 @@
 	// Waited is how long the request has already waited for room, since it arrived or was last
 	// sent.
 	Waited time.Duration
+	// Last reports whether the request comes after all others: it was sent before, and waits for a
+	// retry too.
+	Last bool
 
 	// retried reports whether the caller was rejected before and retries. due is when the request
 	// should be sent at the latest once it can no longer be answered in time.
@@ -54,6 +57,10 @@
 	forecast Forecast
 }
 
+// Retried reports whether the caller of a request that has arrived was rejected before. It will not
+// retry once more.
+func (x *Request) Retried() bool { return x.retried }
+
 // Outcome is the decision on a request.
 type Outcome string
 
@@ -100,9 +107,9 @@
 	maxWaitFraction = 0.4
 	// silentStreamTimeout is how long callers stay connected to a stream without events.
 	silentStreamTimeout = 2 * time.Second
-	// maxRetryWait and retryWaitFraction are the same bounds for a retrying caller: it does not
+	// MaxRetryWait and retryWaitFraction are the same bounds for a retrying caller: it does not
 	// retry a second time.
-	maxRetryWait      = 1800 * time.Millisecond
+	MaxRetryWait      = 1800 * time.Millisecond
 	retryWaitFraction = 0.5
 	// dueFraction is the fraction of its wait after which a retried request is due. lateDelay is
 	// added for a request of a new caller that is already late, so that it comes after those: new
--- a/services/admission/admission_test.go
+++ b/services/admission/admission_test.go
@@ -31,12 +31,12 @@
 		"new, a queue that is let in in time":  {8 * time.Second, 9, 10, false, false, maxWait},
 		"new, a long queue":                    {8 * time.Second, 12, 10, false, false, 0},
 		"new, little time is left":             {time.Second, 3, 10, false, false, 400 * time.Millisecond},
-		"comes again, a long queue":            {7 * time.Second, 12, 10, false, false, maxRetryWait},
+		"comes again, a long queue":            {7 * time.Second, 12, 10, false, false, MaxRetryWait},
 		"comes again, little time is left":     {time.Second, 12, 10, false, false, 500 * time.Millisecond},
 		"new, the group is broken":             {8 * time.Second, 0, 10, true, false, 0},
-		"comes again, the group is broken":     {7 * time.Second, 0, 10, true, false, maxRetryWait},
+		"comes again, the group is broken":     {7 * time.Second, 0, 10, true, false, MaxRetryWait},
 		"new, no upstream is listed":           {8 * time.Second, 0, 10, false, true, 0},
-		"comes again, no upstream is listed":   {7 * time.Second, 0, 10, false, true, maxRetryWait},
+		"comes again, no upstream is listed":   {7 * time.Second, 0, 10, false, true, MaxRetryWait},
 		"new, nothing was let in for a second": {8 * time.Second, 1, 0, false, false, 0},
 	}
 	for name, c := range cases {
@@ -84,12 +84,12 @@
 		plain     bool
 		retryWait time.Duration
 	}{
-		"all ranks as usual":       {1, false, false, maxRetryWait},
+		"all ranks as usual":       {1, false, false, MaxRetryWait},
 		"a rank three times slow":  {3, false, false, 0},
 		"a rank twelve times slow": {12, false, false, 0},
 		"a rank thirty times slow": {30, false, false, 0},
-		"the group is closed":      {12, true, false, maxRetryWait},
-		"a plain service":          {12, false, true, maxRetryWait},
+		"the group is closed":      {12, true, false, MaxRetryWait},
+		"a plain service":          {12, false, true, MaxRetryWait},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -102,7 +102,7 @@
 			}
 			want := c.retryWait
 			if want == 0 {
-				want = max(min(maxRetryWait, silentStreamTimeout-balance.FirstEvent(engine, g.Load())), 0)
+				want = max(min(MaxRetryWait, silentStreamTimeout-balance.FirstEvent(engine, g.Load())), 0)
 			}
 			got := q.wait(now, x, false, 0)
 			if got != want {
--- a/services/admission/legacy_test.go
+++ b/services/admission/legacy_test.go
@@ -148,7 +148,7 @@
 	closed := unlisted || q.closed(now, x.Ask.Engine)
 	limit := q.maxSilentWait(now, x, closed)
 	if x.retried {
-		limit = min(maxRetryWait, time.Duration(retryWaitFraction*left), limit)
+		limit = min(MaxRetryWait, time.Duration(retryWaitFraction*left), limit)
 	} else {
 		limit = min(maxWait, time.Duration(maxWaitFraction*left), limit)
 	}
--- a/services/admission/order.go
+++ b/services/admission/order.go
@@ -37,10 +37,13 @@
 	return x.Deadline.Before(o.Deadline)
 }
 
-// dueAt returns when a waiting request should be sent at the latest. For a new caller this is when
+// dueAt returns when a waiting request should be sent at the latest. That is its deadline if it comes
+// after all others. For a new caller this is when
 // it can just be answered in time; after that its request comes after the retried ones.
 func (x *Request) dueAt(now time.Time) time.Time {
 	switch t := x.inTimeUntil(); {
+	case x.Last:
+		return x.Deadline
 	case x.retried:
 		return x.due
 	case now.Before(t):
--- a/services/admission/ranked.go
+++ b/services/admission/ranked.go
@@ -64,7 +64,7 @@
 func (x *Request) maxWait(now time.Time) time.Duration {
 	fraction, longest := maxWaitFraction, maxWait
 	if x.retried {
-		fraction, longest = retryWaitFraction, maxRetryWait
+		fraction, longest = retryWaitFraction, MaxRetryWait
 	}
 	wait := time.Duration(fraction * float64(x.Deadline.Sub(now)))
 	if x.limited() {
--- a/services/admission/ranked_test.go
+++ b/services/admission/ranked_test.go
@@ -285,7 +285,7 @@
 		want    time.Duration
 	}{
 		"most urgent, new":               {0, 400 * time.Millisecond, false, 8 * time.Second, maxWait},
-		"most urgent, returning":         {0, time.Second, true, 8 * time.Second, maxRetryWait},
+		"most urgent, returning":         {0, time.Second, true, 8 * time.Second, MaxRetryWait},
 		"limited, new":                   {2, time.Second, false, 8 * time.Second, 3200 * time.Millisecond},
 		"limited, returning":             {2, time.Second, true, 4 * time.Second, 2 * time.Second},
 		"limited, until the caller goes": {2, time.Second, true, 10 * time.Second, 4 * time.Second},
--- a/services/relay/admit.go
+++ b/services/relay/admit.go
@@ -32,6 +32,7 @@
 	r.wake(now, svc) // room changes without a report too: a binding report may have expired
 	v := svc.queue.Arrive(now, asked, usable)
 	x.retryAfter, x.spread, x.forecast = v.RetryAfter, v.Spread, v.Forecast
+	x.retried = asked.Retried()
 	switch v.Outcome {
 	case admission.OutcomeGranted:
 		r.mu.Unlock()
@@ -112,7 +113,7 @@
 func (r *Relay) admissionRequest(now time.Time, svc *serviceState, x *exchange) *admission.Request {
 	return &admission.Request{
 		Route: x.route.Name, Goal: x.route.Goal, PauseGoal: x.route.PauseGoal, Levels: x.levels, Urgency: x.order, Level: x.level, Arrived: x.arrived, Deadline: x.deadline, Patience: x.meta.Patience, Timeout: x.route.Timeout,
-		Ask: r.pickOptions(now, svc, x), Waited: x.waitedUnsent,
+		Ask: r.pickOptions(now, svc, x), Waited: x.waitedUnsent, Last: x.awaits,
 	}
 }
 
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -118,12 +118,13 @@
 }
 
 // allowAttempt reports whether the request may be sent once more, and takes the retry out of the
-// budget.
+// budget. If the budget has none, a caller that can come back is told when; the request of another
+// one may wait for room, and for a retry that is expected meanwhile.
 func (x *exchange) allowAttempt(ctx context.Context) bool {
 	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) || x.crashes >= maxCrashes {
 		return false
 	}
-	return x.holdRetry()
+	return x.holdRetry() || x.retried && x.awaitRetry()
 }
 
 // fail answers a request that no upstream has answered, or passes on an earlier failure.
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -115,10 +115,14 @@
 	// there is none. They are guarded by the relay's lock.
 	held      *retry.Retry
 	heldSince time.Time
-	last      upstream.ID
+	// awaits reports whether the request waits for a retry as well as for room.
+	awaits bool
+	last   upstream.ID
 	// next is the upstream to which the request was rerouted while an attempt ran; nil if it was
 	// not. It is guarded by the relay's lock.
 	next *upstream.Instance
+	// retried reports whether the caller was rejected before, and so will not come back.
+	retried bool
 	// failure is the answer of an upstream that failed, while other upstreams are tried.
 	failure *completeAnswer
 	// waited is how long the request has waited for room; waitedUnsent is the part of it since the
--- a/services/relay/retry.go
+++ b/services/relay/retry.go
@@ -10,6 +10,7 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/modules/metrics"
+	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/retry"
 )
 
@@ -52,6 +53,15 @@
 	return true
 }
 
+// awaitRetry reports whether the request may wait for a retry: one is expected in time.
+func (x *exchange) awaitRetry() bool {
+	now := clock.Now()
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	x.awaits = x.r.serviceState(now, x.service).budget.Expected(now, admission.MaxRetryWait) >= 1
+	return x.awaits
+}
+
 // useRetry uses the held retry for an attempt that is sent now. It returns false if the retry was
 // held for too long and the budget has no other.
 func (x *exchange) useRetry(now time.Time, u upstream.Instance) bool {
@@ -73,6 +83,7 @@
 	left, routers := svc.budget.Left(now), x.r.sharers.Share().Routers
 	x.r.mu.Unlock()
 	if ok {
+		x.awaits = false
 		x.r.opts.Logger.Info().Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("service", string(x.service)).Str("upstream", string(u.ID)).Int("attempt", x.attempts).
 			Int64("taken_ms", now.Sub(since).Milliseconds()).Float64("budget", left).Int("routers", routers).Msg("retry")
 	}
--- a/services/relay/retry_test.go
+++ b/services/relay/retry_test.go
@@ -137,6 +137,36 @@
 	f.behaviour = b
 }
 
+// setEngine makes the upstreams the ranks of a group.
+func (f *fleet) setEngine(t *testing.T) {
+	t.Helper()
+	c := testCatalog
+	c.Version, c.Services = 4, []catalog.Service{{ID: "s", Engine: &catalog.Engine{Slots: 1000}}}
+	target := []catalog.Target{{Service: "s", Weight: 1}}
+	c.Routes = []catalog.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.KindSafe, Timeout: 8 * time.Second, Goal: 5 * time.Second, MaxAttempts: 2, Targets: target},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: catalog.KindUnsafe, Timeout: 8 * time.Second, Goal: 5 * time.Second, MaxAttempts: 2, Targets: target},
+	}
+	now := time.Now()
+	for _, r := range f.routers {
+		r.WithState(func(s *knowledge.State) {
+			s.ApplyCatalogs(now, knowledge.Segment[catalog.Update]{Whole: true, Next: position(2), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
+		})
+	}
+}
+
+// report reports a group of two ranks to all routers, with the room at each rank.
+func (f *fleet) report(room ...int) {
+	g := balance.Group{Service: "s", ID: "g", Open: true, Whole: true, Skew: 1, Places: balance.Allotment{}}
+	for i, n := range room {
+		g.Ranks = append(g.Ranks, balance.RankLoad{Address: f.fakes[i].address, Pace: 1})
+		g.Places[f.fakes[i].address] = n
+	}
+	for _, r := range f.routers {
+		r.Report(time.Now(), g)
+	}
+}
+
 // The behaviours of upstreams.
 func answerOK(head map[string]string, c net.Conn) { writeAnswer(c, head["Id"], "ok") }
 
@@ -182,32 +212,22 @@
 	f := newFleet(t, 1, 2)
 	r := f.routers[0]
 	f.setBehaviour(answerFull)
-	c := testCatalog
-	c.Version, c.Services = 4, []catalog.Service{{ID: "s", Engine: &catalog.Engine{Slots: 1000}}}
-	c.Routes = []catalog.Route{{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.KindSafe, Timeout: 8 * time.Second, Goal: 5 * time.Second, MaxAttempts: 2, Targets: []catalog.Target{{Service: "s", Weight: 1}}}}
+	f.setEngine(t)
 	now := time.Now()
-	r.WithState(func(s *knowledge.State) {
-		s.ApplyCatalogs(now, knowledge.Segment[catalog.Update]{Whole: true, Next: position(2), AsOf: now, Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &c}}}})
-	})
 	bounds := r.opts.Bounds
 	bounds.RetryWindow, bounds.RetrySlack = window, 0
 	r.SetBounds(now, bounds)
-	// The first rank has room for all requests, the second one only at the end.
-	report := func(second int) {
-		ranks := []balance.RankLoad{{Address: f.fakes[0].address, Pace: 1}, {Address: f.fakes[1].address, Pace: 1}}
-		r.Report(time.Now(), balance.Group{Service: "s", ID: "g", Open: true, Whole: true, Skew: 1, Ranks: ranks, Places: balance.Allotment{f.fakes[0].address: 1000, f.fakes[1].address: second}})
-	}
 	pace := time.NewTicker(window / 2)
 	defer pace.Stop()
 	var w sync.WaitGroup
 	for round := range rounds {
-		report(0)
+		f.report(1000, 0)
 		for i := range perRound {
 			w.Go(func() { f.send(fmt.Sprintf("r%d-%d", round, i), "/safe/x", 0) })
 		}
 		<-pace.C
 	}
-	report(1000)
+	f.report(1000, 1000)
 	w.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -217,6 +237,87 @@
 	}
 }
 
+// TestEmptyBudget checks what callers are answered while there are no retries. It guards against
+// callers that wait although they could come back, and against the loss of those that cannot, after
+// a power failure of all routers.
+func TestEmptyBudget(t *testing.T) {
+	cases := map[string]struct {
+		path      string
+		patience  time.Duration
+		behaviour func(map[string]string, net.Conn)
+		// earns reports whether requests earn a retry before there is room.
+		earns  bool
+		status int
+		// atOnce reports whether the answer does not wait for room.
+		atOnce, retryAfter bool
+		sent               int
+	}{
+		"a caller that can come back":                   {"/safe/x", 8 * time.Second, answerFull, true, 503, true, true, 1},
+		"one that cannot":                               {"/safe/x", 4 * time.Second, answerFull, true, 200, false, false, 2},
+		"one that cannot, and no retry is earned":       {"/safe/x", 4 * time.Second, answerFull, false, 503, false, true, 1},
+		"a failure is passed on":                        {"/safe/x", 4 * time.Second, answerError, true, 500, true, false, 1},
+		"a request that may have run and be sent again": {"/safe/x", 8 * time.Second, answerReset, true, 502, true, false, 1},
+		"a request that may not be sent again":          {"/unsafe/x", 4 * time.Second, answerReset, true, 502, true, false, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, 2)
+			f.setBehaviour(c.behaviour)
+			f.setEngine(t)
+			f.report(1000, 0)
+			req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, c.path, nil)
+			req.Host = "h"
+			for k, v := range map[string]string{"Id": "r1", "Key": "k", "Patience": fmt.Sprint(c.patience.Milliseconds())} {
+				req.Header.Set(k, v)
+			}
+			w, done := httptest.NewRecorder(), make(chan struct{})
+			go func() {
+				defer close(done)
+				f.routers[0].ServeHTTP(w, req)
+			}()
+			until(t, "the first arrival", func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.arrivals["r1"] == 1
+			})
+			select {
+			case <-done:
+				if !c.atOnce {
+					t.Error("answered at once")
+				}
+			case <-time.After(300 * time.Millisecond):
+				if c.atOnce {
+					t.Error("not answered at once")
+				}
+			}
+			f.setBehaviour(answerOK)
+			if c.earns {
+				earnRetries(f.routers[0])
+			}
+			f.report(1000, 1000)
+			<-done
+			if w.Code != c.status || (w.Header().Get("Retry-After") != "") != c.retryAfter {
+				t.Errorf("status %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if got := f.arrivals["r1"]; got != c.sent {
+				t.Errorf("sent %d times, want %d", got, c.sent)
+			}
+		})
+	}
+}
+
+// until waits for a condition that other goroutines bring about.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
 // TestRetriesOfAllRouters sends requests through 32 routers while upstreams fail, demand jumps and
 // routers start again, in a random order. It guards against retries of all routers together that
 // exceed their common budget.
--- a/services/retry/budget.go
+++ b/services/retry/budget.go
@@ -30,6 +30,8 @@
 	intervals = 10
 	// maxHold is the fraction of a window for which a retry may be held before it is used.
 	maxHold = 0.02
+	// minRateTime is the shortest time over which the rate of requests is measured.
+	minRateTime = 100 * time.Millisecond
 )
 
 // Limits are the limits on the retries of a service at all routers together.
@@ -43,10 +45,12 @@
 type Budget struct {
 	limits Limits
 	begun  time.Time
-	// interval is the number of the latest interval since begun, and earned holds what was earned
-	// in it and in those before it, at the interval's number modulo intervals.
+	// interval is the number of the latest interval since begun. Earned and requests hold what was
+	// earned in it and in those before it, and the number of requests, at the interval's number
+	// modulo intervals.
 	interval int64
 	earned   [intervals]float64
+	requests [intervals]int
 	// slack is what is left of the share of the slack at refilledAt.
 	slack      float64
 	refilledAt time.Time
@@ -82,7 +86,7 @@
 func (b *Budget) SetLimits(now time.Time, l Limits, s Share) {
 	b.advance(now)
 	if l.Window != b.limits.Window {
-		b.earned, b.begun, b.interval = [intervals]float64{}, now, 0
+		b.earned, b.requests, b.begun, b.interval = [intervals]float64{}, [intervals]int{}, now, 0
 	}
 	b.limits = l
 	b.refill = refillOf(l, s.Routers)
@@ -107,6 +111,7 @@
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
 	b.earned[b.interval%intervals] += earnedFraction * b.limits.Ratio
+	b.requests[b.interval%intervals]++
 }
 
 // Take takes one retry, or returns false if the budget has none. What expires first is taken first.
@@ -146,6 +151,18 @@
 	return now.Sub(r.at) > time.Duration(maxHold*float64(b.limits.Window))
 }
 
+// Expected returns the retries that will be left after a wait if requests keep arriving as in the
+// latest window and no retry is taken meanwhile.
+func (b *Budget) Expected(now time.Time, wait time.Duration) float64 {
+	left, requests := b.Left(now), 0
+	for _, n := range b.requests {
+		requests += n
+	}
+	measured := min(max(now.Sub(b.begun), minRateTime), b.limits.Window)
+	earned := earnedFraction * b.limits.Ratio * float64(requests) * wait.Seconds() / measured.Seconds()
+	return left + earned + min(b.refill.rate*wait.Seconds(), b.refill.capacity-b.slack)
+}
+
 // Left returns the retries that the budget allows now.
 func (b *Budget) Left(now time.Time) float64 {
 	b.advance(now)
@@ -167,7 +184,7 @@
 	}
 	latest := int64(b.refilledAt.Sub(b.begun) / length)
 	for i := max(b.interval+1, latest-intervals+1); i <= latest; i++ {
-		b.earned[i%intervals] = 0
+		b.earned[i%intervals], b.requests[i%intervals] = 0, 0
 	}
 	b.interval = latest
 }
--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -110,8 +110,10 @@
 type caller struct {
 	arrived time.Time
 	// tried is when the request was last sent to a router.
-	tried  time.Time
-	tries  int
+	tried time.Time
+	tries int
+	// awaits reports whether the request waits for a retry.
+	awaits bool
 	first  time.Duration
 	latest time.Time
 	pause  time.Duration
@@ -250,7 +252,8 @@
 		pool.SetRandom(rand.New(rand.NewPCG(p.seed, uint64(i)+100)).Float64)
 		r := &router{name: fmt.Sprint("r", i), pool: pool, queue: admission.NewQueue(pool), waiting: map[*admission.Request]*caller{}, inFlight: make([]int, p.ranks), lists: make([]balance.RankList, len(w.engines))}
 		limits := retry.Limits{Ratio: 0.2, Slack: 5 * float64(p.ranks), Window: 10 * time.Second}
-		r.budget = retry.NewBudget(w.now, limits, retry.Share{Routers: p.routers, Since: w.now.Add(-limits.Window)})
+		r.budget = retry.NewBudget(w.now, limits, retry.Share{})
+		w.after(routersSettle, func() { r.budget.SetLimits(w.now, limits, retry.Share{Routers: p.routers, Since: w.now}) })
 		w.routers = append(w.routers, r)
 		w.infos = append(w.infos, peer.Info{Name: r.name, DataCentre: p.uneven.name(i)})
 	}
@@ -274,6 +277,9 @@
 	return w
 }
 
+// routersSettle is how long after its start a router knows how many others there are.
+const routersSettle = 2 * time.Second
+
 // firstSkew is the skew of a group without a coordinator, which stays on its first map.
 const firstSkew = 3.2
 
@@ -367,6 +373,7 @@
 	if c.kind != nil {
 		w.setKind(x, c.kind)
 	}
+	x.Last = c.awaits
 	c.request = x
 	w.wake(r)
 	v := r.queue.Arrive(w.now, x, w.ups)
@@ -412,6 +419,15 @@
 	s := &stream{caller: c, router: r, rank: rank, index: index, engine: w.engines[g], unread: prompt, remaining: 1 + int(2*float64(w.p.meanEvents()-1)*w.rand.Float64())}
 	run := w.ups[rank].Run()
 	r.inFlight[rank]++
+	if len(tried) > 0 {
+		if _, ok := r.budget.Take(w.now); !ok {
+			r.inFlight[rank]--
+			r.pool.Done(w.now, run, balance.ResultUnsent, 0, false)
+			w.wake(r)
+			w.rejectNotRun(c, r)
+			return
+		}
+	}
 	if w.choose != nil {
 		r.pool.Sent(w.now, run) // the project's decisions record the send themselves
 	}
@@ -468,16 +484,33 @@
 		r.pool.Done(w.now, run, balance.ResultFull, networkDelay, false)
 		w.wake(r)
 		tried[run.ID] = true
-		if len(tried) < 2 && !c.done {
-			if _, ok := r.budget.Take(w.now); ok {
-				w.decide(c, r, tried)
-				return
-			}
+		if len(tried) < 2 && !c.done && r.mayRetry(w.now, c) {
+			w.decide(c, r, tried)
+			return
 		}
-		w.reject(c, 250*time.Millisecond)
+		w.rejectNotRun(c, r)
 	})
 }
 
+// mayRetry reports whether a request that a rank did not run may be sent once more, now or after a
+// wait for a retry.
+func (r *router) mayRetry(now time.Time, c *caller) bool {
+	if r.budget.Left(now) >= 1 {
+		return true
+	}
+	c.awaits = c.tries > 1 && r.budget.Expected(now, admission.MaxRetryWait) >= 1
+	return c.awaits
+}
+
+// rejectNotRun rejects a caller whose request a rank did not run.
+func (w *world) rejectNotRun(c *caller, r *router) {
+	if w.choose != nil {
+		w.reject(c, 250*time.Millisecond)
+		return
+	}
+	w.reject(c, r.queue.RetryAfterNotRun(w.now, c.request, w.ups))
+}
+
 // backOff returns the back-off that a rank requests which refuses everything; 0 if it does not
 // refuse.
 func (w *world) backOff(rank int) time.Duration {
