Relay: a stream begins under the lock

Cause: a report that reroutes a request reads whether its stream has begun, while the goroutine of the request writes it. The race detector found it once in 18 runs of the package beside five others (TestReroute, a stream that has begun). Change: the flag is written under the relay's lock, under which reports read it.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -23,7 +23,7 @@
 
 // streamState is the progress of a stream.
 type streamState struct {
-	// begun reports whether the head of an answer was passed on.
+	// begun reports whether the head of an answer was passed on. It is written under the relay's lock.
 	begun bool
 	// lastEvent is the id of the latest event that was passed on.
 	lastEvent string
@@ -87,6 +87,14 @@
 	return false
 }
 
+// beginStream records that the head of an answer is passed on. A report of a group may reroute the
+// request at the same time.
+func (x *exchange) beginStream() {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	x.stream.begun = true
+}
+
 func (x *exchange) relayEvents(a *answer) error {
 	in := bufio.NewReader(a.resp.Body)
 	out := http.NewResponseController(x.w)
@@ -107,7 +115,7 @@
 			x.started(a.upstream)
 		}
 		if !x.stream.begun {
-			x.stream.begun = true
+			x.beginStream()
 			x.setHead(x.r.opts.Protocol.CallerHeader(a.resp.Header))
 			x.w.WriteHeader(a.resp.StatusCode)
 		}
