Retries: tests that hold on a loaded machine

Change: TestHeldRetries runs in simulated time and expects exactly the retries of one window; it fails if held retries do not expire.

--- a/services/relay/retry_test.go
+++ b/services/relay/retry_test.go
@@ -16,6 +16,7 @@
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/modules/clock/clocktest"
 	"fawnwinch.org/fawnwinch/modules/metrics"
 	"fawnwinch.org/fawnwinch/modules/setting"
 	"fawnwinch.org/fawnwinch/services"
@@ -41,6 +42,8 @@
 
 	mu      sync.Mutex
 	routers []*Relay
+	// known is the number of routers that each router knows.
+	known []int
 	// sent holds when each request was sent to a router, arrivals when it arrived at upstreams, and
 	// repeats the arrivals beyond the first of each request.
 	sent     []time.Time
@@ -52,7 +55,8 @@
 
 func newFleet(t *testing.T, routers, upstreams int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, begun: time.Now(), arrivals: map[string]int{}, behaviour: answerOK}
+	begun := time.Now()
+	f := &fleet{t: t, begun: begun, arrivals: map[string]int{}, behaviour: answerOK}
 	for range upstreams {
 		f.fakes = append(f.fakes, newFake(t, func(_ int, head map[string]string, c net.Conn) {
 			f.mu.Lock()
@@ -65,10 +69,10 @@
 		}))
 	}
 	for range routers {
-		r := f.newRouter()
-		r.know(routers)
-		f.routers = append(f.routers, r)
+		f.routers, f.known = append(f.routers, f.newRouter()), append(f.known, routers)
 	}
+	f.gossip(begun.Add(-time.Minute))
+	f.gossip(begun)
 	return f
 }
 
@@ -94,26 +98,33 @@
 	return r
 }
 
-// know tells a router of others.
-func (r *Relay) know(n int) {
-	r.SetRouters(n)
-	r.SetKnownRouters(time.Now(), n)
+// gossip tells each router how many others it knows.
+func (f *fleet) gossip(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.routers {
+		r.SetRouters(f.known[i])
+		r.SetKnownRouters(now, f.known[i])
+	}
+}
+
+// learn lets routers that have started learn of others.
+func (f *fleet) learn(chance *rand.Rand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.known {
+		f.known[i] = min(f.known[i]+chance.IntN(8), len(f.known))
+	}
 }
 
-// restart replaces a share of the routers by new ones, which learn of the others after a while.
+// restart replaces a share of the routers by new ones, which know no others.
 func (f *fleet) restart(share float64, chance *rand.Rand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := len(f.routers)
 	for i := range f.routers {
-		if chance.Float64() >= share {
-			continue
+		if chance.Float64() < share {
+			f.routers[i], f.known[i] = f.newRouter(), 1
 		}
-		r := f.newRouter()
-		f.routers[i] = r
-		r.SetRouters(1)
-		time.AfterFunc(time.Duration(50+chance.IntN(300))*time.Millisecond, func() { r.know(2 + n/4) })
-		time.AfterFunc(400*time.Millisecond, func() { r.know(n) })
 	}
 }
 
@@ -205,36 +216,42 @@
 	}
 }
 
-// TestHeldRetries lets retries of several windows wait for room, which they get together. It guards
-// against retries that are counted when they are decided and arrive much later, all in one window.
+// TestHeldRetries lets requests of two windows hold retries until there is room for all of them. It
+// guards against retries that are counted when they are decided and arrive much later, in a window
+// that has its own.
 func TestHeldRetries(t *testing.T) {
-	const window, rounds, perRound = 200 * time.Millisecond, 8, 50
-	f := newFleet(t, 1, 2)
-	r := f.routers[0]
-	f.setBehaviour(answerFull)
-	f.setEngine(t)
-	now := time.Now()
-	bounds := r.opts.Bounds
-	bounds.RetryWindow, bounds.RetrySlack = window, 0
-	r.SetBounds(now, bounds)
-	pace := time.NewTicker(window / 2)
-	defer pace.Stop()
-	var w sync.WaitGroup
-	for round := range rounds {
-		f.report(1000, 0)
-		for i := range perRound {
-			w.Go(func() { f.send(fmt.Sprintf("r%d-%d", round, i), "/safe/x", 0) })
+	clocktest.Bubble(t, func(t *testing.T) {
+		r := newRelay()
+		defer r.Close()
+		var holders []*exchange
+		hold := func() {
+			now := time.Now()
+			r.WithState(func(s *knowledge.State) {
+				s.ApplyCatalogs(now, catalogs(now))
+				s.ApplyUpstreams(now, knowledge.Segment[upstream.Instance]{Whole: true, Next: position(1), AsOf: now})
+			})
+			for range 100 {
+				x, _ := newExchange(t, r, "safe", "k")
+				if x.attempts = 1; x.holdRetry() {
+					holders = append(holders, x)
+				}
+			}
 		}
-		<-pace.C
-	}
-	f.report(1000, 1000)
-	w.Wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	checkRetries(t, f.begun, f.sent, f.repeats, fleetRatio, 0, window)
-	if len(f.repeats) == 0 {
-		t.Error("no request was sent again")
-	}
+		hold()
+		earned := len(holders)
+		time.Sleep(r.opts.Bounds.RetryWindow + time.Second)
+		hold()
+		sent := 0
+		for _, x := range holders {
+			if x.useRetry(time.Now(), upstream.Instance{}) {
+				sent++
+			}
+			x.returnRetry()
+		}
+		if earned == 0 || len(holders) != 2*earned || sent != earned {
+			t.Errorf("of %d requests that hold a retry %d are sent together, want %d", len(holders), sent, earned)
+		}
+	})
 }
 
 // TestEmptyBudget checks what callers are answered while there are no retries. It guards against
@@ -264,6 +281,9 @@
 			f := newFleet(t, 1, 2)
 			f.setBehaviour(c.behaviour)
 			f.setEngine(t)
+			bounds := f.routers[0].opts.Bounds
+			bounds.RetrySlack = 0
+			f.routers[0].SetBounds(time.Now(), bounds)
 			f.report(1000, 0)
 			req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, c.path, nil)
 			req.Host = "h"
@@ -329,7 +349,7 @@
 			chance := rand.New(rand.NewPCG(seed, 58))
 			behaviours := []func(map[string]string, net.Conn){answerError, answerFull, answerReset, answerError, answerFull, answerReset, answerOK}
 			var w sync.WaitGroup
-			rate, nextChange, nextRestart := 300, time.Duration(0), 500*time.Millisecond
+			rate, nextChange, nextRestart := 0, time.Duration(0), fleetWindow/2
 			n := 0
 			pace := time.NewTicker(10 * time.Millisecond)
 			defer pace.Stop()
@@ -339,6 +359,8 @@
 					rate = 150 + chance.IntN(600)
 					nextChange = now + time.Duration(200+chance.IntN(800))*time.Millisecond
 				}
+				f.learn(chance)
+				f.gossip(time.Now())
 				if now >= nextRestart {
 					f.restart(0.5+chance.Float64()/2, chance)
 					nextRestart = now + time.Duration(300+chance.IntN(900))*time.Millisecond
