Own interface: retries share one budget with all routers

Each router of the own interface had a budget of its own, with twenty retries at each start, whatever the others did and however often it started. Change: services/dispatch uses services/retry, one budget for each service; the settings retry_slack (20) and retry_window (10 s) bound all routers together; the directory counts the routers that may be alive, also for a metric. An attempt that reached no upstream takes no retry. Tests that need a retry right after a start wait until the router has a share.

--- a/cmd/router.go
+++ b/cmd/router.go
@@ -24,6 +24,7 @@
 	"fawnwinch.org/fawnwinch/services/dispatch"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/platform"
+	"fawnwinch.org/fawnwinch/services/retry"
 	"fawnwinch.org/fawnwinch/services/routing"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,7 +69,7 @@
 			configlog.NewFollower,
 			newDirectory,
 			func(d *directory.Directory, ring *timeline.Ring) *dispatch.Dispatcher {
-				return dispatch.New(d, ring, set.RetryRatio)
+				return dispatch.New(d, ring, retry.Limits{Ratio: set.RetryRatio, Slack: set.RetrySlack, Window: set.RetryWindow})
 			},
 			func() *metrics.Metrics { return metrics.New(set.Process.ID) },
 		),
@@ -126,6 +127,7 @@
 func registerRouterMetrics(m *metrics.Metrics, p *routerProcess) {
 	m.Gauge("config_revision", "Revision of the configuration in force.", nil, func() float64 { return float64(p.follower.State().Revision) })
 	m.Gauge("log_contact_age_seconds", "Time since the log last answered.", nil, func() float64 { return clock.Since(p.follower.LastContact()).Seconds() })
+	m.Gauge("retry_budget_routers", "Routers among which the slack of the retry budgets is divided; 0 while this process has no share.", nil, func() float64 { return float64(p.dir.RetryShare().Routers) })
 	sent := func() float64 { return float64(p.pool.Stats.Sent.Load() + p.rpc.Stats.Sent.Load()) }
 	received := func() float64 { return float64(p.pool.Stats.Received.Load() + p.rpc.Stats.Received.Load()) }
 	m.Counter("control_sent_bytes_total", "Bytes sent to other fawnwinch processes for control.", nil, sent)
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -67,8 +67,11 @@
 	Credentials []Credential `yaml:"credentials" validate:"min=1,unique=TokenSHA256,dive"`
 	// AddressTTL is how long callers keep an answer about which router to use.
 	AddressTTL time.Duration `yaml:"address_ttl" validate:"min=100ms,max=10m"`
-	// RetryRatio bounds retries as a fraction of answered requests.
-	RetryRatio float64 `yaml:"retry_ratio" validate:"gte=0,lte=1"`
+	// RetryRatio and RetrySlack bound the retries of a service at all routers together, in any
+	// RetryWindow: RetryRatio times the answered requests, plus RetrySlack.
+	RetryRatio  float64       `yaml:"retry_ratio" validate:"gte=0,lte=1"`
+	RetrySlack  float64       `yaml:"retry_slack" validate:"gte=0"`
+	RetryWindow time.Duration `yaml:"retry_window" validate:"min=1s,max=10m"`
 	// EjectLimit is the largest fraction of a service's groups that may be ejected for slowness.
 	EjectLimit float64 `yaml:"eject_limit" validate:"gte=0,lt=1"`
 }
@@ -130,15 +133,17 @@
 const DefaultHeartbeat = 400 * time.Millisecond
 
 // DefaultRouter returns the settings of a router with the defaults for what a file may omit. By
-// default, retries are at most a tenth of the answered requests, and at most half of a service's
-// groups are ejected for slowness.
+// default, retries are at most a tenth of the answered requests and twenty in 10 s, and at most half
+// of a service's groups are ejected for slowness.
 func DefaultRouter() Router {
 	return Router{
-		Process:    Process{LogLevel: "info", Heartbeat: DefaultHeartbeat},
-		Platform:   Platform{Retention: time.Hour},
-		AddressTTL: 5 * time.Second,
-		RetryRatio: 0.1,
-		EjectLimit: 0.5,
+		Process:     Process{LogLevel: "info", Heartbeat: DefaultHeartbeat},
+		Platform:    Platform{Retention: time.Hour},
+		AddressTTL:  5 * time.Second,
+		RetryRatio:  0.1,
+		RetrySlack:  20,
+		RetryWindow: 10 * time.Second,
+		EjectLimit:  0.5,
 	}
 }
 
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -23,6 +23,7 @@
 	"fawnwinch.org/fawnwinch/services/configlog"
 	"fawnwinch.org/fawnwinch/services/membership"
 	"fawnwinch.org/fawnwinch/services/once"
+	"fawnwinch.org/fawnwinch/services/retry"
 	"fawnwinch.org/fawnwinch/services/routing"
 
 	"github.com/rotisserie/eris"
@@ -55,9 +56,11 @@
 	register *once.SentKeys
 	// floorsKnown reports whether another router's floors were merged or there is no other router.
 	floorsKnown bool
-	started     time.Time
-	lists       map[service.ID]*agentLists
-	outbox      *membership.Outbox
+	// sharers counts the routers that share the slack of the retry budgets.
+	sharers retry.Routers
+	started time.Time
+	lists   map[service.ID]*agentLists
+	outbox  *membership.Outbox
 	// peerLists maps each router's address to the list of routers that it sent last.
 	peerLists map[string]routerList
 	// unavailable maps each upstream to whether it was suspect or leaving at the last check, to report
@@ -127,6 +130,9 @@
 	for _, run := range d.routers.Expire(now, d.opts.Retention) {
 		d.table.ForgetRouter(run)
 	}
+	if n, known := d.routers.Known(now); known {
+		d.sharers.Set(now, n)
+	}
 	live := d.routers.Live(now)
 	anchored := d.routers.AnchoredElsewhere(now)
 	d.recordUnavailable(now)
@@ -190,6 +196,13 @@
 	return e, true
 }
 
+// RetryShare returns this router's share of the slack of the retry budgets.
+func (d *Directory) RetryShare() retry.Share {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sharers.Share()
+}
+
 // candidates lists the upstreams that may get new work. The caller holds the lock.
 func (d *Directory) candidates(now time.Time, s *service.Service, exclude map[upstream.ID]bool) []routing.Candidate {
 	closed := map[upstream.ID]bool{}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -22,7 +22,7 @@
 	"fawnwinch.org/fawnwinch/modules/timeline"
 	"fawnwinch.org/fawnwinch/services/directory"
 	"fawnwinch.org/fawnwinch/services/membership"
-	"fawnwinch.org/fawnwinch/services/routing"
+	"fawnwinch.org/fawnwinch/services/retry"
 )
 
 // Request is one caller's request.
@@ -92,14 +92,15 @@
 	client *http.Client
 	ring   *timeline.Ring
 
-	mu     sync.Mutex
-	budget *routing.Budget
+	mu      sync.Mutex
+	limits  retry.Limits
+	budgets map[service.ID]*retry.Budget
 }
 
 // New returns a dispatcher.
-func New(dir *directory.Directory, ring *timeline.Ring, retryRatio float64) *Dispatcher {
+func New(dir *directory.Directory, ring *timeline.Ring, l retry.Limits) *Dispatcher {
 	return &Dispatcher{
-		dir: dir, ring: ring, budget: routing.NewBudget(retryRatio),
+		dir: dir, ring: ring, limits: l, budgets: map[service.ID]*retry.Budget{},
 		client: &http.Client{Transport: httpx.Transport(dialTimeout, 256)},
 	}
 }
@@ -121,26 +122,64 @@
 		res = d.doBuffered(ctx, r)
 	}
 	if res.Outcome == request.OutcomeAnswered {
-		d.mu.Lock()
-		d.budget.Answered()
-		d.mu.Unlock()
+		d.earnRetry(r)
 	} else if res.RetryAfter == 0 {
 		res.RetryAfter = defaultRetryAfter
 	}
 	return res
 }
 
-func (d *Dispatcher) mayRetry() bool {
+// budget returns the retry budget of a service. The caller holds the lock.
+func (d *Dispatcher) budget(now time.Time, id service.ID) *retry.Budget {
+	share := d.dir.RetryShare()
+	b, ok := d.budgets[id]
+	if !ok {
+		b = retry.NewBudget(now, d.limits, share)
+		d.budgets[id] = b
+	}
+	b.SetLimits(now, d.limits, share)
+	return b
+}
+
+// earnRetry records an answered request, which earns a fraction of a retry.
+func (d *Dispatcher) earnRetry(r *Request) {
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(now, r.Service.ID).Request(now)
+}
+
+// mayRetry takes one retry out of the budget.
+func (d *Dispatcher) mayRetry(r *Request) bool {
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Take()
+	_, ok := d.budget(now, r.Service.ID).Take(now)
+	return ok
+}
+
+// attempts counts the attempts of a request at upstreams.
+type attempts struct {
+	// sent reports whether the request was sent, and cuts counts the upstreams that failed then.
+	sent bool
+	cuts int
+}
+
+// mayRetry reports whether a request may be sent once more after an attempt that ended with out.
+// Until it has been sent for the first time, no retry is needed.
+func (a *attempts) mayRetry(d *Dispatcher, r *Request, out attemptEnd) bool {
+	a.sent = a.sent || out.kind != kindNotSent
+	if out.broke() {
+		a.cuts++
+	}
+	return a.cuts < maxCuts && (!a.sent || d.mayRetry(r))
 }
 
 // doBuffered forwards a request that may be repeated and has an unstreamed answer.
 func (d *Dispatcher) doBuffered(ctx context.Context, r *Request) Result {
 	tried := map[upstream.ID]bool{}
 	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoUpstream}
-	cuts := 0
+	var a attempts
 	for n := 1; n <= maxAttempts; n++ {
 		e, ok := d.next(r, tried)
 		if !ok {
@@ -151,13 +190,7 @@
 		d.dir.Done(clock.Now(), e.Beat.Upstream)
 		last = out.result(n, e)
 		d.trace(r, e, out)
-		if out.kind == kindAnswered || ctx.Err() != nil {
-			return last
-		}
-		if out.broke() {
-			cuts++
-		}
-		if cuts >= maxCuts || !d.mayRetry() {
+		if out.kind == kindAnswered || ctx.Err() != nil || !a.mayRetry(d, r, out) {
 			return last
 		}
 	}
--- a/services/dispatch/stream.go
+++ b/services/dispatch/stream.go
@@ -55,7 +55,7 @@
 	tried := map[upstream.ID]bool{}
 	p := &progress{}
 	last := Result{Outcome: request.OutcomeNotRun, Reason: ReasonNoUpstream}
-	cuts := 0
+	var a attempts
 	for n := 1; n <= maxAttempts; n++ {
 		e, ok := d.next(r, tried)
 		if !ok {
@@ -66,10 +66,7 @@
 		d.dir.Done(clock.Now(), e.Beat.Upstream)
 		d.trace(r, e, out)
 		last = out.result(n, e)
-		if out.broke() {
-			cuts++
-		}
-		if p.done || out.kind == kindAnswered || out.kind == kindGone || ctx.Err() != nil || cuts >= maxCuts || !d.mayRetry() {
+		if p.done || out.kind == kindAnswered || out.kind == kindGone || ctx.Err() != nil || !a.mayRetry(d, r, out) {
 			break
 		}
 	}
--- a/services/membership/routers.go
+++ b/services/membership/routers.go
@@ -35,6 +35,8 @@
 	// addresses maps each rpc address from the platform's list and from gossip to its expiry.
 	addresses map[string]time.Time
 	seeds     []string
+	// listed reports whether the platform's list was applied.
+	listed bool
 }
 
 // NewRouters returns the view of a router that has only the addresses in its settings.
@@ -60,6 +62,7 @@
 
 // SetVMs applies the platform's list: a silent router that is not in it is dead.
 func (r *Routers) SetVMs(now time.Time, list []vm.VM) {
+	r.listed = true
 	listed := map[string]bool{}
 	for _, v := range list {
 		if v.Role == vm.RoleRouter {
@@ -139,6 +142,17 @@
 	return out
 }
 
+// Known returns the number of routers that may be alive, this one included. It returns false if the
+// number is not known: this router is in contact with none of the others, or has not read yet
+// whether there are others.
+func (r *Routers) Known(now time.Time) (int, bool) {
+	others := len(r.Addresses(now))
+	if others == 0 {
+		return 1, r.listed
+	}
+	return others + 1, len(r.Live(now)) > 1
+}
+
 // Restarted reports whether the incarnation of a router is unknown here.
 func (r *Routers) Restarted(i RouterInfo) bool {
 	_, known := r.peers[i.Incarnation]
--- a/services/routing/pick_test.go
+++ b/services/routing/pick_test.go
@@ -115,23 +115,6 @@
 	}
 }
 
-func TestBudget(t *testing.T) {
-	b := NewBudget(0.1)
-	taken := 0
-	for b.Take() {
-		taken++
-	}
-	for range 1000 {
-		b.Answered()
-		if b.Take() {
-			taken++
-		}
-	}
-	if taken < 100 || taken > 130 {
-		t.Errorf("%d retries for 1000 answers", taken)
-	}
-}
-
 // TestRankIsStable checks that the removal of a router moves only its own accounts.
 func TestRankIsStable(t *testing.T) {
 	var all []Entry
--- a/tests/integration/answers_test.go
+++ b/tests/integration/answers_test.go
@@ -32,8 +32,9 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, options{routers: 1, plains: 2, router: func(s *setting.Router) { s.RetryRatio = 1 }})
+			c := newCluster(t, options{routers: 1, plains: 2, router: allowRetries})
 			c.put(c.plain["ledger-0"]+"/control/fault", fault)
+			c.awaitRetryShare()
 			for i := range 40 {
 				resp, raw, err := do(http.MethodGet, fmt.Sprintf("%s/svc/ledger/v1/balance/%d", c.routers[0], i), "small", nil, nil)
 				if err != nil || resp.Header.Get(request.HeaderOutcome) != string(request.OutcomeAnswered) {
@@ -71,12 +72,13 @@
 	var c *cluster
 	c = newClusterInto(t, &c, options{
 		routers: 1, groups: 1, ranks: 3, agent: func(s *setting.Agent) { l.addProxy(&c, s) },
-		router: func(s *setting.Router) { s.RetryRatio = 1 },
+		router: allowRetries,
 	})
 	raw := `{"name":"cut","type":"limit_data","stream":"downstream","attributes":{"bytes":1500}}`
 	if _, err := l.proxies["group-0-1"].Toxics.AddToxicJson(strings.NewReader(raw)); err != nil {
 		t.Fatal(err)
 	}
+	c.awaitRetryShare()
 	for i := range 24 {
 		prompt := fmt.Sprint("memo ", i)
 		text, end := c.chat(0, "small", prompt, 40, true)
@@ -126,10 +128,11 @@
 // in turn: a request that crashes the upstreams that run it would have taken a service down with
 // one attempt of its caller.
 func TestSentToTwoUpstreamsAtMost(t *testing.T) {
-	c := newCluster(t, options{routers: 1, plains: 4})
+	c := newCluster(t, options{routers: 1, plains: 4, router: allowRetries})
 	for _, address := range c.plain {
 		c.put(address+"/control/fault", upstreamstandin.PlainFault{LoseAnswers: true})
 	}
+	c.awaitRetryShare()
 	resp, raw, err := do(http.MethodGet, c.routers[0]+"/svc/ledger/v1/balance", "small", nil, nil)
 	if err != nil || resp.Header.Get(request.HeaderOutcome) != string(request.OutcomeUnknown) {
 		t.Fatalf("%v %s", err, raw)
