Logs: the parts of the prompt, and the account of each request

Cause: no line told which parts of a prompt the requests at an ended upstream had in common, nor the account of a request that was answered, so the hypotheses on the replicas that end one after the other could not be told apart. The lines of requests have account and parts, upstream-ended also the route. Decisions are as before.

--- a/services/protocol.go
+++ b/services/protocol.go
@@ -10,6 +10,7 @@
 
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/prompt"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/condition"
@@ -26,6 +27,9 @@
 	// AnswerTokens is the caller's estimate of the size of the answer, and MaxAnswerTokens the
 	// largest answer that it accepts; 0 if they are not given.
 	AnswerTokens, MaxAnswerTokens int
+	// Parts are the parts of the prompt that other requests may share, in order; nil if they are not
+	// given.
+	Parts []prompt.Part
 	// LastEvent is the ID of the last event that the caller received of a stream it wants to
 	// resume.
 	LastEvent string
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/prompt"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
@@ -161,7 +162,7 @@
 	added := r.crashes.Add(now, c)
 	v := r.crashes.Judge(now, x.key())
 	r.mu.Unlock()
-	r.opts.Logger.Warn().Str("account", string(x.account)).Stringer("digest", x.digest).Str("request", string(x.meta.ID)).Str("upstream", string(u.ID)).
+	r.opts.Logger.Warn().Str("account", string(x.account)).Stringer("digest", x.digest).Str("parts", prompt.Join(x.meta.Parts)).Str("route", x.route.Name).Str("request", string(x.meta.ID)).Str("upstream", string(u.ID)).
 		Str("address", u.Address).Int64("ran_ms", c.Ran.Milliseconds()).Int64("lasted_ms", c.Lasted.Milliseconds()).Str("standing", string(v.Standing)).Msg("upstream-ended")
 	if added {
 		r.onCrash()
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -13,6 +13,7 @@
 
 	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/catalog"
+	"fawnwinch.org/fawnwinch/models/prompt"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
@@ -316,7 +317,7 @@
 	x.stream.log(event, x.arrived)
 	x.logUrgency(event, reason)
 	x.countLate()
-	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Int("status", status).Str("reason", string(reason)).
+	event.Str("request", string(x.meta.ID)).Stringer("digest", x.digest).Str("account", string(x.account)).Str("parts", prompt.Join(x.meta.Parts)).Int("status", status).Str("reason", string(reason)).
 		Str("service", string(x.service)).Str("upstream", string(x.last)).Int("attempts", x.attempts).
 		Uint64("catalog", uint64(x.version)).Int64("catalog_age_ms", x.age.Milliseconds()).Int64("patience_ms", x.meta.Patience.Milliseconds()).
 		Int64("retry_after_ms", x.advised.Milliseconds()).Int64("waited_ms", x.waited.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int("events", x.stream.events).Msg(outcome)
