Quarantine: a failing test of a prompt part that crashes replicas

Cause: not settled yet. One replica after the other ends under requests that share a part of their prompt. Change: TestCrashingPromptPart sends requests through three routers which share their account, their first part and a part with which every replica crashes; sound requests share all but that part.

--- a/tests/integration/platform_crash_test.go
+++ b/tests/integration/platform_crash_test.go
@@ -20,15 +20,19 @@
 	detectionTime = 3 * time.Second
 	// maxLateRuns is the number of times that such a request may still reach replicas after that.
 	maxLateRuns = 3
-	// crashingBody is the body of the request that crashes every replica that runs it.
+	// crashingBody is the body of the request that crashes every replica that runs it, and
+	// crashingPart the part of a prompt whose requests do.
 	crashingBody = "crash"
+	crashingPart = "bad0bad0"
 )
 
-// crashService is a plain service whose replicas crash on one request body, and are replaced by
-// others at other addresses.
+// crashService is a plain service whose replicas crash on one request body or part of a prompt, and
+// are replaced by others at other addresses.
 type crashService struct {
 	t *testing.T
 	s *site
+	// runTime is how long other requests run.
+	runTime time.Duration
 
 	mu      sync.Mutex
 	started int
@@ -43,9 +47,9 @@
 	lastCrashed string
 }
 
-func newCrashService(t *testing.T, s *site, replicas int) *crashService {
+func newCrashService(t *testing.T, s *site, replicas int, runTime time.Duration) *crashService {
 	t.Helper()
-	d := &crashService{t: t, s: s}
+	d := &crashService{t: t, s: s, runTime: runTime}
 	for range replicas {
 		d.start()
 	}
@@ -65,9 +69,10 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
-		if string(body) == crashingBody {
+		if string(body) == crashingBody || strings.Contains(r.Header.Get(partsHeader), crashingPart) {
 			d.crash(id, server)
 		}
+		time.Sleep(d.runTime)
 		w.Header().Set("X-Fawnwinch-Request-Id", r.Header.Get("X-Fawnwinch-Request-Id"))
 		w.Header().Set("X-Fawnwinch-Response-Seal", "seal")
 		_, _ = fmt.Fprint(w, "fine")
@@ -107,6 +112,117 @@
 	return len(d.crashTimes), d.crashTimes[2]
 }
 
+// partsHeader holds the parts of a prompt.
+const partsHeader = "X-Fawnwinch-Prompt-Prefix-Hash"
+
+// promptCaller sends requests with prompts of several parts, through all routers in turn. No two are
+// alike; they share the account and the first part.
+type promptCaller struct {
+	d       *crashService
+	routers []*node
+
+	mu           sync.Mutex
+	sent, served int
+}
+
+// send sends a request whose prompt has a part between the first and the last one.
+func (c *promptCaller) send(part string) (int, http.Header) {
+	c.mu.Lock()
+	c.sent++
+	n := c.sent
+	c.mu.Unlock()
+	req, err := http.NewRequestWithContext(c.d.t.Context(), http.MethodPost, "http://"+c.routers[n%len(c.routers)].front+"/peek/x", strings.NewReader(fmt.Sprint("prompt ", n)))
+	if err != nil {
+		c.d.t.Fatal(err)
+	}
+	req.Host = "h"
+	for name, value := range map[string]string{
+		"X-Fawnwinch-Request-Id": fmt.Sprintf("%s-%d", part, n), "X-Fawnwinch-Deadline-Ms": "4000", "Api-Key": "k",
+		partsHeader: fmt.Sprintf("f1f1f1f1:40,%s:200,%08x:300", part, n),
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil && resp.StatusCode == http.StatusOK {
+		c.served++
+	}
+	return resp.StatusCode, resp.Header
+}
+
+// counts returns how many requests were sent and served, and begins to count anew.
+func (c *promptCaller) counts() (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent, served = c.sent, c.served
+	c.sent, c.served = 0, 0
+	return sent, served
+}
+
+// TestCrashingPromptPart sends requests that share a part of their prompt with which every replica
+// crashes, and nothing else that others do not share too, while sound requests go on. It guards
+// against replicas lost one after the other: routers identified requests by their account and whole
+// content, and no two of these are alike.
+func TestCrashingPromptPart(t *testing.T) {
+	s := newSite(t)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	d := newCrashService(t, s, 6, 20*time.Millisecond)
+	d.routers = s.startThree()
+	bad, sound := &promptCaller{d: d}, &promptCaller{d: d}
+	for _, n := range d.routers {
+		d.awaitServes(n)
+		bad.routers, sound.routers = append(bad.routers, n), append(sound.routers, n)
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					sound.send(fmt.Sprintf("50bd%04x", (n+i)%4))
+				}
+			}
+		})
+	}
+	const crashes, interval, tries = 5, 150 * time.Millisecond, 12
+	pace := time.NewTicker(interval)
+	defer pace.Stop()
+	crashed := func() int { n, _ := d.crashes(); return n }
+	// The first requests crash replicas until routers know the part.
+	for deadline := time.Now().Add(4 * time.Second); crashed() < crashes && time.Now().Before(deadline); <-pace.C {
+		bad.send(crashingPart)
+	}
+	for deadline := time.Now().Add(detectionTime); time.Now().Before(deadline); <-pace.C {
+		bad.send(crashingPart)
+	}
+	before := crashed()
+	sound.counts()
+	for range tries {
+		bad.send(crashingPart)
+		<-pace.C
+	}
+	sent, served := sound.counts()
+	close(stop)
+	callers.Wait()
+	after := crashed()
+	t.Logf("%d crashes, %d of them after the detection time; %d of %d sound requests served then", after, after-before, served, sent)
+	if after > before+maxLateRuns {
+		t.Errorf("requests with the part were sent to replicas %d times after the detection time, want %d at most", after-before, maxLateRuns)
+	}
+	if served < sent*95/100 {
+		t.Errorf("%d of %d requests with the same account and first part were served", served, sent)
+	}
+}
+
 // awaitServes waits until a router serves an ordinary request.
 func (d *crashService) awaitServes(n *node) {
 	d.t.Helper()
@@ -155,7 +271,7 @@
 func TestCrashingRequest(t *testing.T) {
 	s := newSite(t)
 	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
-	d := newCrashService(t, s, 3)
+	d := newCrashService(t, s, 3, 0)
 	d.routers = s.startThree()
 	send := d.sendCrashing
 	eventually(t, "three crashes", func() bool { send(); n, _ := d.crashes(); return n >= 3 })
@@ -184,7 +300,7 @@
 func TestCrashingRequestPowerLoss(t *testing.T) {
 	s := newSite(t)
 	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
-	d := newCrashService(t, s, 3)
+	d := newCrashService(t, s, 3, 0)
 	d.routers = s.startThree()
 	d.awaitRefused()
 	poll(detectionTime, func() bool { return s.store.Records(quarantineStream) > 0 })
