Quarantine: parts of prompts that crash upstreams

Callers of a model service got no answer in time for half a minute at a time, because one replica after the other ended under requests of which no two were alike. Cause: routers know what crashes upstreams by a request's account and whole content only. The class: what is at fault is known by less than what it has in common.

Change: the register of package quarantine also keeps the parts of prompts, with the same records, gossip and store entries. A part is a suspect if an upstream ended before it had written to a request with it, and cleared once an answer to it goes on for 50 ms anywhere. After two ends under different contents it is refused at all routers, for ten minutes, then tested by one request at one router. Sound requests share all other parts and may not clear them while every answer breaks off, so parts are blamed one after the other: those that were hardly requested before, then those that explain most ends, then those that fewest requests have; each explains its ends, and the others go on. Ends of a rack count for none of the parts at fewer than half of the upstreams that ended. A part that was requested before is tested after 10 s, then after 20 s, 40 s, by a request without other suspects. A request under which an upstream ended is not sent again if a part of its prompt is a suspect.

--- a/models/prompt/prompt.go
+++ b/models/prompt/prompt.go
@@ -20,8 +20,8 @@
 	// MaxParts bounds the parts of one prompt that are known. Later ones are treated as belonging
 	// to the request alone.
 	MaxParts = 32
-	// maxPartLength bounds an id, in bytes. A longer one is replaced by its hash.
-	maxPartLength = 32
+	// MaxPartLength bounds an id, in bytes. A longer one is replaced by its hash.
+	MaxPartLength = 32
 )
 
 // SharedParts returns the parts of a prompt that other requests may share, given the ids of all its
@@ -43,7 +43,7 @@
 
 func newPart(id string) Part {
 	id = strings.ToLower(strings.TrimSpace(id))
-	if len(id) > maxPartLength {
+	if len(id) > MaxPartLength {
 		id = fmt.Sprintf("~%016x", xxhash.Sum64String(id))
 	}
 	return Part(id)
--- a/models/prompt/prompt_test.go
+++ b/models/prompt/prompt_test.go
@@ -41,7 +41,7 @@
 	if got := SharedParts(many); len(got) != MaxParts || got[0] != "0" {
 		t.Errorf("%d parts from %q on, want %d", len(got), got[0], MaxParts)
 	}
-	if p := newPart(long); len(p) > maxPartLength || p == newPart(long+"b") {
+	if p := newPart(long); len(p) > MaxPartLength || p == newPart(long+"b") {
 		t.Errorf("a long id becomes %q", p)
 	}
 }
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -409,7 +409,9 @@
 	if got := r.opts.Relay.RefusedCount(time.Now()); got != 1 {
 		t.Errorf("%d requests are refused after a start, want 1", got)
 	}
-	r.opts.Relay.WithCrashes(func(g *quarantine.Register) { g.RecordRun(time.Now(), k, quarantine.CompletedRun) })
+	r.opts.Relay.WithCrashes(func(g *quarantine.Register) {
+		g.RecordRun(time.Now(), quarantine.Subject{Content: k}, quarantine.CompletedRun)
+	})
 	keep(r, known, 0)
 }
 
@@ -436,7 +438,9 @@
 	crash(one)
 	keep("one is refused", 1)
 	first := maps.Clone(store.entries)
-	r.opts.Relay.WithCrashes(func(g *quarantine.Register) { g.RecordRun(time.Now(), one, quarantine.CompletedRun) })
+	r.opts.Relay.WithCrashes(func(g *quarantine.Register) {
+		g.RecordRun(time.Now(), quarantine.Subject{Content: one}, quarantine.CompletedRun)
+	})
 	crash(two)
 	keep("another one is", 1)
 	second := maps.Clone(store.entries)
--- a/services/entry/gossip.go
+++ b/services/entry/gossip.go
@@ -89,7 +89,9 @@
 	targets := r.table.Targets(now, rand.IntN)
 	targets = append(targets, r.discoveryTargets(r.table.NoContact(now))...)
 	known, ok := r.knownRouters(now)
+	testers, self := r.eligibleRouters(now), r.table.Self().Name
 	r.mu.Unlock()
+	r.opts.Relay.SetTesters(self, testers)
 	if ok {
 		r.opts.Relay.SetKnownRouters(now, known)
 	}
--- a/services/quarantine/entry.go
+++ b/services/quarantine/entry.go
@@ -3,13 +3,9 @@
 
 package quarantine
 
-import (
-	"time"
+import "time"
 
-	"fawnwinch.org/fawnwinch/models/request"
-)
-
-// Entry is the stored form of a refused request. The platform's store keeps it, so that the refusal
+// Entry is the stored form of a refused key. The platform's store keeps it, so that the refusal
 // survives the loss of all routers.
 type Entry struct {
 	Key Key
@@ -18,17 +14,14 @@
 	Crashes []Crash
 }
 
-// Name returns the key of the entry in the store. It is a digest, as names of client accounts are
-// too long for a store key.
-func (e Entry) Name() string {
-	return request.NewDigest([]byte(e.Key.Account), e.Key.Digest.String()).String()
-}
+// Name returns the key of the entry in the store.
+func (e Entry) Name() string { return e.Key.name() }
 
-// Refused returns an entry for each refused request.
+// Refused returns an entry for each refused key.
 func (r *Register) Refused(now time.Time) []Entry {
 	var out []Entry
 	for k, rec := range r.records {
-		if r.Judge(now, k).Standing != StandingRefused {
+		if r.JudgeKey(now, k).Standing != StandingRefused {
 			continue
 		}
 		e := Entry{Key: k, At: now}
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -5,55 +5,71 @@
 // that were merely in flight when an upstream ended, and decides which requests are no longer sent.
 // It does no I/O and reads no clock.
 //
-// A request is identified by its client account and its content, because each attempt has another
-// id. Two things clear a request: a run of the same content that an upstream answered completely,
-// and a run that lasted longer than those during which upstreams ended. A request that crashes
-// every upstream that runs it has neither. Routers exchange their crash records, see
-// Register.ChangedSince.
+// What crashes upstreams is known by a Key. Each attempt of a request has another id, so a request
+// is known by its client account and its content. Requests that are all different may share a part
+// of their prompt that crashes upstreams, so these parts are known too.
+//
+// Two things clear a key: a run of it that an upstream answered completely, and a run that lasted
+// longer than those during which upstreams ended. What crashes every upstream that runs it has
+// neither. Routers exchange their crash records, see Register.ChangedSince.
 package quarantine
 
 import (
 	"time"
 
-	"fawnwinch.org/fawnwinch/models/account"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
 )
 
 const (
-	// watchThreshold and refuseThreshold are the weights of the crashes of a request from which it
+	// watchThreshold and refuseThreshold are the weights of the crashes of a content from which it
 	// is watched or refused. The weight is mostly the number of consecutive attempts during which
 	// upstreams ended. Two may be chance for a request whose caller retries at once; each further
 	// crash costs a model group some seconds.
 	watchThreshold  = 2
 	refuseThreshold = 3
-	// clearMargin is by how much longer than its crashes a run must have lasted to clear a request:
+	// partThreshold is the weight of the crashes of a part from which it is refused. Crashes count
+	// only with different contents, so retries of one request add nothing.
+	partThreshold = 2
+	// clearMargin is by how much longer than its crashes a run must have lasted to clear a content:
 	// the time from a request's first token to the crash that it causes varies with the load.
 	clearMargin = 500 * time.Millisecond
-	// refusalDuration is how long a request is refused after its latest crash. Then it is watched,
-	// and refused again after one more crash: a request must not stay refused for good once the
-	// upstream has been fixed.
+	// partClearMargin is the same for a part, which crashes an upstream when that begins to write an
+	// answer. Between two crashes of a model group answers may arrive for a few hundred milliseconds
+	// only, and the parts of sound requests must be cleared by them.
+	partClearMargin = 50 * time.Millisecond
+	// PartRunTime is the duration of a run from which it clears all crashes of a part.
+	PartRunTime = 2 * partClearMargin
+	// refusalDuration is how long a key is refused after its latest crash. Then it is watched, and
+	// refused again after one more crash: it must not stay refused for good once the upstream has
+	// been fixed.
 	refusalDuration = 10 * time.Minute
-	// retention is how long after its latest crash the record of a request is kept.
+	// familiarShare is the share of a service's requests from which a part is familiar, and
+	// familiarRefusalDuration how long it is refused at first.
+	familiarShare           = 0.01
+	familiarRefusalDuration = 10 * time.Second
+	// testRetryTime is the retry time of a request that cannot test a part which was refused.
+	testRetryTime = time.Second
+	// retention is how long after its latest crash the record of a key is kept.
 	retention = 20 * time.Minute
 )
 
-// Key identifies the content of a request of a client account.
-type Key struct {
-	Account account.ID
-	Digest  request.Digest
-}
-
 // Crash is the end of an upstream's run while a request was in flight.
 type Crash struct {
 	Key Key
 	Run upstream.Run
+	// Content is the content of the request, for the key of a part.
+	Content request.Digest
+	// Depth is the position of a part in its prompt, and Share the share of its service's requests
+	// that have it.
+	Depth int
+	Share float64
 	// Ran is the time from sending the request to the end of the upstream. Lasted is the time from
 	// the first event of the answer to that end; 0 if the answer had not begun.
 	Ran, Lasted time.Duration
 	// Age is the time since the crash.
 	Age time.Duration
-	// Cleared reports whether the request was not the cause.
+	// Cleared reports whether the key was not the cause.
 	Cleared bool
 }
 
@@ -64,18 +80,39 @@
 const (
 	// StandingFree is a request without restrictions.
 	StandingFree Standing = "free"
+	// StandingSuspect is a request that is not sent again if an upstream ended under it.
+	StandingSuspect Standing = "suspect"
 	// StandingWatched is a request that may crash upstreams: it is sent once, and never while
-	// another run of it is in flight.
+	// another run of what may be at fault is in flight.
 	StandingWatched Standing = "watched"
 	// StandingRefused is a request that is not sent.
 	StandingRefused Standing = "refused"
 )
 
+// severity orders standings.
+func (s Standing) severity() int {
+	switch s {
+	case StandingSuspect:
+		return 1
+	case StandingWatched:
+		return 2
+	case StandingRefused:
+		return 3
+	case StandingFree:
+	}
+	return 0
+}
+
 // Verdict is the decision on a request.
 type Verdict struct {
 	Standing Standing
+	// Key is what the decision is about.
+	Key Key
 	// Until is when a refused request may be sent again.
 	Until time.Time
+	// Test reports whether a watched request was refused before, and is sent to find out whether
+	// that is still right.
+	Test bool
 }
 
 // CompletedRun is the duration of a run that was answered completely: longer than any other run.
--- a/services/quarantine/register_test.go
+++ b/services/quarantine/register_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"fawnwinch.org/fawnwinch/models/prompt"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/services/peer"
@@ -69,7 +70,7 @@
 			k := Key{Account: "x", Digest: 1}
 			for _, s := range c.steps {
 				if s.survived {
-					r.RecordRun(testStart.Add(s.at), k, s.lasted)
+					r.RecordRun(testStart.Add(s.at), Subject{Content: k}, s.lasted)
 					continue
 				}
 				key := k
@@ -79,10 +80,10 @@
 				r.Add(testStart.Add(s.at), Crash{Key: key, Run: upstream.Run{ID: s.crash}, Ran: s.ran, Lasted: s.lasted})
 			}
 			r.Sweep(testStart.Add(c.at))
-			if got := r.Judge(testStart.Add(c.at), k); got.Standing != c.want {
+			if got := r.JudgeKey(testStart.Add(c.at), k); got.Standing != c.want {
 				t.Errorf("%s, want %s", got.Standing, c.want)
 			}
-			if got := r.Judge(testStart.Add(c.at), Key{Account: "y", Digest: 1}); got.Standing != StandingFree {
+			if got := r.JudgeKey(testStart.Add(c.at), Key{Account: "y", Digest: 1}); got.Standing != StandingFree {
 				t.Errorf("the same content of another account is %s", got.Standing)
 			}
 		})
@@ -108,13 +109,13 @@
 		}
 		for i := range 60 {
 			now = now.Add(time.Duration(chance.IntN(2000)) * time.Millisecond)
-			at, k := chance.IntN(3), Key{Account: "x", Digest: request.Digest(chance.IntN(3))}
+			at, x := chance.IntN(3), subject(chance.IntN(3), prompt.Part(fmt.Sprint("p", chance.IntN(3))))
 			switch chance.IntN(4) {
 			case 0:
-				all[at].Add(now, Crash{Key: k, Run: upstream.Run{ID: upstream.ID(fmt.Sprint(i))}, Ran: 100 * time.Millisecond})
+				all[at].AddCrash(now, x, Crash{Run: upstream.Run{ID: upstream.ID(fmt.Sprint(i))}, Ran: 100 * time.Millisecond})
 			case 1:
 				if chance.IntN(4) == 0 {
-					all[at].RecordRun(now, k, CompletedRun)
+					all[at].RecordRun(now, x, CompletedRun)
 				}
 			default:
 				tell(at, chance.IntN(3))
@@ -127,11 +128,13 @@
 				}
 			}
 		}
-		for digest := range request.Digest(3) {
-			k := Key{Account: "x", Digest: digest}
-			a, b, c := all[0].Judge(now, k).Standing, all[1].Judge(now, k).Standing, all[2].Judge(now, k).Standing
-			if a != b || b != c {
-				t.Errorf("seed %d, request %d: %s, %s, %s", seed, digest, a, b, c)
+		for i := range 3 {
+			x := subject(i, prompt.Part(fmt.Sprint("p", i)))
+			for _, k := range x.Keys() {
+				a, b, c := all[0].JudgeKey(now, k).Standing, all[1].JudgeKey(now, k).Standing, all[2].JudgeKey(now, k).Standing
+				if a != b || b != c {
+					t.Errorf("seed %d, %s: %s, %s, %s", seed, k, a, b, c)
+				}
 			}
 		}
 	}
@@ -144,7 +147,7 @@
 	for i := range 2 * maxKeys {
 		now := testStart.Add(time.Duration(i) * time.Millisecond)
 		r.Add(now, Crash{Key: Key{Digest: request.Digest(i)}, Run: upstream.Run{ID: "a"}})
-		r.RecordRun(now, Key{Digest: request.Digest(10*maxKeys + i)}, CompletedRun)
+		r.RecordRun(now, Subject{Content: Key{Digest: request.Digest(10*maxKeys + i)}}, CompletedRun)
 	}
 	now := testStart.Add(time.Hour / 60)
 	if got := len(r.ChangedSince(now, peer.Watermark{Start: 1, Position: 1 << 40})); got != maxKeys {
@@ -184,7 +187,7 @@
 		now := kept.Add(c.after)
 		r := NewRegister(now)
 		r.Restore(now, entries[0])
-		if got := r.Judge(now, k).Standing; got != c.want {
+		if got := r.JudgeKey(now, k).Standing; got != c.want {
 			t.Errorf("%s: %s, want %s", name, got, c.want)
 		}
 	}
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -49,7 +49,10 @@
 	// latestAt.
 	started             bool
 	startedAt, latestAt time.Time
-	stop                func() bool
+	// partsCleared reports whether the answer has been arriving for so long that the parts of the
+	// prompt are cleared.
+	partsCleared bool
+	stop         func() bool
 }
 
 // run sends a request to upstreams until one answers or no further attempt is allowed.
@@ -310,6 +313,16 @@
 	return false
 }
 
+// completed returns what an answer that was read to its end clears. A failure clears the content: it
+// ran, and the upstream goes on. It does not clear the parts of the prompt, as the upstream may not
+// have begun to write an answer.
+func (x *exchange) completed(status int) quarantine.Subject {
+	if status >= http.StatusMultipleChoices {
+		return quarantine.Subject{Content: x.subject.Content}
+	}
+	return x.subject
+}
+
 // completeAnswer is an answer that was read to its end.
 type completeAnswer struct {
 	upstream upstream.ID
@@ -340,7 +353,7 @@
 		x.recordBreak(ctx, a, err)
 		return nil, false
 	}
-	x.r.recordRun(clock.Now(), x.key(), quarantine.CompletedRun)
+	x.r.recordRun(clock.Now(), x.completed(a.resp.StatusCode), quarantine.CompletedRun)
 	a.reuseConn(x.r.conns)
 	x.release(a.upstream, res, clock.Since(a.began), a.started)
 	return &completeAnswer{upstream: a.upstream.ID, status: a.resp.StatusCode, header: x.r.opts.Protocol.CallerHeader(a.resp.Header), body: body}, true
--- a/services/relay/authorize.go
+++ b/services/relay/authorize.go
@@ -77,8 +77,7 @@
 		kind, _ := conditions.Judge(now, u.Run())
 		return permission, ErrUnavailable{Upstream: u.ID, Condition: kind}
 	}
-	r.running[x.key()]++
-	x.running = true
+	r.beginRun(x)
 	return permission, nil
 }
 
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -17,6 +17,7 @@
 	"fawnwinch.org/fawnwinch/services/balance"
 	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/quarantine"
+	"fawnwinch.org/fawnwinch/services/watch"
 )
 
 const (
@@ -46,8 +47,8 @@
 
 // suspect is a request whose answer had been arriving for some time when its connection broke.
 type suspect struct {
-	key    quarantine.Key
-	lasted time.Duration
+	subject quarantine.Subject
+	lasted  time.Duration
 }
 
 // ended reports whether the upstream has ended: no process listens at its address.
@@ -55,9 +56,6 @@
 
 func (p *probe) expired(now time.Time) bool { return !p.at.IsZero() && now.Sub(p.at) > probeRetention }
 
-// key identifies the content of the request, whatever its id.
-func (x *exchange) key() quarantine.Key { return quarantine.Key{Account: x.account, Digest: x.digest} }
-
 // quarantineRefusal returns the refusal for a request that must not be sent now, or nil.
 func (r *Relay) quarantineRefusal(now time.Time, x *exchange) *refusal {
 	r.mu.Lock()
@@ -67,18 +65,61 @@
 
 // judgeCrashes is quarantineRefusal for a caller that holds the lock.
 func (r *Relay) judgeCrashes(now time.Time, x *exchange) *refusal {
-	v := r.crashes.Judge(now, x.key())
-	switch {
-	case v.Standing == quarantine.StandingRefused:
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonCrashes, retryAfter: v.Until.Sub(now)}
-	case v.Standing == quarantine.StandingWatched && (x.crashes > 0 || r.running[x.key()] > 0):
-		ref := x.busy()
-		ref.reason = ReasonWatched
-		return &ref
+	v := r.crashes.Judge(now, x.subject)
+	switch v.Standing {
+	case quarantine.StandingRefused:
+		r.quarantined.refused(v.Key, x.account)
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonOf(v.Key), retryAfter: v.Until.Sub(now)}
+	case quarantine.StandingWatched:
+		if x.crashes > 0 || r.running[v.Key] > 0 || v.Test && !r.tests(v.Key) {
+			return x.watched()
+		}
+	case quarantine.StandingSuspect:
+		if x.crashes > 0 {
+			return x.watched()
+		}
+	case quarantine.StandingFree:
 	}
 	return nil
 }
 
+// reasonOf returns the reason for the refusal of a request because of a key.
+func reasonOf(k quarantine.Key) Reason {
+	if k.IsPart() {
+		return ReasonPartCrashes
+	}
+	return ReasonCrashes
+}
+
+// watched returns the refusal for a request that may crash upstreams and is not sent now.
+func (x *exchange) watched() *refusal {
+	ref := x.busy()
+	ref.reason = ReasonWatched
+	return &ref
+}
+
+// tests reports whether this router tests whether a key that was refused is still at fault. One
+// router does, so that a wrong test costs one crash at most. The caller holds the lock.
+func (r *Relay) tests(k quarantine.Key) bool {
+	return len(r.testers) == 0 || watch.ReaderOf("quarantine/"+k.String(), r.testers) == r.self
+}
+
+// SetTesters sets the name of this router, and the names of all routers that may test whether a key
+// that was refused is still at fault.
+func (r *Relay) SetTesters(self string, names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self, r.testers = self, names
+}
+
+// beginRun records that a request runs. The caller holds the lock.
+func (r *Relay) beginRun(x *exchange) {
+	for _, k := range x.subject.Keys() {
+		r.running[k]++
+	}
+	x.running = true
+}
+
 // endRun records that a request no longer runs.
 func (r *Relay) endRun(x *exchange) {
 	if !x.running {
@@ -87,21 +128,42 @@
 	x.running = false
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running[x.key()]--; r.running[x.key()] <= 0 {
-		delete(r.running, x.key())
+	for _, k := range x.subject.Keys() {
+		if r.running[k]--; r.running[k] <= 0 {
+			delete(r.running, k)
+		}
 	}
 }
 
 // recordRun records for how long the answer to a request has been arriving from an upstream that
 // survived.
-func (r *Relay) recordRun(now time.Time, k quarantine.Key, lasted time.Duration) {
+func (r *Relay) recordRun(now time.Time, s quarantine.Subject, lasted time.Duration) {
 	r.mu.Lock()
-	cleared := r.crashes.RecordRun(now, k, lasted)
+	cleared := r.crashes.RecordRun(now, s, lasted)
 	r.mu.Unlock()
 	if cleared {
-		r.opts.Logger.Info().Str("account", string(k.Account)).Stringer("digest", k.Digest).Int64("lasted_ms", lasted.Milliseconds()).Msg("request-cleared")
-		r.onCrash()
+		r.noteCleared(s, lasted)
+	}
+}
+
+// recordPartRun records for how long the answer to a request has been arriving that goes on.
+func (r *Relay) recordPartRun(now time.Time, s quarantine.Subject, lasted time.Duration) {
+	if len(s.Parts) == 0 {
+		return
 	}
+	r.mu.Lock()
+	cleared := r.crashes.RecordPartRun(now, s, lasted)
+	r.mu.Unlock()
+	if cleared {
+		r.noteCleared(s, lasted)
+	}
+}
+
+// noteCleared logs that a request was cleared, and notifies the other routers.
+func (r *Relay) noteCleared(s quarantine.Subject, lasted time.Duration) {
+	event := r.opts.Logger.Info().Str("account", string(s.Content.Account)).Stringer("digest", s.Content.Digest)
+	event.Str("parts", s.JoinParts()).Int64("lasted_ms", lasted.Milliseconds()).Msg("request-cleared")
+	r.onCrash()
 }
 
 // recordAnswer records that a run of an upstream answers: the requests that it ran when its
@@ -110,8 +172,9 @@
 	if a.head.Execution == services.ExecutionMisdirected {
 		return
 	}
+	r.WithCrashes(func(g *quarantine.Register) { g.RecordAnswer(now, a.upstream.Run()) })
 	for _, d := range r.takeSuspects(a.upstream.Run()) {
-		r.recordRun(now, d.key, d.lasted)
+		r.recordRun(now, d.subject, d.lasted)
 	}
 }
 
@@ -136,7 +199,7 @@
 	brokenAt := clock.Now()
 	p := r.probeUpstream(ctx, u)
 	if p.ended() {
-		r.recordCrash(brokenAt, x, u, quarantine.Crash{Key: x.key(), Run: u.Run(), Ran: brokenAt.Sub(sent), Lasted: lasted})
+		r.recordCrash(brokenAt, x, u, quarantine.Crash{Run: u.Run(), Ran: brokenAt.Sub(sent), Lasted: lasted})
 		return
 	}
 	if p.err != nil || lasted <= 0 {
@@ -146,7 +209,7 @@
 	defer r.mu.Unlock()
 	// Another probe may have replaced the one that was waited for.
 	if kept, ok := r.probes[u.Run()]; ok && len(kept.suspects) < maxSuspects {
-		kept.suspects = append(kept.suspects, suspect{key: x.key(), lasted: lasted})
+		kept.suspects = append(kept.suspects, suspect{subject: x.subject, lasted: lasted})
 	}
 }
 
@@ -159,11 +222,12 @@
 		return // it is leaving, and ends as ordered
 	}
 	x.crashes++
-	added := r.crashes.Add(now, c)
-	v := r.crashes.Judge(now, x.key())
+	added := r.crashes.AddCrash(now, x.subject, c)
+	v := r.crashes.Judge(now, x.subject)
+	r.noteQuarantined(now)
 	r.mu.Unlock()
 	r.opts.Logger.Warn().Str("account", string(x.account)).Stringer("digest", x.digest).Str("parts", prompt.Join(x.meta.Parts)).Str("route", x.route.Name).Str("request", string(x.meta.ID)).Str("upstream", string(u.ID)).
-		Str("address", u.Address).Int64("ran_ms", c.Ran.Milliseconds()).Int64("lasted_ms", c.Lasted.Milliseconds()).Str("standing", string(v.Standing)).Msg("upstream-ended")
+		Str("address", u.Address).Int64("ran_ms", c.Ran.Milliseconds()).Int64("lasted_ms", c.Lasted.Milliseconds()).Str("standing", string(v.Standing)).Stringer("blamed", v.Key).Msg("upstream-ended")
 	if added {
 		r.onCrash()
 	}
@@ -230,7 +294,8 @@
 	f(r.crashes)
 }
 
-// RefusedCount returns the number of requests that are refused because they crash upstreams.
+// RefusedCount returns the number of contents and parts of prompts that are refused because they
+// crash upstreams.
 func (r *Relay) RefusedCount(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/services/relay/crashes_test.go
+++ b/services/relay/crashes_test.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
+	"reflect"
 	"testing"
 	"time"
 
@@ -172,7 +172,7 @@
 	r.WithCrashes(func(g *quarantine.Register) {
 		g.Add(now, quarantine.Crash{Key: k, Run: upstream.Run{ID: "e"}, Lasted: 100 * time.Millisecond})
 	})
-	r.probes[u.Run()] = &probe{at: now, suspects: []suspect{{key: k, lasted: 2 * time.Second}}}
+	r.probes[u.Run()] = &probe{at: now, suspects: []suspect{{subject: quarantine.Subject{Content: k}, lasted: 2 * time.Second}}}
 	for _, step := range []struct {
 		head    services.Execution
 		cleared bool
@@ -190,12 +190,12 @@
 	f := newStoppableUpstream(t, func(*stoppableUpstream, net.Conn) {})
 	_, r := start(t, newFake(t, nil))
 	now, u := time.Now(), upstream.Instance{ID: "u0", Address: f.address}
-	first := suspect{key: askedKey("/stream/x"), lasted: time.Second}
+	first := suspect{subject: quarantine.Subject{Content: askedKey("/stream/x")}, lasted: time.Second}
 	r.probes[u.Run()] = &probe{at: now.Add(-2 * probeValidity), suspects: []suspect{first}}
-	x := &exchange{r: r, account: "seiryu", digest: askedKey("/stream/y").Digest}
+	x := &exchange{r: r, account: "seiryu", subject: quarantine.Subject{Content: askedKey("/stream/y")}}
 	r.probeAfterBreak(t.Context(), x, u, now, 2*time.Second)
-	want := []suspect{first, {key: x.key(), lasted: 2 * time.Second}}
-	if got := r.takeSuspects(u.Run()); !slices.Equal(got, want) {
+	want := []suspect{first, {subject: x.subject, lasted: 2 * time.Second}}
+	if got := r.takeSuspects(u.Run()); !reflect.DeepEqual(got, want) {
 		t.Errorf("kept %+v, want %+v", got, want)
 	}
 }
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -23,6 +23,7 @@
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 	"fawnwinch.org/fawnwinch/services/retry"
 )
 
@@ -47,6 +48,7 @@
 	ReasonStreamBroken       Reason = "stream-broke-off"
 	ReasonAnswered           Reason = "answered"
 	ReasonCrashes            Reason = "crashes-upstreams"
+	ReasonPartCrashes        Reason = "prompt-part-crashes-upstreams"
 	ReasonWatched            Reason = "may-crash-upstreams"
 )
 
@@ -104,6 +106,8 @@
 	// digest identifies the content of the request, whatever its id: a caller that retries sends
 	// another id.
 	digest request.Digest
+	// subject is the request as the quarantine knows it.
+	subject quarantine.Subject
 	// version and age are those of the catalog by which the request was admitted.
 	version catalog.Version
 	age     time.Duration
@@ -198,6 +202,8 @@
 	}
 	x.body = body
 	x.digest = contentDigest(x.req, body)
+	x.subject = quarantine.NewSubject(x.account, x.digest, x.service, x.meta.Parts)
+	x.r.countRequest(x)
 	return nil
 }
 
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -69,8 +69,14 @@
 	// changed.
 	crashes *quarantine.Register
 	onCrash func()
-	// running counts the running requests by content.
+	// quarantined holds what is refused, and the requests that were.
+	quarantined quarantined
+	// running counts the running requests by content and by part of the prompt.
 	running map[quarantine.Key]int
+	// self is the name of this router, and testers holds the names of all routers that may test
+	// whether a key that was refused is still at fault.
+	self    string
+	testers []string
 	// sent holds the attempts whose answers have not ended, of requests that may be sent again.
 	sent map[*sentAttempt]struct{}
 	// probes holds the probes of upstreams whose connections broke.
@@ -104,10 +110,10 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		opts: o, conns: httpconn.NewPool(maxIdleConn), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
-		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, running: map[quarantine.Key]int{}, sent: map[*sentAttempt]struct{}{}, probes: map[upstream.Run]*probe{},
+		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, quarantined: quarantined{}, running: map[quarantine.Key]int{}, sent: map[*sentAttempt]struct{}{}, probes: map[upstream.Run]*probe{},
 		permits: localPermits{quota.NewLedger()}, start: uint64(max(clock.Now().UnixNano(), 1)),
 	}
-	o.Metrics.Gauge("requests_quarantined", "Requests that are refused because upstreams ended under them.", nil, func() float64 { return float64(r.RefusedCount(clock.Now())) })
+	r.measureQuarantine(o.Metrics, clock.Now)
 	r.measureConditions(o.Metrics, clock.Now)
 	r.measureWaiting(o.Metrics)
 	r.measureRetries(o.Metrics, clock.Now)
@@ -295,6 +301,7 @@
 		addresses[c.Value.Address] = true
 	}
 	r.crashes.Sweep(now)
+	r.noteQuarantined(now)
 	maps.DeleteFunc(r.probes, func(_ upstream.Run, p *probe) bool { return p.expired(now) })
 	maps.DeleteFunc(r.runs, func(address string, _ upstream.Run) bool { return !addresses[address] })
 	for _, svc := range r.pools {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -13,12 +13,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/catalog"
 	"fawnwinch.org/fawnwinch/models/group"
+	"fawnwinch.org/fawnwinch/models/prompt"
 	"fawnwinch.org/fawnwinch/models/request"
 	"fawnwinch.org/fawnwinch/models/service"
 	"fawnwinch.org/fawnwinch/models/upstream"
@@ -42,8 +44,8 @@
 
 func (protocol) ParseRequest(h http.Header) services.CallerMeta {
 	ms, _ := strconv.Atoi(h.Get("Patience"))
-	prompt, _ := strconv.Atoi(h.Get("Prompt"))
-	return services.CallerMeta{ID: request.ID(h.Get("Id")), Key: catalog.Key(h.Get("Key")), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), PromptTokens: prompt}
+	tokens, _ := strconv.Atoi(h.Get("Prompt"))
+	return services.CallerMeta{Parts: prompt.SharedParts(strings.Split(h.Get("Parts"), ",")), ID: request.ID(h.Get("Id")), Key: catalog.Key(h.Get("Key")), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last"), PromptTokens: tokens}
 }
 
 func (protocol) UpstreamHeader(h http.Header, o services.OutgoingMeta) http.Header {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -70,13 +70,13 @@
 	err := x.relayEvents(a)
 	switch {
 	case err == nil:
-		x.r.recordRun(clock.Now(), x.key(), quarantine.CompletedRun)
+		x.r.recordRun(clock.Now(), x.subject, quarantine.CompletedRun)
 		a.reuseConn(x.r.conns)
 		x.release(a.upstream, balance.ResultOK, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonAnswered)
 		return true
 	case x.req.Context().Err() != nil:
-		x.r.recordRun(clock.Now(), x.key(), a.lasted(a.latestAt))
+		x.r.recordRun(clock.Now(), x.subject, a.lasted(a.latestAt))
 		a.drop()
 		x.release(a.upstream, balance.ResultCancelled, clock.Since(a.began), a.started)
 		x.finish(http.StatusOK, ReasonCallerDisconnected)
@@ -95,6 +95,15 @@
 	x.stream.begun = true
 }
 
+// clearParts records that the upstream goes on while it writes the answer: the parts of the prompt do
+// not crash it.
+func (x *exchange) clearParts(a *answer) {
+	if lasted := a.lasted(a.latestAt); lasted > 0 && !a.partsCleared {
+		x.r.recordPartRun(a.latestAt, x.subject, lasted)
+		a.partsCleared = lasted > quarantine.PartRunTime
+	}
+}
+
 func (x *exchange) relayEvents(a *answer) error {
 	in := bufio.NewReader(a.resp.Body)
 	out := http.NewResponseController(x.w)
@@ -114,6 +123,7 @@
 			a.started, a.startedAt = true, a.latestAt
 			x.started(a.upstream)
 		}
+		x.clearParts(a)
 		if !x.stream.begun {
 			x.beginStream()
 			x.setHead(x.r.opts.Protocol.CallerHeader(a.resp.Header))
--- a/tests/replay/crash_test.go
+++ b/tests/replay/crash_test.go
@@ -184,7 +184,7 @@
 // try sends a request through a random router to a random rank.
 func (w *crashWorld) try(content request.Digest, retries int) {
 	router := w.rng.IntN(crashRouters)
-	v := w.routers[router].Judge(w.time(), w.key(content))
+	v := w.routers[router].JudgeKey(w.time(), w.key(content))
 	running := false
 	for _, r := range w.ranks {
 		for _, run := range r.runs {
@@ -230,7 +230,7 @@
 		}
 		run.done = true
 		w.served++
-		w.routers[router].RecordRun(w.time(), w.key(content), quarantine.CompletedRun)
+		w.routers[router].RecordRun(w.time(), quarantine.Subject{Content: w.key(content)}, quarantine.CompletedRun)
 	})
 }
 
@@ -276,7 +276,9 @@
 			}
 			run.done = true
 			if lasted := w.answerTime(run); lasted > 0 {
-				w.after(time.Second, func() { w.routers[run.router].RecordRun(w.time(), w.key(run.content), lasted) })
+				w.after(time.Second, func() {
+					w.routers[run.router].RecordRun(w.time(), quarantine.Subject{Content: w.key(run.content)}, lasted)
+				})
 			}
 			w.retry(run.content, run.retries)
 		}
