Operators: what is refused as it crashes upstreams, and how to release it

Cause: routers logged the ends of upstreams only. An operator saw neither which part of prompts was refused nor for how long, and could let it in again only by removing a record of the store and restarting all routers at once.

Change: "platform status" lists what a router refuses, with the upstreams that ended, the time left, the requests refused and their accounts; "platform release" serves a part or a content again, at all routers by gossip. The first refused request is counted too.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -36,7 +36,7 @@
 	c.AddCommand(
 		nodeCommand("router", "Run the router of an entry VM", entryOptions),
 		nodeCommand("agent", "Run the agent beside a rank of a model group", rankOptions),
-		newPlatformTimelineCommand(), newPlatformStatusCommand(),
+		newPlatformTimelineCommand(), newPlatformStatusCommand(), newPlatformReleaseCommand(),
 	)
 	return c
 }
--- a/cmd/platform_status.go
+++ b/cmd/platform_status.go
@@ -35,7 +35,8 @@
 		Use:   "status ADDRESS...",
 		Short: "Show the model groups and the store as routers see them; ADDRESS is a router's address for other processes",
 		Long: "Show which groups report their load, their coordinators, and the ranks that no coordinator reports; then the\n" +
-			"services whose requests lack room, since when, and the requests waiting, rejected and late by level; then the\n" +
+			"services whose requests lack room, since when, and the requests waiting, rejected and late by level; then what\n" +
+			"is refused because upstreams ended under it: a content of an account, or a part of prompts; then the\n" +
 			"data centres that are evacuated, and how many upstreams are cold, limit their requests, rest or leave; then how\n" +
 			"far each router has read the platform's store, and whether that was recently restored from a copy.\n" +
 			"The exit code is 2 if ranks are unreported at a router, and 1 if a router does not answer.",
@@ -96,6 +97,9 @@
 	if err := printShortages(w, all); err != nil {
 		return err
 	}
+	if err := printQuarantined(w, all); err != nil {
+		return err
+	}
 	if err := printUpstreams(w, all); err != nil {
 		return err
 	}
@@ -120,6 +124,22 @@
 	return wrap(t.Flush(), "print shortages")
 }
 
+// printQuarantined prints a line for each content and each part of prompts that a router refuses, and
+// nothing if there is none.
+func printQuarantined(w io.Writer, all []entry.GroupsStatus) error {
+	if !slices.ContainsFunc(all, func(s entry.GroupsStatus) bool { return len(s.Quarantined) > 0 }) {
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "ROUTER\tREFUSED\tUPSTREAMS ENDED\tSINCE s\tLEFT s\tREQUESTS\tACCOUNTS")
+	for _, s := range all {
+		for _, q := range s.Quarantined {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%.0f\t%.0f\t%d\t%s\n", s.Router, q.Key, q.Crashes, q.Since.Seconds(), q.Left.Seconds(), q.Requests, strings.Trim(fmt.Sprint(q.Accounts), "[]"))
+		}
+	}
+	return wrap(t.Flush(), "print quarantine")
+}
+
 // printUpstreams prints a line for each router with the evacuated data centres and the number of
 // upstreams in each condition.
 func printUpstreams(w io.Writer, all []entry.GroupsStatus) error {
--- a/services/entry/coverage.go
+++ b/services/entry/coverage.go
@@ -14,6 +14,7 @@
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/knowledge"
+	"fawnwinch.org/fawnwinch/services/quarantine"
 	"fawnwinch.org/fawnwinch/services/relay"
 )
 
@@ -47,7 +48,9 @@
 	Coverage []relay.Coverage
 	// Shortages holds the services whose requests lack room.
 	Shortages []relay.ServiceShortage `json:",omitempty"`
-	Store     StoreStatus
+	// Quarantined holds what is refused because it crashes upstreams.
+	Quarantined []relay.QuarantineStatus `json:",omitempty"`
+	Store       StoreStatus
 	// Evacuated holds the evacuated data centres, and Conditions counts the upstreams in each
 	// condition.
 	Evacuated  []vm.DataCentre
@@ -61,8 +64,16 @@
 	return nil
 }
 
+// Release clears a content or a part of prompts that is refused, for operators. The other routers
+// learn it by gossip.
+func (a *API) Release(k quarantine.Key, released *bool) error {
+	*released = a.r.opts.Relay.Release(clock.Now(), k)
+	a.r.opts.Logger.Info().Stringer("key", k).Bool("released", *released).Msg("quarantine-released")
+	return nil
+}
+
 func (r *Router) groupsStatus(now time.Time, of service.ID) GroupsStatus {
-	out := GroupsStatus{Store: r.storeStatus(now), Conditions: r.opts.Relay.Conditions(now)}
+	out := GroupsStatus{Store: r.storeStatus(now), Conditions: r.opts.Relay.Conditions(now), Quarantined: r.opts.Relay.Quarantined(now)}
 	r.opts.Relay.WithState(func(s *knowledge.State) { out.Evacuated = s.Evacuated() })
 	for _, c := range r.opts.Relay.Coverage(now) {
 		if of == "" || c.Service == of {
--- a/services/relay/crashes.go
+++ b/services/relay/crashes.go
@@ -70,7 +70,7 @@
 	v := r.crashes.Judge(now, x.subject)
 	switch v.Standing {
 	case quarantine.StandingRefused:
-		r.quarantined.refused(v.Key, x.account)
+		r.noteRefused(now, v.Key, x.account)
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonOf(v.Key), retryAfter: v.Until.Sub(now)}
 	case quarantine.StandingWatched:
 		if x.crashes > 0 || r.running[v.Key] > 0 || v.Test && !r.tests(v.Key) {
--- a/services/relay/quarantined.go
+++ b/services/relay/quarantined.go
@@ -29,11 +29,14 @@
 	accounts map[account.ID]bool
 }
 
-// refused counts a refused request.
-func (q quarantined) refused(k quarantine.Key, a account.ID) {
-	known, ok := q[k]
+// noteRefused counts a refused request. The caller holds the lock.
+func (r *Relay) noteRefused(now time.Time, k quarantine.Key, a account.ID) {
+	if _, ok := r.quarantined[k]; !ok {
+		r.noteQuarantined(now)
+	}
+	known, ok := r.quarantined[k]
 	if !ok {
-		return // it is listed from the next sweep on
+		return // it is refused for a moment only, until it has been tested
 	}
 	known.requests++
 	if len(known.accounts) < maxListedAccounts {
--- a/tests/integration/platform_crash_test.go
+++ b/tests/integration/platform_crash_test.go
@@ -8,8 +8,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -33,6 +36,8 @@
 	s *site
 	// runTime is how long other requests run.
 	runTime time.Duration
+	// mended reports whether replicas no longer crash on the part.
+	mended atomic.Bool
 
 	mu      sync.Mutex
 	started int
@@ -69,7 +74,7 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
-		if string(body) == crashingBody || strings.Contains(r.Header.Get(partsHeader), crashingPart) {
+		if string(body) == crashingBody || !d.mended.Load() && strings.Contains(r.Header.Get(partsHeader), crashingPart) {
 			d.crash(id, server)
 		}
 		time.Sleep(d.runTime)
@@ -319,3 +324,94 @@
 		t.Errorf("the request was sent to replicas %d times after it had crashed three, want %d at most", n-before, maxLateRuns)
 	}
 }
+
+// startPrompts starts a service whose replicas crash on a part of prompts behind three routers, and
+// sends requests with it until all routers refuse it.
+func startPrompts(t *testing.T) (*crashService, *promptCaller) {
+	t.Helper()
+	s := newSite(t)
+	s.store.Put(operatorStream, "config", operatorConfig(3, "k"))
+	d := newCrashService(t, s, 3, 0)
+	d.routers = s.startThree()
+	bad := &promptCaller{d: d}
+	for _, name := range []string{"a", "b", "c"} {
+		d.awaitServes(d.routers[name])
+		bad.routers = append(bad.routers, d.routers[name])
+	}
+	bad.awaitRefused()
+	return d, bad
+}
+
+// awaitRefused sends requests with the part that crashes replicas until every router refuses it in
+// one round.
+func (c *promptCaller) awaitRefused() {
+	c.d.t.Helper()
+	eventually(c.d.t, "a refusal by every router", func() bool {
+		before, _ := c.d.crashes()
+		for _, n := range c.routers {
+			c.d.awaitServes(n)
+			if status, _ := c.send(crashingPart); status != http.StatusServiceUnavailable {
+				return false
+			}
+		}
+		after, _ := c.d.crashes()
+		return after == before
+	})
+}
+
+// TestCrashingPromptPartPowerLoss restarts all routers, without their memory, while requests with a
+// part that crashes replicas go on. It guards against a quarantine of parts that only the routers'
+// memory holds.
+func TestCrashingPromptPartPowerLoss(t *testing.T) {
+	d, bad := startPrompts(t)
+	poll(detectionTime, func() bool { return d.s.store.Records(quarantineStream) > 0 })
+	before, _ := d.crashes()
+	for range 2 {
+		for _, n := range d.routers {
+			n.kill()
+		}
+		for _, n := range d.routers {
+			n.start()
+		}
+		for _, n := range d.routers {
+			d.awaitServes(n)
+		}
+		bad.awaitRefused()
+	}
+	if n, _ := d.crashes(); n > before+maxLateRuns {
+		t.Errorf("requests with the part were sent to replicas %d times after it was refused, want %d at most", n-before, maxLateRuns)
+	}
+}
+
+// TestReleasePromptPart has an operator look up what is refused, and serve it again once replicas no
+// longer crash on it.
+func TestReleasePromptPart(t *testing.T) {
+	d, bad := startPrompts(t)
+	run := func(args ...string) string {
+		p := &process{t: t, name: "operator", args: append([]string{"platform"}, args...), logs: filepath.Join(d.s.dir, "operator-"+args[0]+".log")}
+		p.start()
+		<-p.done
+		raw, err := os.ReadFile(p.logs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(raw)
+	}
+	for name, n := range d.routers {
+		if got := run("status", n.control); !strings.Contains(got, "part "+crashingPart+" of service ledger") || !strings.Contains(got, "seiryu") {
+			t.Errorf("router %s shows\n%s", name, got)
+		}
+	}
+	d.mended.Store(true)
+	if got := run("release", d.routers["a"].control, "--service", "ledger", "--part", strings.ToUpper(crashingPart)); !strings.Contains(got, "is served again") {
+		t.Errorf("the release says %q", got)
+	}
+	eventually(t, "requests with the part are served by all routers", func() bool {
+		for range bad.routers {
+			if status, _ := bad.send(crashingPart); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
