Soak: a part of prompts that crashes replicas, and answers without a length

Cause: no plan had requests that share a part which ends each replica, nor streams that end with their connection. Callers of such a part come at any router for nine seconds and more; counted are the requests that reach replicas through routers in touch later than contactMs after the fifth end, and how many sound calls with the same key and first part are served. Replicas that end so refuse connections.

--- a/tests/soak/burst_test.go
+++ b/tests/soak/burst_test.go
@@ -56,9 +56,9 @@
 	return out
 }
 
-// rankedFaults are the faults that may be injected if the model service is ranked.
-var rankedFaults = append(slices.Clone(faults),
-	fault{"a burst of the least urgent route", 10, func(w *world, rng *rand.Rand, duration time.Duration) {
+// rankedFaults are the faults that may be injected only if the model service is ranked.
+var rankedFaults = []fault{
+	{"a burst of the least urgent route", 10, func(w *world, rng *rand.Rand, duration time.Duration) {
 		var all sync.WaitGroup
 		if i := rng.IntN(len(burstCompanions) + 1); i < len(burstCompanions) {
 			w.note("during the burst: %s", burstCompanions[i].name)
@@ -67,7 +67,7 @@
 		w.burst(minBurstTime + duration)
 		all.Wait()
 	}},
-	fault{"priorities change during a burst", 6, func(w *world, _ *rand.Rand, duration time.Duration) {
+	{"priorities change during a burst", 6, func(w *world, _ *rand.Rand, duration time.Duration) {
 		var all sync.WaitGroup
 		all.Go(func() { w.burst(minBurstTime + duration) })
 		for range modelKinds { // the last change restores the first priorities
@@ -79,7 +79,7 @@
 		}
 		all.Wait()
 	}},
-)
+}
 
 // burstCompanions are faults that are injected during a burst.
 var burstCompanions = []fault{
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -40,7 +40,9 @@
 	// version is the configuration version that a call of kindProbe tests. keyVersion is the
 	// version whose key the call uses; 0 for the permanent key.
 	version, keyVersion int
-	router              *router
+	// bad is the part of its prompt that crashes replicas; empty for none.
+	bad    string
+	router *router
 	// start is the number of restarts of the router when the call was sent.
 	start         int
 	sent, endedAt time.Time
@@ -166,6 +168,7 @@
 	req.Header.Set("X-Fawnwinch-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	req.Header.Set("Api-Key", c.key)
 	w.setSize(rng, c, req.Header)
+	w.setParts(rng, c, req.Header)
 	w.mu.Lock()
 	c.sent = time.Now()
 	w.mu.Unlock()
--- a/tests/soak/final_test.go
+++ b/tests/soak/final_test.go
@@ -35,6 +35,7 @@
 		w.fail("%d of %d passes began with two maps", seen.Mixed, seen.Passes)
 	}
 	w.checkRetries()
+	w.checkParts()
 	for _, r := range w.allReplicas() {
 		w.checkLimits(r)
 	}
@@ -159,7 +160,7 @@
 func (w *world) checkRecovered(quietSince time.Time) {
 	all, served := 0, 0
 	for _, c := range w.ended {
-		if c.sent.Before(quietSince) || c.leavesEarly || c.keyVersion > 0 || c.kind == kindProbe {
+		if c.sent.Before(quietSince) || c.leavesEarly || c.bad != "" || c.keyVersion > 0 || c.kind == kindProbe {
 			continue
 		}
 		all++
--- a/tests/soak/plan_test.go
+++ b/tests/soak/plan_test.go
@@ -33,15 +33,19 @@
 
 // anyReplica returns a random running replica; with plain set, only one of a plain service.
 func (w *world) anyReplica(rng *rand.Rand, plain bool) *replica {
-	var out []*replica
-	for _, r := range w.allReplicas() {
-		r.mu.Lock()
-		if !r.ended && r.draining.IsZero() && (!plain || r.engine == nil) {
-			out = append(out, r)
+	for ; ; pause(20 * time.Millisecond) {
+		var out []*replica
+		for _, r := range w.allReplicas() {
+			r.mu.Lock()
+			if !r.ended && r.draining.IsZero() && (!plain || r.engine == nil) {
+				out = append(out, r)
+			}
+			r.mu.Unlock()
+		}
+		if len(out) > 0 {
+			return out[rng.IntN(len(out))]
 		}
-		r.mu.Unlock()
 	}
-	return out[rng.IntN(len(out))]
 }
 
 // faults are the faults that may be injected.
@@ -204,6 +208,7 @@
 			r.setBehavior(behavior{})
 		}
 	}},
+	{"requests share a part that crashes replicas", 5, func(w *world, rng *rand.Rand, duration time.Duration) { w.sendBadParts(rng, duration) }},
 }
 
 // firstFaults is the number of faults that the first plans were drawn from. A seed that found a
--- a/tests/soak/replica_test.go
+++ b/tests/soak/replica_test.go
@@ -204,6 +204,14 @@
 	}
 	r.w.recordRun(r, id, req, body)
 	time.Sleep(m.delay + time.Duration(r.draw(40))*time.Millisecond)
+	if r.w.crashOn(r, id) {
+		panic(http.ErrAbortHandler)
+	}
+	if r.engine != nil && isRanked(r.w.seed) && hasLaterFaults(r.w.seed) && r.draw(2) == 0 {
+		out := &closingWriter{ResponseWriter: w}
+		defer out.close()
+		w = out
+	}
 	switch {
 	case lost:
 		panic(http.ErrAbortHandler)
@@ -271,3 +279,37 @@
 	}
 	r.w.recordAnswer(id)
 }
+
+// closingWriter writes an answer with neither a length nor chunks, which ends with its connection.
+type closingWriter struct {
+	http.ResponseWriter
+	conn net.Conn
+}
+
+// Write writes the head before the first bytes of the body.
+func (c *closingWriter) Write(p []byte) (int, error) {
+	if c.conn == nil {
+		conn, _, err := http.NewResponseController(c.ResponseWriter).Hijack()
+		if err != nil {
+			return 0, fmt.Errorf("take the connection: %w", err)
+		}
+		c.conn = conn
+		head := bytes.NewBufferString("HTTP/1.1 200 OK\r\n")
+		_ = c.Header().Write(head) // a buffer takes all
+		head.WriteString("\r\n")
+		if _, err := conn.Write(head.Bytes()); err != nil {
+			return 0, fmt.Errorf("write the head: %w", err)
+		}
+	}
+	return c.conn.Write(p)
+}
+
+// FlushError does nothing, since nothing is buffered.
+func (c *closingWriter) FlushError() error { return nil }
+
+// close ends the answer.
+func (c *closingWriter) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -26,11 +26,7 @@
 //	go test ./tests/soak -run TestSoak -args -seed 7 -for 60s
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	plan := faults
-	if isRanked(*seedFlag) {
-		plan = rankedFaults
-	}
-	play(t, *seedFlag, *forFlag, *sizeFlag, plan)
+	play(t, *seedFlag, *forFlag, *sizeFlag, faultsOf(*seedFlag))
 }
 
 // TestSoakRegressions replays plans that have found a fault.
@@ -42,6 +38,7 @@
 		faults   []fault
 	}{
 		"seeds were read while a SIGHUP replaced them": {5, 40 * time.Second, 3, faults[:firstFaults]},
+		"prompts shared a part that crashed replicas":  {301, 40 * time.Second, 3, faultsOf(301)},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -100,6 +100,8 @@
 	// of requests that arrived during each requested back-off.
 	obligations     map[obligationKey]obligation
 	backOffRequests map[obligationKey]int
+	// badParts holds the parts of prompts that crash replicas.
+	badParts map[string]*badPart
 }
 
 // fail records a broken guarantee.
@@ -126,7 +128,7 @@
 	w := &world{
 		t: t, seed: seed, begun: time.Now(), ip: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 200+seed/250%50, 1+seed%250), dir: dir,
 		store: metastore.New(), proxies: newProxyServer(), calls: map[string]*call{}, port: firstPort,
-		obligations: map[obligationKey]obligation{}, backOffRequests: map[obligationKey]int{},
+		obligations: map[obligationKey]obligation{}, backOffRequests: map[obligationKey]int{}, badParts: map[string]*badPart{},
 	}
 	s := httptest.NewServer(w.store)
 	w.storeAddress = strings.TrimPrefix(s.URL, "http://")
