Soak: SIGHUP goes to routers whose program runs

The soak had sent the signal between exec and main. No program can catch a signal there: of 8 fresh processes each, all end by a SIGHUP 5 ms after their start and none after 10 ms; 5 of 8 after 60 ms and none after 80 ms with the race detector, on an idle machine. The program itself catches SIGHUP first of all (TestSIGHUPBeforeWatch). Change: the fault waits until the router has written its first log line, under the lock under which processes are started. A router that ends by a later SIGHUP still fails the soak.

--- a/tests/soak/plan_test.go
+++ b/tests/soak/plan_test.go
@@ -62,7 +62,7 @@
 		w.restart(r, 0, func() { r.end(syscall.SIGTERM, graceTime) })
 	}},
 	{"all routers are killed", 1, func(w *world, _ *rand.Rand, duration time.Duration) { w.restartAll(duration / 4) }},
-	{"settings change", 2, func(w *world, rng *rand.Rand, _ time.Duration) { w.anyRouter(rng).signal(syscall.SIGHUP) }},
+	{"settings change", 2, func(w *world, rng *rand.Rand, _ time.Duration) { w.anyRouter(rng).hup() }},
 	{"an agent is killed", 2, func(w *world, rng *rand.Rand, duration time.Duration) {
 		w.restartAgent(w.agents[rng.IntN(len(w.agents))], duration/2)
 	}},
--- a/tests/soak/process_test.go
+++ b/tests/soak/process_test.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// hupPollInterval is how often hup checks whether a process has started.
+const hupPollInterval = 5 * time.Millisecond
+
 // process is one running program of the soak. Faults end only these processes, by their handles.
 type process struct {
 	w    *world
@@ -23,6 +26,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// logged is the size of the logs when the process was started.
+	logged int64
 	// endRequested reports whether the soak has requested the end of the process.
 	endRequested bool
 	// disturbances holds when the process was disturbed.
@@ -39,6 +44,7 @@
 		p.w.fail("start %s: %v", p.name, err)
 		return
 	}
+	logged := p.logSize()
 	cmd := exec.Command(binary, p.args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
@@ -48,7 +54,7 @@
 	}
 	done := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.done, p.endRequested = cmd, done, false
+	p.cmd, p.done, p.endRequested, p.logged = cmd, done, false, logged
 	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
@@ -69,6 +75,36 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// hup sends SIGHUP to the process once it has written a line of its logs. Until its main function
+// runs it cannot catch the signal, whose default action terminates it.
+func (p *process) hup() {
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); pause(hupPollInterval) {
+		if p.hupIfRunning() {
+			return
+		}
+	}
+}
+
+// hupIfRunning sends SIGHUP if the process has written a line of its logs.
+func (p *process) hupIfRunning() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.logSize() <= p.logged {
+		return false
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGHUP)
+	return true
+}
+
+// logSize returns the size of the logs; 0 if they cannot be read.
+func (p *process) logSize() int64 {
+	info, err := os.Stat(p.logs)
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // end sends the process a signal to end, and waits until it has ended.
 func (p *process) end(s syscall.Signal, limit time.Duration) {
 	p.mu.Lock()
