Permits: routers that do not hear of each other share the rate of an upstream

The class is that of the retries over budget: a promise of all routers together is kept by shares, and a share rests on what its process knows. Until now it was read in the code only.

Change: a grantor grants the fraction of the rate that the routers in contact are of all that may be alive (peer table, silent ones included; the registered ones while there is no contact), and nothing while the number of routers is not known. The parts of the routers are disjoint, so the fractions of their grantors sum to one at most.

--- a/services/entry/permits.go
+++ b/services/entry/permits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/condition"
@@ -30,12 +31,39 @@
 	return name, r.table.Address(name), name == r.table.Self().Name
 }
 
+// grantShare returns the share of the rates that this router may grant: the routers that it is in
+// contact with, as a fraction of all that may be alive. Routers that do not hear of each other, cut
+// off or just started, choose several grantors, and the limit of an upstream is for all of them
+// together. It is 0 while the number of routers is not known.
+func (r *Router) grantShare(now time.Time) quota.Share {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.table.NoContact(now) {
+		live := len(r.table.Live(now, vm.RoleRouter)) + 1
+		return quota.Share(live) / quota.Share(r.table.Count(vm.RoleRouter)+1)
+	}
+	known, ok := r.knownRouters(now)
+	if known == 1 && !ok {
+		return 0
+	}
+	return 1 / quota.Share(known)
+}
+
+// grant grants permits for an upstream whose grantor is this router.
+func (r *Router) grant(now time.Time, ask condition.PermitRequest) condition.PermitReply {
+	s := r.grantShare(now)
+	if s == 0 {
+		return quota.Denied()
+	}
+	return r.ledger.Grant(now, ask, s)
+}
+
 // RequestPermits implements services.PermitGrantor: it requests permits from the grantor of an
 // upstream.
 func (r *Router) RequestPermits(ctx context.Context, now time.Time, ask condition.PermitRequest) (condition.PermitReply, error) {
 	name, address, self := r.grantor(now, ask.Run)
 	if self {
-		return r.ledger.Grant(now, ask), nil
+		return r.grant(now, ask), nil
 	}
 	cctx, cancel := context.WithTimeout(ctx, condition.PermitTimeout)
 	defer cancel()
@@ -54,6 +82,6 @@
 		*reply = quota.Denied()
 		return nil
 	}
-	*reply = a.r.ledger.Grant(now, ask)
+	*reply = a.r.grant(now, ask)
 	return nil
 }
--- a/services/entry/permits_test.go
+++ b/services/entry/permits_test.go
@@ -4,16 +4,20 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"fawnwinch.org/fawnwinch/models/upstream"
+	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/modules/rpc"
 	"fawnwinch.org/fawnwinch/services/condition"
 	"fawnwinch.org/fawnwinch/services/peer"
 	"fawnwinch.org/fawnwinch/services/quota"
 	"fawnwinch.org/fawnwinch/services/relay"
+
+	"github.com/rs/zerolog"
 )
 
 // limitOf returns a recent notice of an upstream's rate limit; a rate of 0 means that the limit has
@@ -109,6 +113,77 @@
 	until(t, "another grantor", func() bool { return grantorOf(a) != first && grantorOf(b) == grantorOf(a) })
 }
 
+// TestPermitsOfSeparatedRouters counts the permits of all routers while they do not hear of each other.
+// It guards against several grantors of one upstream that grant its whole rate each.
+func TestPermitsOfSeparatedRouters(t *testing.T) {
+	const rate, seconds, step = 40, 5, 20 * time.Millisecond
+	run := upstream.Run{ID: "u"}
+	ask := condition.PermitRequest{Run: run, Limit: limitOf(run, rate).Limit, Wanted: 8}
+	cases := map[string]struct {
+		// parts are the numbers of routers that hear of each other. Registered reports whether they
+		// have read in the store which routers there are, and met whether they heard of all before.
+		parts           []int
+		registered, met bool
+		atLeast         int
+	}{
+		"one router":                          {[]int{1}, true, false, rate * seconds * 9 / 10},
+		"all hear of each other":              {[]int{12}, false, true, rate * seconds * 9 / 10},
+		"all start at once":                   {[]int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, true, false, rate * seconds / 2},
+		"all start while the store is silent": {[]int{1, 1, 1, 1, 1, 1}, false, false, 0},
+		"one is cut off":                      {[]int{11, 1}, false, true, rate * seconds / 2},
+		"cut in three":                        {[]int{5, 4, 3}, false, true, rate * seconds / 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			begun := time.Now()
+			var routers []*Router
+			addresses := map[string]string{}
+			partOf := map[*Router]int{}
+			for part, n := range c.parts {
+				for range n {
+					name := fmt.Sprint("r", len(routers))
+					rl := quietRelay()
+					t.Cleanup(rl.Close)
+					r := New(Options{Self: peer.Info{Name: name, Role: vm.RoleRouter, Address: name}, Store: silentStore{}, Relay: rl, Logger: zerolog.Nop()})
+					addresses[name], partOf[r] = name, part
+					routers = append(routers, r)
+				}
+			}
+			// hear passes gossip between the routers of each part, or between all of them.
+			hear := func(now time.Time, all bool) {
+				for _, from := range routers {
+					for _, to := range routers {
+						if from != to && (all || partOf[from] == partOf[to]) {
+							to.table.Receive(now, from.table.GossipFor(to.table.Self().Name))
+						}
+					}
+				}
+			}
+			if c.met {
+				hear(begun.Add(-5*time.Second), true)
+			}
+			given := 0
+			for at := time.Duration(0); at < seconds*time.Second; at += step {
+				now := begun.Add(at)
+				hear(now, false)
+				for _, r := range routers {
+					r.table.Sweep(now)
+					if c.registered {
+						r.queueUncontacted(&registry{addresses: addresses})
+					}
+					if _, _, self := r.grantor(now, run); self {
+						given += r.grant(now, ask).Given
+					}
+				}
+			}
+			// Each grantor may save one permit, and those of a quarter of a second at its share.
+			if most := rate*seconds + len(c.parts) + rate/4; given > most || given < c.atLeast {
+				t.Errorf("%d permits in %d s, want %d to %d", given, seconds, c.atLeast, most)
+			}
+		})
+	}
+}
+
 // BenchmarkPermit requests permits from another router over a loopback connection, and measures
 // both sides together.
 func BenchmarkPermit(b *testing.B) {
@@ -138,6 +213,6 @@
 type ledgerAPI struct{ ledger *quota.Ledger }
 
 func (g *ledgerAPI) Permit(ask condition.PermitRequest, reply *condition.PermitReply) error {
-	*reply = g.ledger.Grant(time.Now(), ask)
+	*reply = g.ledger.Grant(time.Now(), ask, 1)
 	return nil
 }
--- a/services/quota/ledger.go
+++ b/services/quota/ledger.go
@@ -3,7 +3,8 @@
 
 // Package quota grants permits to send requests to upstreams that limit the rate of requests from
 // all routers together. The routers agree on one permit grantor for each upstream, whose ledger is
-// authoritative. Ledgers are not stored: a router that takes over starts without permits. It does
+// authoritative. Routers that are cut off from each other have a grantor each; their shares of the
+// rate sum to one. Ledgers are not stored: a router that takes over starts without permits. It does
 // no I/O and reads no clock.
 package quota
 
@@ -42,6 +43,8 @@
 type account struct {
 	limit condition.Limit
 	cold  condition.Coldness
+	// share is the share of the rate that this router may grant.
+	share Share
 	// saved is the number of permits that may be granted now.
 	saved float64
 	at    time.Time
@@ -49,6 +52,10 @@
 	nextRetry time.Time
 }
 
+// Share is the share of the rates of all upstreams that one router may grant: more than 0, and 1 if
+// no other router may grant permits at the same time.
+type Share float64
+
 // Ledger grants permits. It is safe for use by several goroutines.
 type Ledger struct {
 	mu       sync.Mutex
@@ -62,8 +69,9 @@
 // a missing reply: while routers join or leave, they may briefly disagree on the grantor.
 func Denied() condition.PermitReply { return condition.PermitReply{Again: deniedRetryAfter} }
 
-// Grant replies to a request for permits.
-func (l *Ledger) Grant(now time.Time, ask condition.PermitRequest) condition.PermitReply {
+// Grant replies to a request for permits. A router without the whole rate may soon get it, so who gets
+// no permit is told to ask again soon.
+func (l *Ledger) Grant(now time.Time, ask condition.PermitRequest, s Share) condition.PermitReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, ok := l.accounts[ask.Run]
@@ -71,6 +79,7 @@
 		a = &account{at: now}
 		l.accounts[ask.Run] = a
 	}
+	a.share = s
 	a.refill(now)
 	// The request was under way for at most the time that its sender waits for the reply.
 	a.limit = a.limit.Merge(ask.Limit.ToLimit(now.Add(-condition.PermitTimeout), now))
@@ -86,13 +95,16 @@
 	case ask.Wanted > 0:
 		reply.Again = a.next(now, rate)
 	}
+	if s < 1 {
+		reply.Again = min(reply.Again, deniedRetryAfter)
+	}
 	return reply
 }
 
 // rate returns the permits per second, and whether permits are limited at all.
 func (a *account) rate(now time.Time) (rate float64, limited bool) {
 	allowed, limited := condition.LimitedRate(now, a.limit, a.cold)
-	return float64(min(max(allowed, minRate), maxRate)), limited
+	return float64(min(max(allowed, minRate), maxRate)) * float64(a.share), limited
 }
 
 // refill adds the permits for the time since the last refill.
--- a/services/quota/ledger_test.go
+++ b/services/quota/ledger_test.go
@@ -41,7 +41,7 @@
 			const last = 100 * time.Second
 			l, given, most := NewLedger(), 0, 0
 			for at := time.Duration(0); at < last; at += c.every {
-				n := l.Grant(begin.Add(at), ask(c.rate, c.wanted)).Given
+				n := l.Grant(begin.Add(at), ask(c.rate, c.wanted), 1).Given
 				given, most = given+n, max(most, n)
 			}
 			if got := float64(given) / last.Seconds(); got > c.want*1.01 || got < c.want*0.85 {
@@ -58,11 +58,11 @@
 // granted them already.
 func TestBegin(t *testing.T) {
 	l := NewLedger()
-	r := l.Grant(begin, ask(1, 1))
+	r := l.Grant(begin, ask(1, 1), 1)
 	if r.Given != 0 || r.Again != time.Second {
 		t.Errorf("granted %d, retry after %s, want a permit after a second", r.Given, r.Again)
 	}
-	if r := l.Grant(begin.Add(r.Again), ask(1, 1)); r.Given != 1 {
+	if r := l.Grant(begin.Add(r.Again), ask(1, 1), 1); r.Given != 1 {
 		t.Errorf("granted %d after a second, want 1", r.Given)
 	}
 }
@@ -72,7 +72,7 @@
 func TestRetryTimes(t *testing.T) {
 	l, retryTimes := NewLedger(), map[time.Duration]int{}
 	for range 100 {
-		retryTimes[l.Grant(begin, ask(2, 1)).Again]++
+		retryTimes[l.Grant(begin, ask(2, 1), 1).Again]++
 	}
 	for after := 500 * time.Millisecond; after < maxRetryAfter; after += 500 * time.Millisecond {
 		if retryTimes[after] != 1 {
@@ -88,20 +88,20 @@
 // applies again.
 func TestEnded(t *testing.T) {
 	l := NewLedger()
-	l.Grant(begin, ask(1, 1))
+	l.Grant(begin, ask(1, 1), 1)
 	end := condition.PermitRequest{Run: upstream.Run{ID: "u"}, Limit: condition.WireLimit{Known: true}}
 	old := ask(1, 1)
 	old.Limit.SentAge, old.Limit.HeardAge = 2*time.Second, 2*time.Second
-	if r := l.Grant(begin.Add(100*time.Millisecond), end); !r.Limit.Named {
+	if r := l.Grant(begin.Add(100*time.Millisecond), end, 1); !r.Limit.Named {
 		t.Error("an end that may be older than the limit has ended it")
 	}
-	if r := l.Grant(begin.Add(time.Second), end); r.Limit.Named || r.Given != 0 {
+	if r := l.Grant(begin.Add(time.Second), end, 1); r.Limit.Named || r.Given != 0 {
 		t.Errorf("the limit is in force after its end, or %d permits were granted without a request for any", r.Given)
 	}
-	if r := l.Grant(begin.Add(time.Second), old); r.Limit.Named || r.Given != 1 {
+	if r := l.Grant(begin.Add(time.Second), old, 1); r.Limit.Named || r.Given != 1 {
 		t.Errorf("a router with an old record of the limit got: limit in force %t, %d permits; want false, 1", r.Limit.Named, r.Given)
 	}
-	if r := l.Grant(begin.Add(3*time.Second), ask(1, 1)); !r.Limit.Named || r.Given != 0 {
+	if r := l.Grant(begin.Add(3*time.Second), ask(1, 1), 1); !r.Limit.Named || r.Given != 0 {
 		t.Errorf("the limit is in force again: %t, want true; %d permits were granted, want 0", r.Limit.Named, r.Given)
 	}
 }
@@ -109,7 +109,7 @@
 // TestSweep checks that unused accounts are dropped.
 func TestSweep(t *testing.T) {
 	l := NewLedger()
-	l.Grant(begin, ask(1, 1))
+	l.Grant(begin, ask(1, 1), 1)
 	l.Sweep(begin.Add(unusedRetention))
 	l.Sweep(begin.Add(unusedRetention + 1))
 	if n := len(l.accounts); n != 0 {
@@ -121,9 +121,9 @@
 func ExampleLedger_Grant() {
 	l := NewLedger()
 	question := condition.PermitRequest{Run: upstream.Run{ID: "i-1"}, Limit: condition.WireLimit{Known: true, Named: true, Rate: 2}, Wanted: 1}
-	l.Grant(begin, question)
-	fmt.Println(l.Grant(begin.Add(time.Second), question).Given)
-	fmt.Println(l.Grant(begin.Add(time.Second), question).Again)
+	l.Grant(begin, question, 1)
+	fmt.Println(l.Grant(begin.Add(time.Second), question, 1).Given)
+	fmt.Println(l.Grant(begin.Add(time.Second), question, 1).Again)
 	// Output:
 	// 1
 	// 250ms
@@ -148,7 +148,7 @@
 					if at < nextAsk[i] {
 						continue
 					}
-					reply := l.Grant(begin.Add(at), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Cold: cold, Wanted: 4})
+					reply := l.Grant(begin.Add(at), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Cold: cold, Wanted: 4}, 1)
 					nextAsk[i] = at + max(reply.Again, 5*time.Millisecond)
 					for range reply.Given {
 						given = append(given, at)
@@ -167,7 +167,7 @@
 			if got, want := float64(len(given)), float64(rate)*coldFor.Seconds()*0.8; got < want {
 				t.Errorf("%d routers, rate %v: %.0f permits in %s, want %.0f or more", n, rate, got, coldFor, want)
 			}
-			if reply := l.Grant(begin.Add(coldFor+time.Second), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Wanted: 9}); reply.Given != 9 {
+			if reply := l.Grant(begin.Add(coldFor+time.Second), condition.PermitRequest{Run: upstream.Run{ID: "u"}, Wanted: 9}, 1); reply.Given != 9 {
 				t.Errorf("%d permits after the cold time, 9 were wanted", reply.Given)
 			}
 		}
--- a/services/relay/authorize.go
+++ b/services/relay/authorize.go
@@ -34,7 +34,7 @@
 
 // RequestPermits implements services.PermitGrantor.
 func (a localPermits) RequestPermits(_ context.Context, now time.Time, ask condition.PermitRequest) (condition.PermitReply, error) {
-	return a.ledger.Grant(now, ask), nil
+	return a.ledger.Grant(now, ask, 1), nil
 }
 
 // authorize decides right before a request is sent whether it may be sent. The state that was used
--- a/tests/replay/limit_test.go
+++ b/tests/replay/limit_test.go
@@ -276,7 +276,7 @@
 	w.on(grantor, networkDelay, func() {
 		reply := quota.Denied()
 		if watch.ReaderOf("permits/"+string(u.ID), grantor.knownRouters) == grantor.name {
-			reply = grantor.ledger.Grant(w.now, ask)
+			reply = grantor.ledger.Grant(w.now, ask, 1)
 		}
 		w.on(r, networkDelay, func() { answer(reply) })
 	})
--- a/tests/replay/simulation_test.go
+++ b/tests/replay/simulation_test.go
@@ -457,7 +457,7 @@
 	run, conditions := w.ups[s.rank].Run(), s.router.pool.Conditions()
 	askedAt, ask := w.now, conditions.Ask(w.now, run)
 	w.after(2*networkDelay, func() {
-		if p, _ := conditions.Answered(askedAt, w.now, run, w.ledger.Grant(w.now, ask)); p == condition.PermissionGiven {
+		if p, _ := conditions.Answered(askedAt, w.now, run, w.ledger.Grant(w.now, ask, 1)); p == condition.PermissionGiven {
 			w.arriveAt(c, s, tried)
 			return
 		}
