Quarantine: a part that was sound before, and documents at its crashes by chance

Cause: unfamiliar parts came before familiar ones whatever they explained. And the time for which a familiar part was refused grew with all crashes, not with tests that failed, so that a part that was blamed wrongly stayed refused for 40 s and more.

Change: a familiar part that few requests had before is blamed before all others if unfamiliar parts do not explain the crashes under it: some are left, or each explains at most half of them and many others were at one crash only. The time grows with the crashes beyond those that it took to blame the part; a part of more than a tenth of the requests is tested after 1 s.

--- a/services/quarantine/blame.go
+++ b/services/quarantine/blame.go
@@ -15,25 +15,33 @@
 	"fawnwinch.org/fawnwinch/services/peer"
 )
 
-// blameValid is how long the blame of a service's parts is kept while no evidence changes: shares of
-// requests change slowly.
-const blameValid = 200 * time.Millisecond
+const (
+	// blameValid is how long the blame of a service's parts is kept while no evidence changes:
+	// shares of requests change slowly.
+	blameValid = 200 * time.Millisecond
+	// chanceRatio is the number of unfamiliar parts at one crash only for each at several, from which
+	// the latter are likely to be there by chance too.
+	chanceRatio = 4
+)
 
 // blame holds the parts of a service that are to blame for crashes.
 type blame struct {
 	at       time.Time
 	position peer.Position
-	parts    map[Key]bool
+	// parts maps each part to its crashes beyond those that it took to blame it.
+	parts map[Key]int
 }
 
-// blamed reports whether a part is to blame for crashes.
-func (r *Register) blamed(now time.Time, k Key) bool {
-	b, ok := r.blames[k.Service]
-	if !ok || b.position != r.position || now.Sub(b.at) > blameValid {
+// blamed reports whether a part is to blame for crashes, and how many there were beyond those that
+// it took to blame it: these are mostly tests that failed.
+func (r *Register) blamed(now time.Time, k Key) (beyond int, ok bool) {
+	b, known := r.blames[k.Service]
+	if !known || b.position != r.position || now.Sub(b.at) > blameValid {
 		b = blame{at: now, position: r.position, parts: r.blameParts(k.Service)}
 		r.blames[k.Service] = b
 	}
-	return b.parts[k]
+	beyond, ok = b.parts[k]
+	return beyond, ok
 }
 
 // candidate is a part that may be to blame.
@@ -47,50 +55,102 @@
 	total, weight int
 }
 
-// blameParts returns the parts that are to blame. Sound requests share all other parts of the
-// prompts at fault, and while every answer breaks off nothing clears these. So parts are blamed one
-// after the other, see candidate.compare, and each explains the crashes under it.
-func (r *Register) blameParts(id service.ID) map[Key]bool {
-	var all []candidate
-	doubtful := map[upstream.Run]bool{}
+// suspects holds what is known of the parts of a service that were at crashes.
+type suspects struct {
+	candidates []candidate
+	// doubtful holds the crashes at which there was an unfamiliar part.
+	doubtful map[upstream.Run]bool
+	// singles is the number of unfamiliar parts that were at one crash.
+	singles int
+}
+
+// suspectsOf returns the suspects of a service.
+func (r *Register) suspectsOf(id service.ID) suspects {
+	s := suspects{doubtful: map[upstream.Run]bool{}}
 	for k, rec := range r.records {
 		if k.Service != id || !k.IsPart() {
 			continue
 		}
-		familiar := rec.familiar()
-		for run, c := range rec.crashes {
-			doubtful[run] = doubtful[run] || !familiar && !c.cleared
+		familiar, weight := rec.familiar(), r.partWeight(rec, nil)
+		if !familiar {
+			rec.explain(s.doubtful)
 		}
-		if weight := r.partWeight(rec, nil); weight >= partThreshold {
-			all = append(all, candidate{key: k, rec: rec, familiar: familiar, requests: r.frequencies.requests(k), total: weight, weight: weight})
+		switch {
+		case weight >= partThreshold:
+			s.candidates = append(s.candidates, candidate{key: k, rec: rec, familiar: familiar, requests: r.frequencies.requests(k), total: weight, weight: weight})
+		case weight > 0 && !familiar:
+			s.singles++
 		}
 	}
-	out, explained := map[Key]bool{}, map[upstream.Run]bool{}
+	return s
+}
+
+// explain adds the crashes under a part that are not cleared to those that are explained.
+func (rec *record) explain(explained map[upstream.Run]bool) {
+	for run, c := range rec.crashes {
+		if !c.cleared {
+			explained[run] = true
+		}
+	}
+}
+
+// blameParts returns the parts that are to blame. Sound requests share all other parts of the
+// prompts at fault, and while every answer breaks off nothing clears these. So parts are blamed one
+// after the other, see candidate.compare, and each explains the crashes under it.
+func (r *Register) blameParts(id service.ID) map[Key]int {
+	s := r.suspectsOf(id)
+	out, explained := map[Key]int{}, map[upstream.Run]bool{}
+	best, ok := r.turned(s)
 	for {
-		all = slices.DeleteFunc(all, func(c candidate) bool { return !r.suffices(c, explained, doubtful) })
-		if len(all) == 0 {
-			return out
+		if !ok {
+			s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return r.beyond(c, explained, s.doubtful) < 0 })
+			if len(s.candidates) == 0 {
+				return out
+			}
+			best = slices.MinFunc(s.candidates, candidate.compare)
 		}
-		best := slices.MinFunc(all, candidate.compare)
-		out[best.key] = true
-		for run, c := range best.rec.crashes {
-			explained[run] = explained[run] || !c.cleared
+		out[best.key], ok = r.beyond(best, explained, s.doubtful), false
+		best.rec.explain(explained)
+		for i, c := range s.candidates {
+			s.candidates[i].weight = r.partWeight(c.rec, explained)
 		}
-		for i := range all {
-			all[i].weight = r.partWeight(all[i].rec, explained)
+	}
+}
+
+// turned returns the familiar part that has most likely turned bad, if there is one: it is not
+// common, and the unfamiliar parts at its crashes were there by chance. They do not explain all of
+// them, or each explains at most half of them where many others were at one crash only.
+func (r *Register) turned(s suspects) (candidate, bool) {
+	explained, most, unfamiliar := map[upstream.Run]bool{}, 0, 0
+	for _, c := range s.candidates {
+		if !c.familiar {
+			c.rec.explain(explained)
+			most, unfamiliar = max(most, c.total), unfamiliar+1
 		}
 	}
+	chance := s.singles >= chanceRatio*unfamiliar
+	likely := slices.DeleteFunc(slices.Clone(s.candidates), func(c candidate) bool {
+		if !c.familiar || c.total < familiarThreshold || c.rec.common {
+			return true
+		}
+		return r.partWeight(c.rec, explained) == 0 && (!chance || c.total < 2*most)
+	})
+	if len(likely) == 0 {
+		return candidate{}, false
+	}
+	return slices.MinFunc(likely, candidate.compare), true
 }
 
-// suffices reports whether the crashes that are not explained so far suffice to blame a part. For a
-// familiar part, those at which there was an unfamiliar suspect are doubtful.
-func (r *Register) suffices(c candidate, explained, doubtful map[upstream.Run]bool) bool {
-	if !c.familiar || c.weight >= familiarThreshold {
-		return c.weight >= partThreshold
+// beyond returns the weight of the crashes that are not explained so far beyond what is needed to blame
+// a part; negative if there are too few. For a familiar part, those at which there was an unfamiliar
+// suspect are doubtful.
+func (r *Register) beyond(c candidate, explained, doubtful map[upstream.Run]bool) int {
+	if !c.familiar {
+		return c.weight - partThreshold
 	}
 	without := maps.Clone(doubtful)
 	maps.Copy(without, explained)
-	return r.partWeight(c.rec, without) >= partThreshold
+	return max(c.weight-familiarThreshold, r.partWeight(c.rec, without)-partThreshold)
 }
 
 // compare orders candidates, the most likely one first: unfamiliar parts come before familiar ones,
@@ -204,16 +264,19 @@
 	return depth
 }
 
-// refusedFor returns how long a part is refused after its latest crash. Refusing a familiar part stops
-// sound requests too if it is blamed wrongly, so it is tested soon, and twice as late after each test
-// that failed.
-func (r *Register) refusedFor(rec *record) time.Duration {
+// refusedFor returns how long a part is refused after its latest crash, if it had some crashes beyond
+// those that it took to blame it. Refusing a familiar part stops sound requests too if it is blamed
+// wrongly, so it is tested soon, a common one sooner, and later after each test that failed.
+func (rec *record) refusedFor(beyond int) time.Duration {
 	if !rec.familiar() {
 		return refusalDuration
 	}
-	d := familiarRefusalDuration
-	for range min(r.partWeight(rec, nil)-partThreshold, maxCrashes) {
-		d = min(2*d, refusalDuration)
+	d, factor := familiarRefusalDuration, time.Duration(2)
+	if rec.common {
+		d, factor = commonRefusalDuration, 4
+	}
+	for range min(beyond, maxCrashes) {
+		d = min(factor*d, refusalDuration)
 	}
 	return d
 }
--- a/services/quarantine/frequency.go
+++ b/services/quarantine/frequency.go
@@ -16,19 +16,26 @@
 	// maxFrequent bounds the parts of a service that are counted. What is not counted is taken for
 	// rare: the frequent ones are met first.
 	maxFrequent = 2048
+	// commonShare is the share of the requests from which a part is common: it is at most upstreams
+	// that end by chance, and refusing it would stop many sound requests.
+	commonShare = 0.1
 )
 
 // frequency counts the requests of a service with each part of their prompts.
 type frequency struct {
 	latest, earlier map[Key]int
-	since           time.Time
+	// latestAll and earlierAll count all requests.
+	latestAll, earlierAll int
+	since                 time.Time
 }
 
 // add counts a request.
 func (f *frequency) add(now time.Time, parts []Key) {
 	if now.Sub(f.since) > frequencyTime || f.latest == nil {
 		f.earlier, f.latest, f.since = f.latest, map[Key]int{}, now
+		f.earlierAll, f.latestAll = f.latestAll, 0
 	}
+	f.latestAll++
 	for _, k := range parts {
 		if _, ok := f.latest[k]; ok || len(f.latest) < maxFrequent {
 			f.latest[k]++
@@ -63,3 +70,9 @@
 	}
 	return known.requests(k)
 }
+
+// common reports whether a large share of the requests has a part.
+func (f frequencies) common(k Key) bool {
+	known, ok := f[k.Service]
+	return ok && float64(known.requests(k)) > commonShare*float64(known.latestAll+known.earlierAll)
+}
--- a/services/quarantine/judge.go
+++ b/services/quarantine/judge.go
@@ -58,14 +58,14 @@
 	if !ok || now.Sub(rec.latest) >= retention {
 		return Verdict{Standing: StandingFree}
 	}
-	weight := r.partWeight(rec, nil)
-	switch {
-	case weight == 0:
+	if r.partWeight(rec, nil) == 0 {
 		return Verdict{Standing: StandingFree}
-	case weight < partThreshold || !r.blamed(now, k):
+	}
+	beyond, blamed := r.blamed(now, k)
+	if !blamed {
 		return Verdict{Standing: StandingSuspect, Key: k}
 	}
-	until := rec.latest.Add(r.refusedFor(rec))
+	until := rec.latest.Add(rec.refusedFor(beyond))
 	if !now.Before(until) {
 		return Verdict{Standing: StandingWatched, Key: k, Test: true}
 	}
--- a/services/quarantine/part_test.go
+++ b/services/quarantine/part_test.go
@@ -146,6 +146,29 @@
 			crash(10*second, "d", "b"), crash(10*second, "d", "rare"), crash(15*second, "e", "b"), crash(15*second, "e", "rare"),
 			{requests: 9, parts: p("b")},
 		}, 15 * second, map[prompt.Part]Standing{"b": StandingRefused, "rare": StandingSuspect}},
+		"a part turned bad, and new ones were there by chance": {[]partStep{
+			answer(-9*second, "b"),
+			crash(0, "a", "b"), crash(0, "a", "n1"), crash(5*second, "c", "b"), crash(5*second, "c", "n1"),
+			crash(10*second, "d", "b"), crash(10*second, "d", "n1"), crash(15*second, "e", "b"),
+		}, 15 * second, map[prompt.Part]Standing{"b": StandingRefused, "n1": StandingSuspect}},
+		"new ones by chance at all its crashes, and many others once": {[]partStep{
+			answer(-9*second, "b"),
+			crash(0, "a", "b"), crash(0, "a", "n1"), crash(5*second, "c", "b"), crash(5*second, "c", "n1"),
+			crash(10*second, "d", "b"), crash(10*second, "d", "n2"), crash(15*second, "e", "b"), crash(15*second, "e", "n2"),
+			crash(0, "a", "o1"), crash(0, "a", "o2"), crash(5*second, "c", "o3"), crash(5*second, "c", "o4"),
+			crash(10*second, "d", "o5"), crash(10*second, "d", "o6"), crash(15*second, "e", "o7"), crash(15*second, "e", "o8"),
+		}, 15 * second, map[prompt.Part]Standing{"b": StandingRefused, "n1": StandingSuspect, "n2": StandingSuspect}},
+		"a common part does not turn bad while new ones explain it": {[]partStep{
+			answer(-9*second, "b"), {at: -9 * second, requests: 9, parts: p("b")},
+			crash(0, "a", "b"), crash(0, "a", "n1"), crash(5*second, "c", "b"), crash(5*second, "c", "n1"),
+			crash(10*second, "d", "b"), crash(10*second, "d", "n1"), crash(15*second, "e", "b"),
+		}, 15 * second, map[prompt.Part]Standing{"b": StandingSuspect, "n1": StandingRefused}},
+		"a common part is tested at once": {[]partStep{
+			answer(-9*second, "b"), {at: -9 * second, requests: 9, parts: p("b")}, crash(0, "a", "b"), crash(5*second, "c", "b"),
+		}, 5*second + commonRefusalDuration, map[prompt.Part]Standing{"b": StandingWatched}},
+		"and later after a test that failed": {[]partStep{
+			answer(-9*second, "b"), {at: -9 * second, requests: 9, parts: p("b")}, crash(0, "a", "b"), crash(5*second, "c", "b"), crash(10*second, "d", "b"),
+		}, 10*second + 4*commonRefusalDuration - 1, map[prompt.Part]Standing{"b": StandingRefused}},
 		"refused for long":                 {[]partStep{crash(0, "a", "b"), crash(5*second, "c", "b")}, 5*second + refusalDuration - 1, map[prompt.Part]Standing{"b": StandingRefused}},
 		"then tested":                      {[]partStep{crash(0, "a", "b"), crash(5*second, "c", "b")}, 5*second + refusalDuration, map[prompt.Part]Standing{"b": StandingWatched}},
 		"and refused after one more crash": {[]partStep{crash(0, "a", "b"), crash(5*second, "c", "b"), crash(700*second, "d", "b")}, 701 * second, map[prompt.Part]Standing{"b": StandingRefused}},
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -51,8 +51,10 @@
 	// refused again after one more crash: it must not stay refused for good once the upstream has
 	// been fixed.
 	refusalDuration = 10 * time.Minute
-	// familiarRefusalDuration is how long a familiar part is refused at first.
+	// familiarRefusalDuration is how long a familiar part is refused at first, and
+	// commonRefusalDuration a common one, whose refusal stops many requests.
 	familiarRefusalDuration = 10 * time.Second
+	commonRefusalDuration   = time.Second
 	// testRetryTime is the retry time of a request that cannot test a part which was refused.
 	testRetryTime = time.Second
 	// retention is how long after its latest crash the record of a key is kept.
--- a/services/quarantine/register.go
+++ b/services/quarantine/register.go
@@ -46,6 +46,8 @@
 type record struct {
 	crashes map[upstream.Run]*crash
 	latest  time.Time
+	// common reports whether many requests had the part before its first crash.
+	common bool
 }
 
 // Register records which upstreams ended while requests were in flight, as seen by this router or
@@ -117,7 +119,7 @@
 	familiar := c.Familiar || c.Key.IsPart() && r.partRuns.before(c.Key, at)
 	rec, ok := r.records[c.Key]
 	if !ok {
-		rec = &record{crashes: map[upstream.Run]*crash{}}
+		rec = &record{crashes: map[upstream.Run]*crash{}, common: r.frequencies.common(c.Key)}
 		r.records[c.Key] = rec
 	}
 	known, ok := rec.crashes[c.Run]
--- a/tests/replay/part_test.go
+++ b/tests/replay/part_test.go
@@ -28,6 +28,8 @@
 	maxSharingRefused = 0.1
 	// fifthCrash is the crash after which learnTime begins to count.
 	fifthCrash = 5
+	// partsBadFrom is when the bad requests begin, and partsDuration the duration of a play.
+	partsBadFrom, partsDuration = 6 * time.Second, 60 * time.Second
 )
 
 // partPattern is a load of prompts on a group whose ranks crash.
@@ -104,6 +106,13 @@
 	return out
 }
 
+// turnedBad is a part that was sound before, among many documents of sound requests. In
+// turnedBadCommon many of these share its first part too.
+var (
+	turnedBad       = partPattern{bad: 1, badRate: 2, soundBefore: true, documents: 1}
+	turnedBadCommon = partPattern{bad: 1, badRate: 2, soundBefore: true, documents: 1, common: 0.4, instant: true}
+)
+
 var partPatterns = map[string]partPattern{
 	"one bad part":                              {bad: 1, badRate: 1},
 	"seldom":                                    {bad: 1, badRate: 0.2},
@@ -115,6 +124,10 @@
 	"three bad parts":                           {bad: 3, badRate: 3, common: 0.1, instant: true},
 	"many documents":                            {bad: 1, badRate: 1, documents: 1},
 	"it was sound before":                       {bad: 1, badRate: 2, soundBefore: true},
+	"it was sound before, often":                {bad: 1, badRate: 8, soundBefore: true},
+	"it was sound before, many documents":       turnedBad,
+	"it was sound before, a common first part":  turnedBadCommon,
+	"five bad parts":                            {bad: 5, badRate: 5, common: 0.3},
 	"all routers restart":                       {bad: 1, badRate: 2, instant: true, restarts: map[time.Duration]int{11 * time.Second: crashRouters}},
 	"a router is cut off":                       {bad: 1, badRate: 2, cut: 10 * time.Second},
 	"a router reports nonsense":                 {bad: 1, badRate: 2, nonsense: true},
@@ -132,7 +145,7 @@
 	for name, p := range partPatterns {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p.badFrom, p.duration = 6*time.Second, 60*time.Second
+			p.badFrom, p.duration = partsBadFrom, partsDuration
 			var crashes, lateSends, refused, served, sharing, sharingRefused int
 			for seed := range uint64(seeds) {
 				w := playParts(p, seed)
@@ -153,13 +166,54 @@
 	}
 }
 
+// TestPartTurnedBad plays seeds in which documents that were at several crashes by chance were blamed
+// instead of a part that had been sound before, while one rank after the other crashed.
+func TestPartTurnedBad(t *testing.T) {
+	checkLateSends(t, map[string]partCase{
+		"alone":               {partPattern{bad: 1, badRate: 2, soundBefore: true}, []uint64{190}},
+		"many documents":      {turnedBad, []uint64{12, 21}},
+		"a common first part": {turnedBadCommon, []uint64{6, 9, 12, 13, 16, 21, 24}},
+	})
+}
+
+// TestPartTurnedBadByChance plays seeds in which that still happens.
+func TestPartTurnedBadByChance(t *testing.T) {
+	checkLateSends(t, map[string]partCase{
+		"many documents":      {turnedBad, []uint64{86, 152}},
+		"a common first part": {turnedBadCommon, []uint64{109, 118, 143}},
+	})
+}
+
+// partCase is a pattern and seeds to play it with.
+type partCase struct {
+	pattern partPattern
+	seeds   []uint64
+}
+
+// checkLateSends checks that requests with a bad part stop in time.
+func checkLateSends(t *testing.T, cases map[string]partCase) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := c.pattern
+			p.badFrom, p.duration = partsBadFrom, partsDuration
+			for _, seed := range c.seeds {
+				if w := playParts(p, seed); w.lateSends > maxLateSends {
+					t.Errorf("seed %d: requests with a bad part were sent %d times too late, want %d at most", seed, w.lateSends, maxLateSends)
+				}
+			}
+		})
+	}
+}
+
 // TestPartMended mends the ranks while a part is refused. It guards against a part that is refused
 // for good, and against a test that costs more than one crash.
 func TestPartMended(t *testing.T) {
 	for name, until := range map[string]time.Duration{"mended soon": time.Minute, "mended after the first test": 15 * time.Minute} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := partPattern{bad: 1, badRate: 0.5, badFrom: 6 * time.Second, badUntil: until, duration: 30 * time.Minute}
+			p := partPattern{bad: 1, badRate: 0.5, badFrom: partsBadFrom, badUntil: until, duration: 30 * time.Minute}
 			w := playParts(p, 1)
 			early := 0
 			for _, at := range w.allCrashes() {
