--- a/services/quarantine/blame.go
+++ b/services/quarantine/blame.go
@@ -271,12 +271,12 @@
 	if !rec.familiar() {
 		return refusalDuration
 	}
-	d, factor := familiarRefusalDuration, time.Duration(2)
+	d, factor := familiarRefusalDuration, 2
 	if rec.common {
 		d, factor = commonRefusalDuration, 4
 	}
 	for range min(beyond, maxCrashes) {
-		d = min(factor*d, refusalDuration)
+		d = min(time.Duration(factor)*d, refusalDuration)
 	}
 	return d
 }
--- a/services/quarantine/part_test.go
+++ b/services/quarantine/part_test.go
@@ -159,7 +159,8 @@
 			crash(10*second, "d", "o5"), crash(10*second, "d", "o6"), crash(15*second, "e", "o7"), crash(15*second, "e", "o8"),
 		}, 15 * second, map[prompt.Part]Standing{"b": StandingRefused, "n1": StandingSuspect, "n2": StandingSuspect}},
 		"a common part does not turn bad while new ones explain it": {[]partStep{
-			answer(-9*second, "b"), {at: -9 * second, requests: 9, parts: p("b")},
+			answer(-9*second, "b"),
+			{at: -9 * second, requests: 9, parts: p("b")},
 			crash(0, "a", "b"), crash(0, "a", "n1"), crash(5*second, "c", "b"), crash(5*second, "c", "n1"),
 			crash(10*second, "d", "b"), crash(10*second, "d", "n1"), crash(15*second, "e", "b"),
 		}, 15 * second, map[prompt.Part]Standing{"b": StandingSuspect, "n1": StandingRefused}},
