--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -112,24 +112,6 @@
 	}
 }
 
-// failNotRun answers a request that upstreams did not answer and that may not be sent once more.
-func (x *exchange) failNotRun(ctx context.Context) {
-	x.retryAfter, x.spread = x.r.afterNotRun(x), false
-	ref := x.busy()
-	ref.reason = ReasonNotRun
-	x.fail(ctx, ref)
-}
-
-// allowAttempt reports whether the request may be sent once more, and takes the retry out of the
-// budget. If the budget has none, a caller that can come back is told when; the request of another
-// one may wait for room, and for a retry that is expected meanwhile.
-func (x *exchange) allowAttempt(ctx context.Context) bool {
-	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) || x.crashes >= maxCrashes {
-		return false
-	}
-	return x.holdRetry() || x.retried && x.awaitRetry()
-}
-
 // fail answers a request that no upstream has answered, or passes on an earlier failure.
 func (x *exchange) fail(ctx context.Context, notRun refusal) {
 	switch {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -141,15 +141,6 @@
 	r.routers = n
 }
 
-// SetKnownRouters sets the number of routers that are known, this one included, whether callers use
-// them or not.
-func (r *Relay) SetKnownRouters(now time.Time, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.sharers.Set(now, n)
-	r.shareRetries(now)
-}
-
 // SetBounds applies new bounds.
 func (r *Relay) SetBounds(now time.Time, b setting.Bounds) {
 	r.mu.Lock()
--- a/services/relay/retry.go
+++ b/services/relay/retry.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -20,6 +21,15 @@
 	return retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
 
+// SetKnownRouters sets the number of routers that are known, this one included, whether callers use
+// them or not.
+func (r *Relay) SetKnownRouters(now time.Time, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sharers.Set(now, n)
+	r.shareRetries(now)
+}
+
 // shareRetries applies the limits and the number of routers to the retry budgets. The caller holds
 // the lock.
 func (r *Relay) shareRetries(now time.Time) {
@@ -28,6 +38,24 @@
 	}
 }
 
+// failNotRun answers a request that upstreams did not answer and that may not be sent once more.
+func (x *exchange) failNotRun(ctx context.Context) {
+	x.retryAfter, x.spread = x.r.afterNotRun(x), false
+	ref := x.busy()
+	ref.reason = ReasonNotRun
+	x.fail(ctx, ref)
+}
+
+// allowAttempt reports whether the request may be sent once more, and takes the retry out of the
+// budget. If the budget has none, a caller that can come back is told when; the request of another
+// one may wait for room, and for a retry that is expected meanwhile.
+func (x *exchange) allowAttempt(ctx context.Context) bool {
+	if ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || (x.mayRun && !x.route.Repeatable()) || x.crashes >= maxCrashes {
+		return false
+	}
+	return x.holdRetry() || x.retried && x.awaitRetry()
+}
+
 // errNoRetry reports that the budget has no retry left for a request that waited for room.
 var errNoRetry = errors.New("retry budget used up")
 
