Soak: the address of a proxy is read once

A fault starts a replica's proxy again, which writes the proxy's address, while another writes the store's entries anew and reads it. No promise was broken. Change: a replica keeps the address from its proxy's first start; it stays the same.

--- a/tests/soak/replica_test.go
+++ b/tests/soak/replica_test.go
@@ -54,6 +54,8 @@
 	server      *http.Server
 	listener    net.Listener
 	proxy       *toxiproxy.Proxy
+	// proxyAddress is where the proxy listens. A proxy that is started again writes its own field.
+	proxyAddress string
 	// engine answers the requests to a rank of a model group; nil for plain services.
 	engine http.Handler
 	zone   string
@@ -96,6 +98,7 @@
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(l) }()
 	r.proxy = w.newProxy("to "+r.id, l.Addr().String())
+	r.proxyAddress = r.proxy.Listen
 	r.setState("ready")
 	w.mu.Lock()
 	w.all = append(w.all, r)
@@ -131,7 +134,7 @@
 func (r *replica) putEntry(state string) {
 	entry := ""
 	if state != "" {
-		address := r.proxy.Listen
+		address := r.proxyAddress
 		if r.engine != nil && isRanked(r.w.seed) {
 			// Coordinators report a rank by the address that its agent uses. Under another address
 			// routers would have no reports of it.
