Stand-in store: a call that gets no answer ends with its caller

Go's server notices that a caller has disconnected only once the body has been read, and the stand-in did not read it. Change: the stand-in reads the body first. Result: TestNoAnswerEnds, new, failed before for a call with a body (the call goes on after its caller has disconnected) and passes.

--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -153,6 +153,8 @@
 		answer{era: era, status: http.StatusServiceUnavailable}.send(w)
 		return
 	case FaultNoAnswer:
+		// The server notices that a caller has disconnected once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case FaultAnswerLost, FaultLateWrite, FaultSlowAnswer, FaultNone:
