Quarantine: the part that turned bad is chosen before the loop

Cause: a flag steered the first turn of the loop in blameParts. Change: one function chooses a part and explains its crashes; it is called for the part that turned bad and then in the loop. Behaviour is as before.

--- a/services/quarantine/blame.go
+++ b/services/quarantine/blame.go
@@ -100,20 +100,22 @@
 func (r *Register) blameParts(id service.ID) map[Key]int {
 	s := r.suspectsOf(id)
 	out, explained := map[Key]int{}, map[upstream.Run]bool{}
-	best, ok := r.turned(s)
-	for {
-		if !ok {
-			s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return r.beyond(c, explained, s.doubtful) < 0 })
-			if len(s.candidates) == 0 {
-				return out
-			}
-			best = slices.MinFunc(s.candidates, candidate.compare)
+	choose := func(c candidate) {
+		out[c.key] = r.beyond(c, explained, s.doubtful)
+		c.rec.explain(explained)
+		for i, o := range s.candidates {
+			s.candidates[i].weight = r.partWeight(o.rec, explained)
 		}
-		out[best.key], ok = r.beyond(best, explained, s.doubtful), false
-		best.rec.explain(explained)
-		for i, c := range s.candidates {
-			s.candidates[i].weight = r.partWeight(c.rec, explained)
+	}
+	if c, ok := r.turned(s); ok {
+		choose(c)
+	}
+	for {
+		s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return r.beyond(c, explained, s.doubtful) < 0 })
+		if len(s.candidates) == 0 {
+			return out
 		}
+		choose(slices.MinFunc(s.candidates, candidate.compare))
 	}
 }
 
