--- a/review/tools/client.go
+++ b/review/tools/client.go
@@ -22,7 +22,6 @@
 	began, sent, ended time.Time
 	status             int
 	seal               string
-	retryAfter         string
 	// err is why there is no complete answer.
 	err error
 	// dialed reports whether the connection came up.
@@ -63,7 +62,7 @@
 		a.err = err
 		return a
 	}
-	a.status, a.seal, a.retryAfter = resp.StatusCode, resp.Header.Get("X-Fawnwinch-Response-Seal"), resp.Header.Get("Retry-After")
+	a.status, a.seal = resp.StatusCode, resp.Header.Get("X-Fawnwinch-Response-Seal")
 	return a
 }
 
--- a/review/tools/idle_connections.go
+++ b/review/tools/idle_connections.go
@@ -162,6 +162,7 @@
 		}
 		if took > timeout+500*time.Millisecond {
 			later++
+			l.note("BROKEN: request %s had no answer %.3f s after it was sent", a.id, took.Seconds())
 		}
 	}
 	l.note("sum: %d requests, %d answered, %d without an answer at timeoutMs, %d without one half a second later", len(attempts), ok, unanswered, later)
