Logs: what a router does while it leaves, and whether callers get an address

The logs did not tell why: a request that the process itself cut was logged as caller-left, and nothing showed how many requests a leaving router still accepted or that callers got no address.

Change: a line per second while a router leaves (requests in flight, accepted since the latest line); the reason process-stopped for requests that the process cuts; a line when the last router for callers is gone and when there is one again.

--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -147,9 +147,16 @@
 	p.relay.StartLeaving(start)
 	p.router.Leave(ctx)
 	deadline := start.Add(p.node.set.Grace - killMargin)
+	progress, accepted := start, p.relay.Accepted()
 	for now := start; now.Before(deadline) && (now.Sub(start) < addressCacheTime || p.relay.Active() > 0); now = clock.Now() {
 		time.Sleep(drainPollInterval)
+		if now.Sub(progress) >= drainLogInterval {
+			total := p.relay.Accepted()
+			p.logger.Info().Int64("since_ms", now.Sub(start).Milliseconds()).Int("active", p.relay.Active()).Uint64("accepted", total-accepted).Msg("leaving")
+			progress, accepted = now, total
+		}
 	}
+	p.relay.MarkStopped()
 	p.logger.Info().Int("active", p.relay.Active()).Int64("took_ms", clock.Since(start).Milliseconds()).Msg("stopped")
 	err := p.front.Close()
 	p.cancel()
@@ -160,5 +167,10 @@
 	return wrap(err, "stop router")
 }
 
-// drainPollInterval is the interval at which stop checks for requests in flight.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which stop checks for requests in flight.
+	drainPollInterval = 20 * time.Millisecond
+	// drainLogInterval is the interval at which it logs the requests in flight and those accepted
+	// since the latest line.
+	drainLogInterval = time.Second
+)
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -85,6 +85,8 @@
 	// outageSince holds the start of the current outage of each feed; absent while the feed is
 	// readable.
 	outageSince map[string]time.Time
+	// noneAccepting reports whether no known router accepted callers in the latest gossip round.
+	noneAccepting bool
 	// groups holds the state of the model groups.
 	groups map[group.ID]groupState
 	// unreported tracks the ranks that no coordinator reports. Only the gossip loop uses it.
@@ -111,7 +113,7 @@
 	o.Self.State = peer.StateStarting
 	r := &Router{
 		opts: o, started: now, table: peer.NewTable(now, o.Self), gossipDue: make(chan struct{}, 1), inFlight: map[string]bool{},
-		outageSince: map[string]time.Time{}, groups: map[group.ID]groupState{}, unreported: map[service.ID]unreported{}, searchRequests: make(chan service.ID, 1),
+		outageSince: map[string]time.Time{}, noneAccepting: true, groups: map[group.ID]groupState{}, unreported: map[service.ID]unreported{}, searchRequests: make(chan service.ID, 1),
 		mergedMarks: map[string]Watermarks{}, ahead: make(chan string, 1), refreshes: make(chan refresh, 1),
 		ledger: quota.NewLedger(), agentRegistrations: make(chan agentRegistration, maxBatch),
 	}
@@ -301,3 +303,19 @@
 	}
 	return out
 }
+
+// noteAccepting logs when the last router that accepts callers is gone, and when there is one again.
+// Until then callers get no address from this router.
+func (r *Router) noteAccepting(accepting []peer.Info) {
+	r.mu.Lock()
+	changed := r.noneAccepting != (len(accepting) == 0)
+	r.noneAccepting = len(accepting) == 0
+	state, live := r.table.Self().State, len(r.table.Live(clock.Now(), vm.RoleRouter))
+	r.mu.Unlock()
+	switch {
+	case changed && len(accepting) == 0:
+		r.opts.Logger.Warn().Str("state", string(state)).Int("others", live).Msg("no-router-for-callers")
+	case changed:
+		r.opts.Logger.Info().Str("state", string(state)).Int("routers", len(accepting)).Msg("routers-for-callers")
+	}
+}
--- a/services/entry/gossip.go
+++ b/services/entry/gossip.go
@@ -95,7 +95,9 @@
 	if ok {
 		r.opts.Relay.SetKnownRouters(now, known)
 	}
-	r.opts.Relay.SetRouters(max(1, len(routersForAll(r.acceptingRouters(now)))))
+	accepting := r.acceptingRouters(now)
+	r.noteAccepting(accepting)
+	r.opts.Relay.SetRouters(max(1, len(routersForAll(accepting))))
 	for _, to := range targets {
 		if to.Address != r.opts.Self.Address && r.beginExchange(to.Address) {
 			w.Go(func() {
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -121,7 +121,7 @@
 		x.finish(http.StatusOK, ReasonStreamBroken)
 		panic(http.ErrAbortHandler)
 	case x.req.Context().Err() != nil:
-		x.finish(0, ReasonCallerDisconnected)
+		x.finish(0, x.disconnectReason())
 		panic(http.ErrAbortHandler)
 	case x.mayRun && ctx.Err() != nil:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: ReasonDeadline})
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -45,6 +45,7 @@
 	ReasonDeadline           Reason = "deadline"
 	ReasonLeaving            Reason = "process-leaving"
 	ReasonCallerDisconnected Reason = "caller-left"
+	ReasonStopped            Reason = "process-stopped"
 	ReasonStreamBroken       Reason = "stream-broke-off"
 	ReasonAnswered           Reason = "answered"
 	ReasonCrashes            Reason = "crashes-upstreams"
@@ -161,6 +162,7 @@
 	x := &exchange{r: r, w: w, req: req, arrived: clock.Now(), meta: r.opts.Protocol.ParseRequest(req.Header), tried: map[upstream.ID]bool{}}
 	r.mu.Lock()
 	r.active++
+	r.accepted++
 	r.lastRequest = x.arrived
 	leaving := r.leaving
 	r.mu.Unlock()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -57,10 +57,14 @@
 	sharers retry.Routers
 	// leaving is when the process was ordered to stop, or zero.
 	leaving time.Time
+	// stopped reports whether the process closes the connections of callers.
+	stopped bool
 	// unreported is called when a request arrives for a service with groups that has ranks without
 	// a reported load.
 	unreported func(service.ID)
 	active     int
+	// accepted counts the requests that have arrived.
+	accepted uint64
 	// lastRequest is when the latest request arrived; zero for never.
 	lastRequest time.Time
 	// runs holds the run of the upstream to which connections to an address lead.
@@ -150,13 +154,6 @@
 	r.shareRetries(now)
 }
 
-// StartLeaving records when the process was ordered to stop.
-func (r *Relay) StartLeaving(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leaving = now
-}
-
 // Active returns the number of requests in flight.
 func (r *Relay) Active() int {
 	r.mu.Lock()
