Router stop: accept what ends in time, and send callers to the routers that leave last

Cause: nothing related a request to the end of the process. While all routers leave, the directory named none, so callers went on with the addresses that they had; a leaving router accepted everything, was never without a request, and closed all connections by the clock.

A slow restart (0.3 s) and slow upstreams (0.35 to 0.45 s throughout) are ruled out.

Change (services/shutdown, no I/O, no clock): while fewer routers are ready than half of the leaving ones, the directory names the half of these too that leaves last; the others close their listener as soon as few callers may hold their address, finish what they have and are back while the others serve. A request is accepted if its deadline or the longest recent answer of its route, and a quarter more, lies before the end, judged on arrival and right before it is sent; else it gets 503 with the time to come back. What is in flight at the end gets 503 if it was not sent and 504 if it was. This replaces the constant after which streams alone were refused.

Why it works: a request is only cut if it takes longer than all recent ones and a quarter more, and then still gets an answer; routers whose callers have somewhere else to go run out of requests.

--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math"
-	"time"
 
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
@@ -24,15 +23,6 @@
 	"go.uber.org/fx"
 )
 
-const (
-	// addressCacheTime is the longest time for which callers use the address of a router: three
-	// times the TTL of routers.NewDirectory, plus a margin for requests in transit.
-	addressCacheTime = 3300 * time.Millisecond
-	// killMargin is how long before the end of the grace period a stopping process exits by itself,
-	// since the platform kills it then.
-	killMargin = 400 * time.Millisecond
-)
-
 func entryOptions(n node) fx.Option {
 	return fx.Options(n.options(), fx.Provide(n.newRelay), fx.Invoke(n.runEntry))
 }
@@ -85,7 +75,7 @@
 	}
 	r := entry.New(entry.Options{
 		Self: n.self(vm.RoleRouter), Seeds: n.set.Seeds, Store: store, Pool: pool, Relay: rl, Logger: logger,
-		Bounds: n.set.Bounds, Regions: n.set.Regions,
+		Bounds: n.set.Bounds, Grace: n.set.Grace, Regions: n.set.Regions,
 	})
 	server := rpc.NewServer(peers)
 	if err := server.Register("Router", entry.NewAPI(r)); err != nil {
@@ -137,40 +127,3 @@
 	each("ranks_listed", "Ranks of model groups that may take work.", func(c relay.Coverage) int { return c.Listed })
 	each("ranks_unreported", "Ranks of model groups whose load no coordinator has told this router lately.", func(c relay.Coverage) int { return len(c.Unreported) })
 }
-
-// stop shuts the router down gracefully. The router leaves the directory and serves until all
-// cached addresses of it have expired and no requests are in flight, or until killMargin before it
-// is killed.
-func (p *entryProcess) stop(ctx context.Context) error {
-	start := clock.Now()
-	p.logger.Info().Int("active", p.relay.Active()).Msg("stop")
-	p.relay.StartLeaving(start)
-	p.router.Leave(ctx)
-	deadline := start.Add(p.node.set.Grace - killMargin)
-	progress, accepted := start, p.relay.Accepted()
-	for now := start; now.Before(deadline) && (now.Sub(start) < addressCacheTime || p.relay.Active() > 0); now = clock.Now() {
-		time.Sleep(drainPollInterval)
-		if now.Sub(progress) >= drainLogInterval {
-			total := p.relay.Accepted()
-			p.logger.Info().Int64("since_ms", now.Sub(start).Milliseconds()).Int("active", p.relay.Active()).Uint64("accepted", total-accepted).Msg("leaving")
-			progress, accepted = now, total
-		}
-	}
-	p.relay.MarkStopped()
-	p.logger.Info().Int("active", p.relay.Active()).Int64("took_ms", clock.Since(start).Milliseconds()).Msg("stopped")
-	err := p.front.Close()
-	p.cancel()
-	p.peers.Close()
-	p.pool.Close()
-	p.relay.Close()
-	p.store.Close()
-	return wrap(err, "stop router")
-}
-
-const (
-	// drainPollInterval is the interval at which stop checks for requests in flight.
-	drainPollInterval = 20 * time.Millisecond
-	// drainLogInterval is the interval at which it logs the requests in flight and those accepted
-	// since the latest line.
-	drainLogInterval = time.Second
-)
--- /dev/null
+++ b/cmd/platform_stop.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/services/shutdown"
+)
+
+const (
+	// drainPollInterval is the interval at which drain checks for requests in flight.
+	drainPollInterval = 50 * time.Millisecond
+	// drainLogInterval is the interval at which it logs the requests in flight and those accepted
+	// since the latest line.
+	drainLogInterval = time.Second
+	// answerPollInterval is the interval at which stop checks whether they are.
+	answerPollInterval = 5 * time.Millisecond
+	// answerTime bounds the time until the requests that the end of the process has ended are answered.
+	answerTime = 150 * time.Millisecond
+)
+
+// stop shuts the router down gracefully: callers are sent elsewhere, requests in flight get their
+// answers, and requests that would not are rejected.
+func (p *entryProcess) stop(ctx context.Context) error {
+	start := clock.Now()
+	p.logger.Info().Int("active", p.relay.Active()).Msg("stop")
+	plan := shutdown.NewPlan(start, p.node.set.Grace)
+	p.relay.StartLeaving(plan)
+	p.router.Leave(ctx)
+	p.drain(plan)
+	active := p.relay.Active()
+	p.front.StopAccepting()
+	p.relay.EndRequests()
+	for end := clock.Now().Add(answerTime); p.relay.Active() > 0 && clock.Now().Before(end); {
+		time.Sleep(answerPollInterval)
+	}
+	err := p.front.Close()
+	p.logger.Info().Int("ended", active).Int("cut", p.relay.Active()).Int64("took_ms", clock.Since(start).Milliseconds()).Msg("stopped")
+	p.cancel()
+	p.peers.Close()
+	p.pool.Close()
+	p.relay.Close()
+	p.store.Close()
+	return wrap(err, "stop router")
+}
+
+// drain serves until the plan of the stop says that the process ends.
+func (p *entryProcess) drain(plan shutdown.Plan) {
+	var view shutdown.View
+	phase := shutdown.PhaseServing
+	logged, accepted := plan.Since, p.relay.Accepted()
+	for {
+		now := clock.Now()
+		view = p.router.StopView(now, view.LastNamed)
+		switch next := plan.Phase(now, view); {
+		case next == shutdown.PhaseEnding:
+			return
+		case next == shutdown.PhaseClosing && phase == shutdown.PhaseServing:
+			p.logger.Info().Int64("since_ms", now.Sub(plan.Since).Milliseconds()).Int("active", view.Active).Msg("accepts-no-more")
+			p.front.StopAccepting()
+			phase = next
+		}
+		if now.Sub(logged) >= drainLogInterval {
+			total := p.relay.Accepted()
+			p.logger.Info().Int64("since_ms", now.Sub(plan.Since).Milliseconds()).Int("active", view.Active).Uint64("accepted", total-accepted).
+				Bool("others_serve", view.OthersServe).Bool("any_ready", view.AnyReady).Msg("leaving")
+			logged, accepted = now, total
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/routers/directory.go
+++ b/routers/directory.go
@@ -10,6 +10,7 @@
 	"fawnwinch.org/fawnwinch/models/vm"
 	"fawnwinch.org/fawnwinch/modules/clock"
 	"fawnwinch.org/fawnwinch/services/entry"
+	"fawnwinch.org/fawnwinch/services/shutdown"
 
 	"github.com/gin-gonic/gin"
 )
@@ -33,10 +34,6 @@
 	Addresses, TTL string
 }
 
-// addressTTLSeconds is how long callers may cache an answer, in seconds. Some cache it three times
-// as long, so a stopping process must keep serving for that time.
-const addressTTLSeconds = 1
-
 // maxAddresses is the maximum number of addresses that callers use.
 const maxAddresses = 64
 
@@ -60,7 +57,7 @@
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
-		c.JSON(http.StatusOK, gin.H{names.Addresses: list[:min(len(list), maxAddresses)], names.TTL: addressTTLSeconds})
+		c.JSON(http.StatusOK, gin.H{names.Addresses: list[:min(len(list), maxAddresses)], names.TTL: int(shutdown.AddressTTL.Seconds())})
 	})
 	return g
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +55,8 @@
 	Relay  *relay.Relay
 	Logger zerolog.Logger
 	Bounds setting.Bounds
+	// Grace is the time between the order to stop and the kill, for all routers.
+	Grace time.Duration
 	// Regions holds the regions of the data centres.
 	Regions vm.Regions
 }
@@ -85,8 +86,8 @@
 	// outageSince holds the start of the current outage of each feed; absent while the feed is
 	// readable.
 	outageSince map[string]time.Time
-	// noneAccepting reports whether no known router accepted callers in the latest gossip round.
-	noneAccepting bool
+	// noneServing reports whether callers were sent to no router in the latest gossip round.
+	noneServing bool
 	// groups holds the state of the model groups.
 	groups map[group.ID]groupState
 	// unreported tracks the ranks that no coordinator reports. Only the gossip loop uses it.
@@ -113,7 +114,7 @@
 	o.Self.State = peer.StateStarting
 	r := &Router{
 		opts: o, started: now, table: peer.NewTable(now, o.Self), gossipDue: make(chan struct{}, 1), inFlight: map[string]bool{},
-		outageSince: map[string]time.Time{}, noneAccepting: true, groups: map[group.ID]groupState{}, unreported: map[service.ID]unreported{}, searchRequests: make(chan service.ID, 1),
+		outageSince: map[string]time.Time{}, noneServing: true, groups: map[group.ID]groupState{}, unreported: map[service.ID]unreported{}, searchRequests: make(chan service.ID, 1),
 		mergedMarks: map[string]Watermarks{}, ahead: make(chan string, 1), refreshes: make(chan refresh, 1),
 		ledger: quota.NewLedger(), agentRegistrations: make(chan agentRegistration, maxBatch),
 	}
@@ -261,61 +262,3 @@
 	defer r.mu.Unlock()
 	return r.table.Self()
 }
-
-// Leave notifies the other routers that this process is stopping.
-func (r *Router) Leave(ctx context.Context) {
-	r.setState(peer.StateLeaving)
-	var w sync.WaitGroup
-	r.startRound(ctx, &w)
-	w.Wait()
-}
-
-// Ready reports whether the process accepts callers.
-func (r *Router) Ready() bool { return r.Self().State == peer.StateReady }
-
-// Addresses returns the addresses that a caller should use.
-func (r *Router) Addresses(now time.Time, c Caller) []string {
-	var homes [][]vm.Region
-	r.opts.Relay.WithState(func(s *knowledge.State) { homes = s.Index().HomesOf(c.Host) })
-	inRegion := routersInRegion(r.acceptingRouters(now), r.opts.Regions, c.Region, homes)
-	var out []string
-	for _, n := range routersFor(inRegion, c.DataCentre) {
-		out = append(out, n.Callers)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// acceptingRouters returns the routers that accept callers. This router is excluded while its
-// catalog is too old to accept keys.
-func (r *Router) acceptingRouters(now time.Time) []peer.Info {
-	fresh := r.opts.Relay.AcceptsKeys(now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []peer.Info
-	if self := r.table.Self(); self.State == peer.StateReady && fresh {
-		out = append(out, self)
-	}
-	for _, n := range r.table.Live(now, vm.RoleRouter) {
-		if n.State == peer.StateReady {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
-// noteAccepting logs when the last router that accepts callers is gone, and when there is one again.
-// Until then callers get no address from this router.
-func (r *Router) noteAccepting(accepting []peer.Info) {
-	r.mu.Lock()
-	changed := r.noneAccepting != (len(accepting) == 0)
-	r.noneAccepting = len(accepting) == 0
-	state, live := r.table.Self().State, len(r.table.Live(clock.Now(), vm.RoleRouter))
-	r.mu.Unlock()
-	switch {
-	case changed && len(accepting) == 0:
-		r.opts.Logger.Warn().Str("state", string(state)).Int("others", live).Msg("no-router-for-callers")
-	case changed:
-		r.opts.Logger.Info().Str("state", string(state)).Int("routers", len(accepting)).Msg("routers-for-callers")
-	}
-}
--- a/services/entry/gossip.go
+++ b/services/entry/gossip.go
@@ -95,9 +95,10 @@
 	if ok {
 		r.opts.Relay.SetKnownRouters(now, known)
 	}
-	accepting := r.acceptingRouters(now)
-	r.noteAccepting(accepting)
-	r.opts.Relay.SetRouters(max(1, len(routersForAll(accepting))))
+	serving := r.servingRouters(now)
+	r.noteServing(now, serving)
+	r.opts.Relay.SetRouters(max(1, len(routersForAll(serving.routers))))
+	r.opts.Relay.SetOthersServe(serving.others)
 	for _, to := range targets {
 		if to.Address != r.opts.Self.Address && r.beginExchange(to.Address) {
 			w.Go(func() {
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -43,6 +43,9 @@
 	// Service is the service of that engine.
 	Service string `json:"service,omitempty"`
 	State   State  `json:"state"`
+	// LeavingSince orders the leaving processes. It is when the process was ordered to stop, in
+	// milliseconds since 1970 by its own clock; 0 if it was not.
+	LeavingSince int64 `json:"leaving_since,omitempty"`
 	// Cores is the number of processor cores available to the process; it may be a fraction.
 	Cores float64 `json:"cores,omitempty"`
 	// Busy reports whether the process uses a large fraction of its cores.
--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -62,7 +62,7 @@
 	defer x.returnRetry()
 	for dials := 0; ; {
 		x.r.endRun(x)
-		if ref := x.r.quarantineRefusal(clock.Now(), x); ref != nil {
+		if ref := x.refusalBeforeAttempt(clock.Now()); ref != nil {
 			x.fail(ctx, *ref)
 			return
 		}
@@ -112,17 +112,33 @@
 	}
 }
 
+// refusalBeforeAttempt returns the refusal for a request that must not be sent, or nil.
+func (x *exchange) refusalBeforeAttempt(now time.Time) *refusal {
+	if ref := x.r.quarantineRefusal(now, x); ref != nil {
+		return ref
+	}
+	return x.leavingRefusal(now)
+}
+
 // fail answers a request that no upstream has answered, or passes on an earlier failure.
 func (x *exchange) fail(ctx context.Context, notRun refusal) {
+	stopping, ended := x.stopping()
 	switch {
 	case x.failure != nil && !x.stream.begun && x.req.Context().Err() == nil:
 		x.write(x.failure)
+	case x.stream.begun && ended:
+		x.finish(http.StatusOK, ReasonStopped)
+		panic(http.ErrAbortHandler)
 	case x.stream.begun:
 		x.finish(http.StatusOK, ReasonStreamBroken)
 		panic(http.ErrAbortHandler)
 	case x.req.Context().Err() != nil:
-		x.finish(0, x.disconnectReason())
+		x.finish(0, ReasonCallerDisconnected)
 		panic(http.ErrAbortHandler)
+	case ended && x.mayRun:
+		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: ReasonStopped})
+	case ended:
+		x.refuse(stopping)
 	case x.mayRun && ctx.Err() != nil:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: ReasonDeadline})
 	case x.mayRun:
@@ -155,7 +171,9 @@
 	// When the caller disconnects or the deadline passes, the closed connection ends the upstream's
 	// work too.
 	stopClosing := context.AfterFunc(ctx, conn.Close)
-	x.attempts++
+	if x.attempts++; x.attempts == 1 {
+		x.firstSent = a.began
+	}
 	wasRunning := x.mayRun
 	x.mayRun = true
 	untrack := x.r.trackAttempt(x, a)
@@ -360,6 +378,7 @@
 	for name, values := range header {
 		h[name] = values
 	}
+	x.closeAfterAnswer()
 }
 
 // logFailedAttempt logs an attempt that did not give the caller a complete answer. A cancelled
--- a/services/relay/authorize.go
+++ b/services/relay/authorize.go
@@ -16,6 +16,9 @@
 	"fawnwinch.org/fawnwinch/services/quota"
 )
 
+// errLeaving reports a request that would not end before the process does.
+var errLeaving = errors.New("process ends before the answer")
+
 // errQuarantined reports a request that was found to crash upstreams while it waited.
 var errQuarantined = errors.New("request crashes upstreams")
 
@@ -40,6 +43,9 @@
 // authorize decides right before a request is sent whether it may be sent. The state that was used
 // to choose the upstream may have changed while the request waited or a connection was opened.
 func (x *exchange) authorize(ctx context.Context, u upstream.Instance) (balance.Result, error) {
+	if x.leavingRefusal(clock.Now()) != nil {
+		return balance.ResultUnsent, errLeaving
+	}
 	permission, err := x.r.judgeSend(clock.Now(), x, u)
 	if err != nil || permission == condition.PermissionGiven {
 		return resultOf(err), err
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -71,9 +72,6 @@
 	retryEvacuated = time.Second
 	// defaultTimeout bounds requests for which neither route nor caller sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// streamGrace is how long after the order to stop a process still accepts streams: later ones
-	// might not end before the process does.
-	streamGrace = 3 * time.Second
 	// defaultMaxBytes bounds a body when the catalog sets no limit.
 	defaultMaxBytes = 4 << 20
 )
@@ -115,6 +113,8 @@
 
 	tried    map[upstream.ID]bool
 	attempts int
+	// firstSent is when the request was first sent to an upstream; zero if it was not.
+	firstSent time.Time
 	// mayRun reports whether an attempt may have run or may still run.
 	mayRun bool
 	// held is the retry for the next attempt that was taken out of the budget at heldSince; nil if
@@ -164,35 +164,32 @@
 	r.active++
 	r.accepted++
 	r.lastRequest = x.arrived
-	leaving := r.leaving
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		r.active--
 		r.mu.Unlock()
 	}()
-	if !leaving.IsZero() {
-		w.Header().Set("Connection", "close")
-	}
-	if ref := x.admit(leaving); ref != nil {
+	if ref := x.admit(); ref != nil {
 		x.refuse(*ref)
 		return
 	}
 	ctx, cancel := clock.WithDeadline(req.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.ending, cancel)()
 	x.run(ctx)
 }
 
 // admit checks a request against the catalog and reads its body.
-func (x *exchange) admit(leaving time.Time) *refusal {
+func (x *exchange) admit() *refusal {
 	if x.meta.ID == "" {
 		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
 	}
 	if ref := x.judge(); ref != nil {
 		return ref
 	}
-	if !leaving.IsZero() && x.route.Kind == catalog.KindStream && x.arrived.Sub(leaving) > streamGrace {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonLeaving, retryAfter: retryStarting}
+	if ref := x.leavingRefusal(x.arrived); ref != nil {
+		return ref
 	}
 	body, err := httpx.ReadAll(x.req.Body, x.maxBytes)
 	var large httpx.ErrTooLarge
@@ -306,18 +303,21 @@
 		h[name] = values
 	}
 	h.Set("Content-Length", "0")
+	x.closeAfterAnswer()
 	x.w.WriteHeader(ref.status)
 	x.finish(ref.status, ref.reason)
 }
 
 // finish logs and counts the end of a request.
 func (x *exchange) finish(status int, reason Reason) {
-	took := clock.Since(x.arrived)
+	now := clock.Now()
+	took := now.Sub(x.arrived)
 	outcome := "refused"
 	event := x.r.opts.Logger.Info()
 	switch {
 	case reason == ReasonAnswered:
 		outcome = "answered"
+		x.recordAnswerTime(now)
 	case x.mayRun:
 		outcome = "failed"
 	}
--- a/services/relay/leaving.go
+++ b/services/relay/leaving.go
@@ -3,32 +3,71 @@
 
 package relay
 
-import "time"
+import (
+	"net/http"
+	"time"
 
-// StartLeaving records when the process was ordered to stop.
-func (r *Relay) StartLeaving(now time.Time) {
+	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/services/shutdown"
+)
+
+// StartLeaving applies the plan of the stop that the process was ordered to make.
+func (r *Relay) StartLeaving(p shutdown.Plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.leaving = now
+	r.leaving = p
 }
 
-// MarkStopped records that the process closes the connections of callers now, whether they have
-// requests in flight or not.
-func (r *Relay) MarkStopped() {
+// SetOthersServe sets whether callers are sent to other routers.
+func (r *Relay) SetOthersServe(others bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stopped = true
+	r.othersServe = others
+}
+
+// EndRequests ends the requests in flight: they get the answer that the router can give now. Streams
+// that have begun are broken off.
+func (r *Relay) EndRequests() { r.endRequests() }
+
+// leavingRefusal returns the refusal for a request that is not expected to end before this process
+// does, or nil. A stream that has begun is not refused.
+func (x *exchange) leavingRefusal(now time.Time) *refusal {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	p := x.r.leaving
+	if !p.Stopping() || x.stream.begun || p.Admits(now, x.deadline, x.r.answerTimes.Longest(now, x.route.Name)) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonLeaving, retryAfter: p.RetryAfter(now, x.r.othersServe)}
+}
+
+// stopping returns the refusal for a request that was ended and has not run, and whether it was
+// ended.
+func (x *exchange) stopping() (refusal, bool) {
+	now := clock.Now()
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	ref := refusal{status: http.StatusServiceUnavailable, reason: ReasonLeaving, retryAfter: x.r.leaving.RetryAfter(now, x.r.othersServe)}
+	return ref, x.r.ending.Err() != nil
+}
+
+// closeAfterAnswer tells the caller to use another connection for its next request if this process
+// leaves. It is called before the head of the answer is written.
+func (x *exchange) closeAfterAnswer() {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	if x.r.leaving.Stopping() {
+		x.w.Header().Set("Connection", "close")
+	}
 }
 
-// disconnectReason returns why the connection of a caller was lost: the caller has closed it, unless
-// this process has.
-func (x *exchange) disconnectReason() Reason {
+// recordAnswerTime records how long the answer to the request took from when it was first sent.
+func (x *exchange) recordAnswerTime(now time.Time) {
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
-	if x.r.stopped {
-		return ReasonStopped
+	if !x.firstSent.IsZero() {
+		x.r.answerTimes.Add(now, x.route.Name, now.Sub(x.firstSent))
 	}
-	return ReasonCallerDisconnected
 }
 
 // Accepted returns the number of requests that have arrived since the process started.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -7,6 +7,7 @@
 package relay
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -27,6 +28,7 @@
 	"fawnwinch.org/fawnwinch/services/quarantine"
 	"fawnwinch.org/fawnwinch/services/quota"
 	"fawnwinch.org/fawnwinch/services/retry"
+	"fawnwinch.org/fawnwinch/services/shutdown"
 
 	"github.com/rs/zerolog"
 )
@@ -55,10 +57,15 @@
 	routers int
 	// sharers counts the routers that share the slack of the retry budgets.
 	sharers retry.Routers
-	// leaving is when the process was ordered to stop, or zero.
-	leaving time.Time
-	// stopped reports whether the process closes the connections of callers.
-	stopped bool
+	// leaving is the plan of the stop that the process was ordered to make.
+	leaving shutdown.Plan
+	// othersServe reports whether callers are sent to other routers.
+	othersServe bool
+	// answerTimes holds how long recent answers took.
+	answerTimes *shutdown.AnswerTimes
+	// ending ends when endRequests is called, and the requests in flight with it.
+	ending      context.Context //nolint:containedctx // it ends the contexts of requests
+	endRequests context.CancelFunc
 	// unreported is called when a request arrives for a service with groups that has ranks without
 	// a reported load.
 	unreported func(service.ID)
@@ -112,7 +119,9 @@
 // it assumes that it is the only router and grants permits itself. Until SetKnownRouters is called,
 // its retry budgets have no share of the slack.
 func New(o Options) *Relay {
+	ending, endRequests := context.WithCancel(context.Background())
 	r := &Relay{
+		ending: ending, endRequests: endRequests, answerTimes: shutdown.NewAnswerTimes(),
 		opts: o, conns: httpconn.NewPool(maxIdleConn), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
 		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, quarantined: quarantined{}, running: map[quarantine.Key]int{}, sent: map[*sentAttempt]struct{}{}, probes: map[upstream.Run]*probe{},
 		permits: localPermits{quota.NewLedger()}, start: uint64(max(clock.Now().UnixNano(), 1)),
@@ -289,6 +298,7 @@
 		addresses[c.Value.Address] = true
 	}
 	r.crashes.Sweep(now)
+	r.answerTimes.Sweep(now)
 	r.noteQuarantined(now)
 	maps.DeleteFunc(r.probes, func(_ upstream.Run, p *probe) bool { return p.expired(now) })
 	maps.DeleteFunc(r.runs, func(address string, _ upstream.Run) bool { return !addresses[address] })
@@ -302,8 +312,11 @@
 // Connections returns the number of connections opened to upstreams.
 func (r *Relay) Connections() uint64 { return r.conns.Opened.Load() }
 
-// Close closes idle connections.
-func (r *Relay) Close() { r.conns.Close() }
+// Close ends the requests in flight and closes idle connections.
+func (r *Relay) Close() {
+	r.endRequests()
+	r.conns.Close()
+}
 
 // serviceState returns the state of a service, and creates it if needed. The caller holds the lock.
 func (r *Relay) serviceState(now time.Time, id service.ID) *serviceState {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -79,7 +79,7 @@
 		x.r.recordRun(clock.Now(), x.subject, a.lasted(a.latestAt))
 		a.drop()
 		x.release(a.upstream, balance.ResultCancelled, clock.Since(a.began), a.started)
-		x.finish(http.StatusOK, x.disconnectReason())
+		x.finish(http.StatusOK, ReasonCallerDisconnected)
 		panic(http.ErrAbortHandler)
 	}
 	a.drop()
--- /dev/null
+++ b/services/shutdown/model_test.go
@@ -0,0 +1,282 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shutdown
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fawnwinch.org/fawnwinch/services/peer"
+)
+
+const (
+	modelStep = 10 * time.Millisecond
+	// modelWarmUp is how long the routers serve before the first one is stopped.
+	modelWarmUp = 5 * time.Second
+	// modelAim is the longest time that a caller may wait until a router accepts its request, where
+	// there are several routers and no answer takes longer than modelLongest.
+	modelAim     = time.Second
+	modelLongest = 2 * time.Second
+)
+
+// modelRouter is a router on the clock of the model.
+type modelRouter struct {
+	info peer.Info
+	// states holds the states of the router from the times on at which they began.
+	states []modelState
+	plan   Plan
+	view   View
+	phase  Phase
+	times  *AnswerTimes
+	// ends holds when the requests in flight end.
+	ends []time.Time
+	// stops holds when the router is ordered to stop, and back is when it runs again; zero if it runs.
+	stops []time.Time
+	back  time.Time
+}
+
+type modelState struct {
+	from time.Time
+	info peer.Info
+}
+
+// modelCaller uses an answer of the directory for some time, and sends one request at a time.
+type modelCaller struct {
+	list  []*modelRouter
+	until time.Time
+	// hold is how often the TTL of an answer it is used.
+	hold time.Duration
+	// wanted is when the current request was first to be sent, and next when it is sent again.
+	wanted, next time.Time
+	skipped      map[*modelRouter]bool
+}
+
+// model is a deployment whose routers are stopped and started again.
+type model struct {
+	t       *testing.T
+	rng     *rand.Rand
+	routers []*modelRouter
+	callers []*modelCaller
+	// delay is the time until routers know the states of the others, and restart the time until a
+	// router that has ended runs again.
+	delay, restart, grace time.Duration
+	// shortest and longest bound the time that an answer takes.
+	shortest, longest time.Duration
+	// cut, rejected and accepted count requests; waited is the longest time that a caller waited.
+	cut, rejected, accepted int
+	waited                  time.Duration
+}
+
+func newModel(t *testing.T, seed uint64, routers int, longest time.Duration) *model {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	m := &model{
+		t: t, rng: rng, delay: time.Duration(rng.IntN(400)) * time.Millisecond, restart: time.Duration(100+rng.IntN(700)) * time.Millisecond,
+		grace: 8 * time.Second, longest: longest, shortest: time.Duration(float64(longest) * rng.Float64()),
+	}
+	gap := time.Duration(rng.IntN(4000)) * time.Millisecond
+	if rng.IntN(4) == 0 {
+		gap = 0
+	}
+	for i := range routers {
+		r := &modelRouter{info: peer.Info{Name: fmt.Sprint("r", i), State: peer.StateReady}, times: NewAnswerTimes(), phase: PhaseServing}
+		r.states = []modelState{{started, r.info}}
+		first := started.Add(modelWarmUp + time.Duration(i)*gap)
+		r.stops = []time.Time{first}
+		if rng.IntN(3) == 0 { // a second one, once it is back
+			r.stops = append(r.stops, first.Add(m.grace+time.Duration(rng.IntN(4000))*time.Millisecond))
+		}
+		m.routers = append(m.routers, r)
+	}
+	for range 6 * routers {
+		c := &modelCaller{hold: AddressTTL, next: started}
+		if rng.IntN(3) == 0 {
+			c.hold = maxCacheFactor * AddressTTL
+		}
+		m.callers = append(m.callers, c)
+	}
+	return m
+}
+
+func (m *model) setState(now time.Time, r *modelRouter, s peer.State) {
+	r.info.State, r.info.LeavingSince = s, 0
+	if s == peer.StateLeaving {
+		r.info.LeavingSince = now.UnixMilli()
+	}
+	r.states = append(r.states, modelState{now, r.info})
+}
+
+// seen returns what another router knows about a router: its state some time ago.
+func (m *model) seen(now time.Time, r *modelRouter) peer.Info {
+	out := r.states[0].info
+	for _, s := range r.states {
+		if !s.from.After(now.Add(-m.delay)) {
+			out = s.info
+		}
+	}
+	return out
+}
+
+// serving returns the routers to which the directory of a router sends callers.
+func (m *model) serving(now time.Time, at *modelRouter) []peer.Info {
+	var ready, leaving []peer.Info
+	for _, r := range m.routers {
+		info := r.info
+		if r != at {
+			info = m.seen(now, r)
+		}
+		switch info.State {
+		case peer.StateReady:
+			ready = append(ready, info)
+		case peer.StateLeaving:
+			leaving = append(leaving, info)
+		case peer.StateStarting:
+		}
+	}
+	return Serving(ready, leaving)
+}
+
+// stepRouter stops, ends and starts a router.
+func (m *model) stepRouter(now time.Time, r *modelRouter) {
+	if !r.back.IsZero() {
+		if !now.Before(r.back) {
+			r.back, r.plan, r.view, r.phase, r.times = time.Time{}, Plan{}, View{}, PhaseServing, NewAnswerTimes()
+			m.setState(now, r, peer.StateReady)
+		}
+		return
+	}
+	var left []time.Time
+	for _, end := range r.ends {
+		if end.After(now) {
+			left = append(left, end)
+		}
+	}
+	r.ends = left
+	if !r.plan.Stopping() {
+		if len(r.stops) > 0 && !now.Before(r.stops[0]) {
+			r.stops = r.stops[1:]
+			r.plan = NewPlan(now, m.grace)
+			m.setState(now, r, peer.StateLeaving)
+		}
+		return
+	}
+	r.view.Active, r.view.OthersServe, r.view.AnyReady = len(r.ends), false, false
+	for _, n := range m.serving(now, r) {
+		if n.Name == r.info.Name {
+			r.view.LastNamed = now
+			continue
+		}
+		r.view.OthersServe = true
+		r.view.AnyReady = r.view.AnyReady || n.State == peer.StateReady
+	}
+	switch r.plan.Phase(now, r.view) {
+	case PhaseEnding:
+		m.cut += len(r.ends)
+		r.ends = nil
+		r.back = now.Add(m.restart)
+		m.setState(now, r, peer.StateStarting)
+	case PhaseClosing:
+		r.phase = PhaseClosing
+	case PhaseServing:
+	}
+}
+
+// stepCaller sends the request of a caller that is due.
+func (m *model) stepCaller(now time.Time, c *modelCaller) {
+	if now.Before(c.next) {
+		return
+	}
+	if c.wanted.IsZero() {
+		c.wanted = now
+	}
+	if now.After(c.until) {
+		m.resolve(now, c)
+	}
+	var usable []*modelRouter
+	for _, r := range c.list {
+		if !c.skipped[r] {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		c.skipped, c.next = map[*modelRouter]bool{}, now.Add(modelStep)
+		return
+	}
+	r := usable[m.rng.IntN(len(usable))]
+	if !r.back.IsZero() || r.phase == PhaseClosing { // the connection is refused
+		c.skipped[r], c.next = true, now.Add(modelStep)
+		return
+	}
+	r.view.LastRequest = now
+	if !r.plan.Admits(now, now.Add(time.Minute), r.times.Longest(now, "")) {
+		others := r.view.OthersServe
+		c.next = now.Add(r.plan.RetryAfter(now, others))
+		m.rejected++
+		return
+	}
+	took := m.shortest + time.Duration(m.rng.Int64N(int64(m.longest-m.shortest)+1))
+	r.ends = append(r.ends, now.Add(took))
+	r.times.Add(now.Add(took), "", took)
+	m.accepted++
+	if now.Sub(started) > modelWarmUp {
+		m.waited = max(m.waited, now.Sub(c.wanted))
+	}
+	c.wanted, c.next = time.Time{}, now.Add(took+time.Duration(m.rng.IntN(300))*time.Millisecond)
+}
+
+// resolve asks at most three routers for addresses. Without an answer the caller keeps what it has.
+func (m *model) resolve(now time.Time, c *modelCaller) {
+	for _, i := range m.rng.Perm(len(m.routers))[:min(3, len(m.routers))] {
+		at := m.routers[i]
+		if !at.back.IsZero() {
+			continue
+		}
+		var list []*modelRouter
+		for _, n := range m.serving(now, at) {
+			for _, r := range m.routers {
+				if r.info.Name == n.Name {
+					list = append(list, r)
+				}
+			}
+		}
+		if len(list) > 0 {
+			c.list, c.until, c.skipped = list, now.Add(c.hold), map[*modelRouter]bool{}
+			return
+		}
+	}
+}
+
+func (m *model) run() {
+	for now := started; now.Sub(started) < 50*time.Second; now = now.Add(modelStep) {
+		for _, r := range m.routers {
+			m.stepRouter(now, r)
+		}
+		for _, c := range m.callers {
+			m.stepCaller(now, c)
+		}
+	}
+}
+
+// TestStopsCutNothing stops random numbers of routers with random gaps between them, some of them
+// twice. It guards against accepted requests that are cut, and against a service that stops while
+// all routers leave.
+func TestStopsCutNothing(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		routers := 1 + rng.IntN(9)
+		longest := 20*time.Millisecond + time.Duration(rng.Int64N(int64(4*time.Second)))
+		if seed%2 == 0 {
+			longest = 20*time.Millisecond + time.Duration(rng.Int64N(int64(modelLongest)))
+		}
+		m := newModel(t, seed, routers, longest)
+		m.run()
+		if m.cut > 0 {
+			t.Errorf("seed %d: %d requests of up to %s are cut", seed, m.cut, longest)
+		}
+		if routers > 1 && longest <= modelLongest && m.waited > modelAim {
+			t.Errorf("seed %d: a caller of one of %d routers waited for %s, %d accepted, %d rejected, answers of up to %s", seed, routers, m.waited, m.accepted, m.rejected, longest)
+		}
+	}
+}
