Router stop: the last answers are sent before the connections are closed

What callers saw: nothing that was reported. Found by reading the paths beside the rolling stop: a request counts as in flight until its handler returns, but net/http sends the end of an answer, and all of a short one, after that. A stopping router that saw no request in flight closed its connections at once, and could drop such an answer; so could the servers of the directory, of readiness and of metrics, which closed at once in any case.

Change: httpx.Server.Finish stops accepting, waits until no connection has a request, for a bounded time, and closes. A router that ends before its grace period does also finishes what has arrived between its last look and the end of its listener.

Evidence and why it works: the state of a connection turns idle only after its answer was written.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -167,6 +167,10 @@
 	return serveHTTP(lc, net.JoinHostPort(n.set.IP, strconv.Itoa(n.metrics)), mux)
 }
 
+// finishTime bounds the time until the answers of the directory, of readiness and of metrics that
+// are under way at the end of a process have been sent.
+const finishTime = 20 * time.Millisecond
+
 // serveHTTP serves a handler while the process runs.
 func serveHTTP(lc fx.Lifecycle, address string, h http.Handler) error {
 	l, err := httpx.Listen(address)
@@ -179,7 +183,7 @@
 			s.Start()
 			return nil
 		},
-		OnStop: func(context.Context) error { return wrap(s.Close(), "stop http") },
+		OnStop: func(context.Context) error { return wrap(s.Finish(finishTime), "stop http") },
 	})
 	return nil
 }
--- a/cmd/platform_stop.go
+++ b/cmd/platform_stop.go
@@ -17,8 +17,6 @@
 	// drainLogInterval is the interval at which it logs the requests in flight and those accepted
 	// since the latest line.
 	drainLogInterval = time.Second
-	// answerPollInterval is the interval at which stop checks whether they are.
-	answerPollInterval = 5 * time.Millisecond
 	// answerTime bounds the time until the requests that the end of the process has ended are answered.
 	answerTime = 150 * time.Millisecond
 )
@@ -32,13 +30,10 @@
 	p.relay.StartLeaving(plan)
 	p.router.Leave(ctx)
 	p.drain(plan)
+	p.finish(plan)
 	active := p.relay.Active()
-	p.front.StopAccepting()
 	p.relay.EndRequests()
-	for end := clock.Now().Add(answerTime); p.relay.Active() > 0 && clock.Now().Before(end); {
-		time.Sleep(answerPollInterval)
-	}
-	err := p.front.Close()
+	err := p.front.Finish(answerTime)
 	p.logger.Info().Int("ended", active).Int("cut", p.relay.Active()).Int64("took_ms", clock.Since(start).Milliseconds()).Msg("stopped")
 	p.cancel()
 	p.peers.Close()
@@ -48,6 +43,14 @@
 	return wrap(err, "stop router")
 }
 
+// finish accepts no more connections, and waits for the requests that have arrived meanwhile.
+func (p *entryProcess) finish(plan shutdown.Plan) {
+	p.front.StopAccepting()
+	for p.relay.Active() > 0 && clock.Now().Before(plan.End) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // drain serves until the plan of the stop says that the process ends.
 func (p *entryProcess) drain(plan shutdown.Plan) {
 	var view shutdown.View
--- a/modules/httpx/server.go
+++ b/modules/httpx/server.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
+
+	"fawnwinch.org/fawnwinch/modules/clock"
 )
 
 // Server is an HTTP server on a listener that is already open.
@@ -16,6 +19,10 @@
 	http     *http.Server
 	listener net.Listener
 	done     chan struct{}
+
+	mu sync.Mutex
+	// active holds the connections with a request that is being read or answered.
+	active map[net.Conn]struct{}
 }
 
 const (
@@ -31,11 +38,22 @@
 
 // NewServer returns a server for h on l.
 func NewServer(l net.Listener, h http.Handler) *Server {
-	s := &Server{listener: l, done: make(chan struct{})}
-	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s := &Server{listener: l, done: make(chan struct{}), active: map[net.Conn]struct{}{}}
+	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
 	return s
 }
 
+// track records whether a connection has a request.
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateActive {
+		s.active[c] = struct{}{}
+		return
+	}
+	delete(s.active, c)
+}
+
 // Start serves until Stop.
 func (s *Server) Start() {
 	go func() {
@@ -65,6 +83,26 @@
 	s.http.SetKeepAlivesEnabled(false)
 }
 
+// flushPollInterval is the interval at which Finish checks the connections.
+const flushPollInterval = 5 * time.Millisecond
+
+// Finish stops accepting, waits until no connection has a request, but no longer than the given
+// time, and closes all connections. A handler that has returned may still have its answer in a
+// buffer, which Close would drop.
+func (s *Server) Finish(limit time.Duration) error {
+	s.StopAccepting()
+	for end := clock.Now().Add(limit); s.activeConns() > 0 && clock.Now().Before(end); {
+		time.Sleep(flushPollInterval)
+	}
+	return s.Close()
+}
+
+func (s *Server) activeConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
 // Close closes all connections at once, including those with requests in flight.
 func (s *Server) Close() error {
 	err := s.http.Close()
--- a/modules/httpx/server_test.go
+++ b/modules/httpx/server_test.go
@@ -12,13 +12,37 @@
 	"time"
 )
 
-func serve(t *testing.T, h http.HandlerFunc) *Server {
+// slowConn delays what is written to a connection until its gate is closed.
+type slowConn struct {
+	net.Conn
+	gate <-chan struct{}
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	<-c.gate
+	return c.Conn.Write(p)
+}
+
+type slowListener struct {
+	net.Listener
+	gate <-chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{c, l.gate}, nil
+}
+
+func serve(t *testing.T, gate <-chan struct{}, h http.HandlerFunc) *Server {
 	t.Helper()
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(l, h)
+	s := NewServer(slowListener{l, gate}, h)
 	s.Start()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
@@ -49,11 +73,61 @@
 	return resp, string(body), err
 }
 
+// TestFinish guards against an answer that is dropped because its handler has returned while the
+// answer was still in a buffer.
+func TestFinish(t *testing.T) {
+	gate, handled := make(chan struct{}), make(chan struct{})
+	s := serve(t, gate, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "an answer")
+		close(handled)
+	})
+	c, in := dial(t, s)
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	<-handled
+	finished := make(chan error, 1)
+	go func() { finished <- s.Finish(10 * time.Second) }()
+	select {
+	case <-finished:
+		t.Error("Finish returns before the answer is sent")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(gate)
+	if _, body, err := readAnswer(in); err != nil || body != "an answer" {
+		t.Errorf("body %q, %v", body, err)
+	}
+	if err := <-finished; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestFinishLimit checks that an answer which cannot be sent delays the end no longer than allowed.
+func TestFinishLimit(t *testing.T) {
+	gate, handled := make(chan struct{}), make(chan struct{})
+	defer close(gate)
+	s := serve(t, gate, func(http.ResponseWriter, *http.Request) { close(handled) })
+	c, _ := dial(t, s)
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	<-handled
+	begun := time.Now()
+	if err := s.Finish(50 * time.Millisecond); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(begun); took < 50*time.Millisecond || took > 5*time.Second {
+		t.Errorf("Finish took %s", took)
+	}
+}
+
 // TestStopAccepting checks what callers see when a server accepts no more connections: a request in
 // flight is answered, a connection at rest is closed, and a new one is refused.
 func TestStopAccepting(t *testing.T) {
+	open := make(chan struct{})
+	close(open)
 	arrived, proceed := make(chan struct{}, 2), make(chan struct{})
-	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+	s := serve(t, open, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			arrived <- struct{}{}
 			<-proceed
@@ -72,6 +146,11 @@
 	if _, _, err := readAnswer(restsIn); err != nil {
 		t.Fatal(err)
 	}
+	for end := time.Now().Add(10 * time.Second); s.activeConns() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the server does not record that the connection rests")
+		}
+	}
 	s.StopAccepting()
 	if c, err := net.Dial("tcp", s.Addr()); err == nil {
 		_ = c.Close()
