Own interface: callers are sent to leaving routers while there is no other

What callers saw: nothing that was reported. Found on the path beside the rolling stop: on the project's own interface, too, the list of routers for callers was empty while all routers leave, although they still serve.

Cause: only ready routers were listed.

Change: the leaving ones are listed while none is ready.

Evidence: TestServingRouters; with the ready ones alone, as before, its cases "all leave" and "the others start" fail.

--- a/routers/caller.go
+++ b/routers/caller.go
@@ -47,14 +47,31 @@
 	c.AbortWithStatusJSON(status, gin.H{"error": p})
 }
 
-// rankedRouters returns the addresses of the ready routers, in order of preference for an account
-// and the data centre near.
+// servingRouters returns the routers that callers are sent to: the ready ones, or those that leave
+// while there is none.
+func servingRouters(live []membership.RouterInfo) []membership.RouterInfo {
+	var ready, leaving []membership.RouterInfo
+	for _, r := range live {
+		switch r.State {
+		case membership.RouterReady:
+			ready = append(ready, r)
+		case membership.RouterLeaving:
+			leaving = append(leaving, r)
+		case membership.RouterStarting:
+		}
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	return leaving
+}
+
+// rankedRouters returns the addresses of the routers that callers are sent to, in order of preference
+// for an account and the data centre near.
 func rankedRouters(now time.Time, d *directory.Directory, id account.ID, near string) []string {
 	var entries []routing.Entry
-	for _, r := range d.Live(now) {
-		if r.State == membership.RouterReady {
-			entries = append(entries, routing.Entry{ID: r.ID, Address: r.HTTP, DataCentre: r.DataCentre})
-		}
+	for _, r := range servingRouters(d.Live(now)) {
+		entries = append(entries, routing.Entry{ID: r.ID, Address: r.HTTP, DataCentre: r.DataCentre})
 	}
 	var out []string
 	for _, e := range routing.Rank(id, vm.DataCentre(near), entries) {
