Connections of callers: bounded in time and number

What callers saw: after some 80 s two routers answer nobody.

Cause: nothing bounded what callers leave to a router to close. A connection at rest was kept for five minutes, whatever the operator's idleTimeoutMs (15 s), which was not read; and accepted connections were not counted, so a router ran out of descriptors and could not open connections to upstreams either.

Evidence: by local and remote port, of the 2,653 descriptors of a router 70 s after its start 2,632 are connections of callers, 6 lead to upstreams, 3 to the store and 3 to routers. So it is no leak towards upstreams or peers.

Change: httpx.Connections, shared by all servers of a process. A connection is closed when it has rested for idleTimeoutMs (five minutes if the operator sets none). Connections of callers, and one to an upstream for each of their requests, use three quarters of the descriptors at most (maxFds less 200 for files; the system's limit where it is not given): a new one displaces the one that has rested longest, and is refused only while all others have requests. Servers of the directory, of readiness and of metrics, and those of the own interface, are bounded too.

Why it works: callers take up connections that have rested for four fifths of the time, so none in use is closed; the bound does not depend on what callers or the operator do.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := httpx.NewServer(l, h)
+	s := httpx.NewServer(l, h, httpx.NewConnections(0))
 	s.Start()
 	d.stopOthers = append(d.stopOthers, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -84,6 +84,7 @@
 				return platform.NewStore(n.set.Store, n.set.StoreReads, n.set.StoreWrites, logger)
 			},
 			rpc.NewPool,
+			func() *httpx.Connections { return httpx.NewConnections(n.set.Descriptors) },
 		),
 		fx.Invoke(n.serveMetrics, n.reloader.watch, closeIdleConnections, watchSuspensions),
 	)
@@ -146,7 +147,7 @@
 
 // serveMetrics registers the metrics of the store and the connections, and serves all metrics on a
 // port of the VM unless the port is 0.
-func (n node) serveMetrics(lc fx.Lifecycle, m *metrics.Metrics, store *platform.Store, pool *rpc.Pool) error {
+func (n node) serveMetrics(lc fx.Lifecycle, m *metrics.Metrics, store *platform.Store, pool *rpc.Pool, conns *httpx.Connections) error {
 	m.LabelledValues("store_calls_total", "Calls of the platform's store, by what they are for.", "call", true, func() []metrics.Sample {
 		var out []metrics.Sample
 		for call, n := range store.Calls() {
@@ -164,7 +165,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler())
-	return serveHTTP(lc, net.JoinHostPort(n.set.IP, strconv.Itoa(n.metrics)), mux)
+	return serveHTTP(lc, net.JoinHostPort(n.set.IP, strconv.Itoa(n.metrics)), mux, conns)
 }
 
 // finishTime bounds the time until the answers of the directory, of readiness and of metrics that
@@ -172,12 +173,12 @@
 const finishTime = 20 * time.Millisecond
 
 // serveHTTP serves a handler while the process runs.
-func serveHTTP(lc fx.Lifecycle, address string, h http.Handler) error {
+func serveHTTP(lc fx.Lifecycle, address string, h http.Handler, conns *httpx.Connections) error {
 	l, err := httpx.Listen(address)
 	if err != nil {
 		return wrap(err, "listen")
 	}
-	s := httpx.NewServer(l, h)
+	s := httpx.NewServer(l, h, conns)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			s.Start()
--- a/cmd/platform_router.go
+++ b/cmd/platform_router.go
@@ -64,7 +64,7 @@
 }
 
 // runEntry assembles a router and registers its start and stop.
-func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, logger zerolog.Logger) error {
+func (n node) runEntry(lc fx.Lifecycle, store *platform.Store, pool *rpc.Pool, rl *relay.Relay, conns *httpx.Connections, m *metrics.Metrics, logger zerolog.Logger) error {
 	front, err := httpx.Listen(n.set.Callers)
 	if err != nil {
 		return wrap(err, "listen for callers")
@@ -86,14 +86,16 @@
 		Addresses: platform.FieldAddresses, TTL: platform.FieldTTL,
 	})
 	for _, address := range []string{n.set.Ready, n.set.Directory} {
-		if err := serveHTTP(lc, address, directory); err != nil {
+		if err := serveHTTP(lc, address, directory, conns); err != nil {
 			return err
 		}
 	}
 	p := &entryProcess{
 		node: n, router: r, relay: rl, peers: server, pool: pool, store: store, logger: logger,
-		front: httpx.NewServer(front, rl),
+		front: httpx.NewServer(front, rl, conns),
 	}
+	closeRestingConnections(lc, conns, rl)
+	registerConnectionMetrics(m, conns)
 	n.reloader.onReload(func(set setting.Node) {
 		r.Reload(set.Seeds, set.Bounds)
 		rl.SetBounds(clock.Now(), set.Bounds)
--- a/cmd/router.go
+++ b/cmd/router.go
@@ -114,7 +114,7 @@
 	web := &routers.Web{Settings: set, Directory: d, Follower: f, Dispatcher: dp, Metrics: m, Ring: ring}
 	p := &routerProcess{
 		set: set, dir: d, follower: f, dispatch: dp, client: client, pool: pool, ring: ring, logger: logger,
-		http: httpx.NewServer(ss.HTTP, web.Handler()), rpc: rpc.NewServer(ss.RPC),
+		http: httpx.NewServer(ss.HTTP, web.Handler(), httpx.NewConnections(0)), rpc: rpc.NewServer(ss.RPC),
 	}
 	if err := p.rpc.Register("Router", directory.NewAPI(d)); err != nil {
 		return fmt.Errorf("router rpc: %w", err)
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return fmt.Errorf("flag --listen: value %q: %w", address, err)
 	}
-	s := httpx.NewServer(l, h)
+	s := httpx.NewServer(l, h, httpx.NewConnections(0))
 	s.Start()
 	<-ctx.Done()
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinStopTimeout)
--- a/models/catalog/catalog.go
+++ b/models/catalog/catalog.go
@@ -140,7 +140,10 @@
 	Services []Service
 	// MaxBytes bounds the body of a request, in bytes; 0 if no bound is given.
 	MaxBytes int
-	Accounts []Account
+	// IdleTimeout is how long a caller's connection may rest; 0 if no bound is given. A caller may
+	// leave one that has rested for longer to the router to close.
+	IdleTimeout time.Duration
+	Accounts    []Account
 }
 
 // Index provides fast look-ups in one catalog.
--- a/models/catalog/change.go
+++ b/models/catalog/change.go
@@ -3,17 +3,21 @@
 
 package catalog
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Change is the difference between a catalog and an earlier one. Catalogs are large and change
 // little: one with 1,400 routes takes about 200 KB, and a change of one route about 200 bytes.
 type Change struct {
 	// Base is the version that the change applies to.
 	Base Version
-	// Version, MaxBytes and Services are those of the later catalog.
-	Version  Version
-	MaxBytes int
-	Services []Service
+	// Version, MaxBytes, IdleTimeout and Services are those of the later catalog.
+	Version     Version
+	MaxBytes    int
+	IdleTimeout time.Duration
+	Services    []Service
 	// Routes and Accounts are the entries that are new or differ; GoneRoutes and GoneAccounts name
 	// those that were removed.
 	Routes       []Route
@@ -25,7 +29,7 @@
 // ChangeFrom returns the change from base to c, or false if a name occurs twice among the routes or
 // the accounts of either catalog.
 func (c *Catalog) ChangeFrom(base *Catalog) (Change, bool) {
-	out := Change{Base: base.Version, Version: c.Version, MaxBytes: c.MaxBytes, Services: c.Services}
+	out := Change{Base: base.Version, Version: c.Version, MaxBytes: c.MaxBytes, IdleTimeout: c.IdleTimeout, Services: c.Services}
 	var ok, okAccounts bool
 	out.Routes, out.GoneRoutes, ok = diffEntries(base.Routes, c.Routes, routeName, Route.equal)
 	out.Accounts, out.GoneAccounts, okAccounts = diffEntries(base.Accounts, c.Accounts, accountName, Account.equal)
@@ -39,7 +43,7 @@
 		return nil, false
 	}
 	return &Catalog{
-		Version: ch.Version, MaxBytes: ch.MaxBytes, Services: ch.Services,
+		Version: ch.Version, MaxBytes: ch.MaxBytes, IdleTimeout: ch.IdleTimeout, Services: ch.Services,
 		Routes:   applyEntries(c.Routes, ch.Routes, ch.GoneRoutes, routeName),
 		Accounts: applyEntries(c.Accounts, ch.Accounts, ch.GoneAccounts, accountName),
 	}, true
--- a/modules/httpx/server.go
+++ b/modules/httpx/server.go
@@ -19,6 +19,7 @@
 	http     *http.Server
 	listener net.Listener
 	done     chan struct{}
+	conns    *Connections
 
 	mu sync.Mutex
 	// active holds the connections with a request that is being read or answered.
@@ -29,22 +30,23 @@
 	// headerTimeout bounds how long a caller may take to send a request's header. Callers on the
 	// users' platform take at most three seconds.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It is longer than any catalog
-	// requires.
-	idleTimeout = 5 * time.Minute
+	// MaxIdleTimeout is how long a connection may rest where no shorter time is set.
+	MaxIdleTimeout = 5 * time.Minute
 	// maxHeader bounds the header of a request, in bytes.
 	maxHeader = 64 << 10
 )
 
-// NewServer returns a server for h on l.
-func NewServer(l net.Listener, h http.Handler) *Server {
-	s := &Server{listener: l, done: make(chan struct{}), active: map[net.Conn]struct{}{}}
-	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+// NewServer returns a server for h on l, whose connections share the given table with those of other
+// servers of the process.
+func NewServer(l net.Listener, h http.Handler, conns *Connections) *Server {
+	s := &Server{listener: l, done: make(chan struct{}), conns: conns, active: map[net.Conn]struct{}{}}
+	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: MaxIdleTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
 	return s
 }
 
 // track records whether a connection has a request.
 func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.conns.track(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateActive {
--- a/modules/httpx/server_test.go
+++ b/modules/httpx/server_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(slowListener{l, gate}, h)
+	s := NewServer(slowListener{l, gate}, h, NewConnections(0))
 	s.Start()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
--- a/modules/setting/node.go
+++ b/modules/setting/node.go
@@ -35,6 +35,8 @@
 	StoreReads, StoreWrites float64
 	// Cores is the share of processor cores that the process has; 0 if not given.
 	Cores float64
+	// Descriptors is the number of descriptors that the process may have open; 0 if not given.
+	Descriptors int
 	// Grace is the time between the stop request and the kill.
 	Grace  time.Duration
 	Bounds Bounds
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -109,7 +109,7 @@
 	if set.Upstream.Kind == service.KindPlain {
 		a.once = a.newOnce()
 	}
-	a.http = httpx.NewServer(ls.HTTP, a.handler(m))
+	a.http = httpx.NewServer(ls.HTTP, a.handler(m), httpx.NewConnections(0))
 	a.rpc = rpc.NewServer(ls.RPC)
 	if err := a.rpc.Register("Agent", &API{a: a}); err != nil {
 		return nil, fmt.Errorf("agent rpc: %w", err)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -309,6 +309,16 @@
 	}
 }
 
+// IdleTimeout returns how long the connection of a caller may rest; 0 if the catalog does not tell.
+func (r *Relay) IdleTimeout() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if index := r.state.Index(); index != nil {
+		return index.IdleTimeout
+	}
+	return 0
+}
+
 // Connections returns the number of connections opened to upstreams.
 func (r *Relay) Connections() uint64 { return r.conns.Opened.Load() }
 
--- a/tests/integration/platform_test.go
+++ b/tests/integration/platform_test.go
@@ -87,6 +87,8 @@
 	// ip is the address of this site only, and ports counts the ports that were allocated there.
 	ip    string
 	ports atomic.Int32
+	// descriptors is the number of descriptors that a process may have open; 0 for the usual one.
+	descriptors int
 }
 
 func newSite(t *testing.T) *site {
@@ -121,7 +123,7 @@
 	n.settings = filepath.Join(s.dir, name+".toml")
 	text := platformtest.NodeFile{
 		Name: name, IP: s.ip, Zone: "a", Ports: [2]int{1, 2}, Seeds: seeds,
-		Front: n.front, Ready: n.ready, Control: n.control, Directory: n.directory, Store: s.addr,
+		Front: n.front, Ready: n.ready, Control: n.control, Directory: n.directory, Store: s.addr, Descriptors: s.descriptors,
 	}.Text()
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
