Feeds: a part of a backlog confirms nothing, and the rest is read at once

Cause: an answer of the store to a read holds 1,024 KB at most and tells first where the stream ends. The end was not read: each answer counted as the whole rest of the stream, and so as a confirmation that the catalog is the newest. With configurations of 219 KB the first answer held 4 of 12 records.

Evidence: one router logs catalog-taken version=11 age_ms=29 place=0/5, the other the same with age_ms=32, while the stream ends at 13; 26 and 47 ms later they have read the rest. Old state of another router is ruled out: the first one has read it itself.

Change: a read returns the end of the stream (services.FeedPage). A part puts newer versions in force but leaves the age of the catalog as it was; the next part is read at once, also by a router that is not the reader of the feed. The stand-in store sends 1,024 KB at most, as the platform does.

Why it works: a key is let in by the time at which the catalog was known to be the newest, and that time is set only by a read that has reached the end which the store told in that very answer.

--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -63,8 +63,9 @@
 	return s.respond(ctx, true, services.Position{})
 }
 
-func (s *script[T]) Changes(ctx context.Context, from services.Position, _ time.Duration) ([]services.Change[T], services.Position, error) {
-	return s.respond(ctx, false, from)
+func (s *script[T]) Changes(ctx context.Context, from services.Position, _ time.Duration) (services.FeedPage[T], error) {
+	changes, next, err := s.respond(ctx, false, from)
+	return services.FeedPage[T]{Changes: changes, Next: next, End: next}, err
 }
 
 // TestFollow checks that a feed continues after a failed read, and is read in full after its
@@ -127,6 +128,69 @@
 	}
 }
 
+// partFeed is a feed of which a read returns at most two changes.
+type partFeed struct {
+	end  services.Position
+	from []services.Position
+	wait []time.Duration
+	fail int
+}
+
+func (f *partFeed) Snapshot(context.Context) ([]services.Change[int], services.Position, error) {
+	return nil, services.Position{}, errWrongRead
+}
+
+func (f *partFeed) Changes(_ context.Context, from services.Position, wait time.Duration) (services.FeedPage[int], error) {
+	f.from, f.wait = append(f.from, from), append(f.wait, wait)
+	if len(f.from) == f.fail {
+		return services.FeedPage[int]{}, errors.New("store is out")
+	}
+	n := min(2, int(f.end.Offset-from.Offset))
+	return services.FeedPage[int]{Changes: make([]services.Change[int], n), Next: from.After(n), End: f.end}, nil
+}
+
+// TestReadInParts reads a feed that answers with a part of the backlog. It guards against a part that
+// is taken for the whole, and against a wait between two parts.
+func TestReadInParts(t *testing.T) {
+	cases := map[string]struct {
+		end  services.Offset
+		fail int
+		// partial reports for each segment that is applied whether it is partial.
+		partial []bool
+		// behind reports whether the router then knows that it has not reached the end.
+		behind bool
+	}{
+		"all at once":            {6, 0, []bool{false}, false},
+		"nothing new":            {4, 0, []bool{false}, false},
+		"three parts":            {9, 0, []bool{true, true, false}, false},
+		"the second part fails":  {9, 2, []bool{true}, true},
+		"the first part fails":   {9, 1, nil, false},
+		"the second is the last": {8, 0, []bool{true, false}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			feed := &partFeed{end: position(c.end), fail: c.fail}
+			taken := make(chan knowledge.Segment[int], 10)
+			f := nonReader(nil, taken)
+			f.feed = feed
+			f.read(t.Context(), time.Minute)
+			close(taken)
+			var partial []bool
+			for p := range taken {
+				partial = append(partial, p.Partial)
+			}
+			if !slices.Equal(partial, c.partial) || f.behind.IsZero() == c.behind {
+				t.Errorf("partial segments %v, behind since %s", partial, f.behind)
+			}
+			for i, wait := range feed.wait {
+				if (wait > 0) != (i == 0) || feed.from[i] != position(services.Offset(4+2*i)) {
+					t.Errorf("read %d: from %s, waits %s", i, feed.from[i], wait)
+				}
+			}
+		})
+	}
+}
+
 // nonReader returns the follower of a router that is not the reader of a feed and knows it up to
 // position 4. Applied segments are sent to taken.
 func nonReader(s *script[int], taken chan<- knowledge.Segment[int]) *follower[int] {
@@ -236,9 +300,9 @@
 	return nil, services.Position{}, ctx.Err()
 }
 
-func (silentFeed[T]) Changes(ctx context.Context, _ services.Position, _ time.Duration) ([]services.Change[T], services.Position, error) {
+func (silentFeed[T]) Changes(ctx context.Context, _ services.Position, _ time.Duration) (services.FeedPage[T], error) {
 	<-ctx.Done()
-	return nil, services.Position{}, ctx.Err()
+	return services.FeedPage[T]{}, ctx.Err()
 }
 
 func (silentStore) Catalogs() services.Feed[catalog.Update] { return silentFeed[catalog.Update]{} }
@@ -368,8 +432,8 @@
 	return out, services.Position{Era: k.era}, nil
 }
 
-func (k *refusedStore) Changes(context.Context, services.Position, time.Duration) ([]services.Change[quarantine.Entry], services.Position, error) {
-	return nil, services.Position{}, errWrongRead
+func (k *refusedStore) Changes(context.Context, services.Position, time.Duration) (services.FeedPage[quarantine.Entry], error) {
+	return services.FeedPage[quarantine.Entry]{}, errWrongRead
 }
 
 func (k *refusedStore) PutQuarantined(_ context.Context, entries []quarantine.Entry, drop []string) error {
--- a/services/entry/follow.go
+++ b/services/entry/follow.go
@@ -176,18 +176,28 @@
 	}
 }
 
-// read reads the feed once, and waits up to the given time for changes.
+// read reads the feed up to its end, page by page, and waits up to the given time for changes.
 func (f *follower[T]) read(ctx context.Context, wait time.Duration) {
+	for f.readPage(ctx, wait) && ctx.Err() == nil {
+		wait = 0
+	}
+}
+
+// readPage reads the feed once, and reports whether it goes on after what was read.
+func (f *follower[T]) readPage(ctx context.Context, wait time.Duration) (more bool) {
 	mark := f.mark()
 	f.mu.Lock()
 	whole := !mark.Known() || f.trimmed || f.furthest.next.Era > mark.Next.Era
 	f.mu.Unlock()
 	p := knowledge.Segment[T]{Whole: whole, From: mark.Next, AsOf: clock.Now()}
 	var err error
+	var end services.Position
 	if whole {
 		p.Changes, p.Next, err = f.feed.Snapshot(ctx)
 	} else {
-		p.Changes, p.Next, err = f.feed.Changes(ctx, p.From, wait)
+		var page services.FeedPage[T]
+		page, err = f.feed.Changes(ctx, p.From, wait)
+		p.Changes, p.Next, p.Partial, end = page.Changes, page.Next, page.Partial(), page.End
 	}
 	var trimmed services.ErrTrimmed
 	var returned services.ErrEraChanged
@@ -195,22 +205,29 @@
 	case errors.As(err, &trimmed):
 		f.logger.Warn().Str("feed", f.name).Stringer("from", trimmed.From).Msg("feed-trimmed")
 		f.recordResult(true, nil)
-		return
+		return false
 	case errors.As(err, &returned) && returned.Era > returned.From.Era:
 		f.logger.Warn().Str("feed", f.name).Stringer("from", returned.From).Uint64("era", uint64(returned.Era)).Msg("feed-begun-anew")
 		f.recordFurthest(clock.Now(), progress{next: services.Position{Era: returned.Era}})
 		f.recordResult(false, nil)
-		return
+		return false
 	}
 	f.onRead(err)
 	f.recordResult(false, err)
 	if err != nil {
 		// Random pause, so that routers that fail at the same time do not retry at the same time.
 		sleep.For(ctx, time.Duration(rand.Int64N(int64(failureSpread)))) //nolint:gosec // no secret
-		return
+		return false
+	}
+	if p.Partial {
+		f.logger.Info().Str("feed", f.name).Stringer("from", p.From).Stringer("next", p.Next).Stringer("end", end).Msg("feed-read-in-part")
+		f.recordFurthest(clock.Now(), progress{next: end})
+		f.advance(p)
+		return true
 	}
 	f.advance(p)
 	f.caughtUp()
+	return false
 }
 
 // caughtUp records that the store was just read and has no later records.
--- a/services/entry/restore_test.go
+++ b/services/entry/restore_test.go
@@ -42,6 +42,10 @@
 	log     []catalog.Version
 	away    bool
 	changed chan struct{}
+	// page is the largest number of records in an answer; 0 for any number. An answer with some of
+	// the records takes pageLatency.
+	page        int
+	pageLatency time.Duration
 	// calls counts all calls, and snapshots those that read the full feed.
 	calls, snapshots int
 	// acked holds when each version was first acknowledged.
@@ -104,9 +108,9 @@
 	return changesOf(newest, s.end()), s.end(), nil
 }
 
-func (s *simStore) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
+func (s *simStore) Changes(ctx context.Context, from services.Position, wait time.Duration) (page services.FeedPage[catalog.Update], err error) {
 	if err := s.call(ctx); err != nil {
-		return nil, from, err
+		return page, err
 	}
 	defer time.Sleep(storeLatency / 2)
 	timeout := time.After(wait)
@@ -117,18 +121,22 @@
 		s.mu.Unlock()
 		switch {
 		case away:
-			return nil, from, errAway
+			return page, errAway
 		case end.Era != from.Era:
-			return nil, from, services.ErrEraChanged{From: from, Era: end.Era}
+			return page, services.ErrEraChanged{From: from, Era: end.Era}
 		case len(news) > 0 || !waiting:
-			return changesOf(news, from), from.After(len(news)), nil
+			if s.page > 0 && len(news) > s.page {
+				news = news[:s.page]
+				time.Sleep(s.pageLatency)
+			}
+			return services.FeedPage[catalog.Update]{Changes: changesOf(news, from), Next: from.After(len(news)), End: end}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
-			return nil, from, ctx.Err()
+			return page, ctx.Err()
 		}
 	}
 }
@@ -207,9 +215,9 @@
 	return c.r.d.store.Snapshot(ctx)
 }
 
-func (c cutFeed) Changes(ctx context.Context, from services.Position, wait time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
+func (c cutFeed) Changes(ctx context.Context, from services.Position, wait time.Duration) (services.FeedPage[catalog.Update], error) {
 	if err := c.reach(); err != nil {
-		return nil, from, err
+		return services.FeedPage[catalog.Update]{}, err
 	}
 	return c.r.d.store.Changes(ctx, from, wait)
 }
@@ -561,3 +569,34 @@
 		})
 	}
 }
+
+// TestBacklogInParts turns all routers away from the store while the operator takes away a key with
+// each of many versions. Afterwards the store answers a read with a part of the backlog. It guards
+// against a part that is taken for all of it: keys that were taken away would be let in.
+func TestBacklogInParts(t *testing.T) {
+	const seeds = 30
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			clocktest.Bubble(t, func(t *testing.T) {
+				d := newPlayedRouters(t, 2+int(seed%5), seed)
+				defer d.stop()
+				d.store.page, d.store.pageLatency = 1+d.rand.IntN(4), time.Duration(1+d.rand.IntN(100))*time.Millisecond
+				d.advance(3 * time.Second)
+				d.store.change(func() { d.store.away = true })
+				version := catalog.Version(1)
+				for range 4 + d.rand.IntN(12) {
+					version += 1 + catalog.Version(d.rand.IntN(4))
+					d.store.write(version)
+					d.advance(time.Duration(d.rand.IntN(400)) * time.Millisecond)
+				}
+				d.advance(keyBound + time.Duration(d.rand.IntN(2000))*time.Millisecond)
+				d.store.change(func() { d.store.away = false })
+				d.advance(4 * time.Second)
+				if !d.converged(version) {
+					t.Errorf("not all routers have version %d in force 4 s after the store is back", version)
+				}
+			})
+		})
+	}
+}
--- a/services/knowledge/knowledge.go
+++ b/services/knowledge/knowledge.go
@@ -73,7 +73,7 @@
 func (s *State) ApplyCatalogs(now time.Time, p Segment[catalog.Update]) Fit {
 	before := s.catalogs
 	lost := p.Next.Era < before.Next.Era
-	fit := s.catalogs.advance(p.Whole, p.From, p.Next, p.AsOf)
+	fit := s.catalogs.advance(p.Whole, p.From, p.Next, p.confirmedAt())
 	if fit == FitNew || p.Whole || lost {
 		s.adopt(p.Changes) // other segments are read again
 		s.evacuations.apply(p)
@@ -82,7 +82,7 @@
 		s.proof.beginEra(now, s.catalogs.Next.Era)
 	}
 	if fit == FitNew || fit == FitSame {
-		s.proof.recordRead(p.AsOf)
+		s.proof.recordRead(p.confirmedAt())
 	}
 	if s.index != nil && s.index.Version >= p.Vouch.Version {
 		s.proof.add(p.Vouch.AsOf)
@@ -132,7 +132,7 @@
 // ApplyUpstreams applies a segment of the feed of upstreams.
 func (s *State) ApplyUpstreams(now time.Time, p Segment[upstream.Instance]) Fit {
 	before := s.upstreams
-	fit := s.upstreams.advance(p.Whole, p.From, p.Next, p.AsOf)
+	fit := s.upstreams.advance(p.Whole, p.From, p.Next, p.confirmedAt())
 	if fit != FitNew {
 		return fit
 	}
--- a/services/knowledge/proof_test.go
+++ b/services/knowledge/proof_test.go
@@ -37,6 +37,17 @@
 		p.Vouch = Confirmation{Version: v, AsOf: ms(asOf)}
 		return p
 	}
+	// part is a read of a part of the records up to an offset.
+	part := func(from, next services.Offset, asOf int, v catalog.Version) Segment[catalog.Update] {
+		p := read(0, asOf, v)
+		p.Whole, p.Partial, p.From, p.Next = false, true, at(0, from), at(0, next)
+		return p
+	}
+	rest := func(from, next services.Offset, asOf int, v catalog.Version) Segment[catalog.Update] {
+		p := part(from, next, asOf, v)
+		p.Partial = false
+		return p
+	}
 	const never = -1
 	cases := map[string][]step{
 		"a store that never came back": {{100, read(0, 90, 5), 90}, {600, read(0, 590), 590}},
@@ -55,6 +66,10 @@
 		"who vouches for a later version": {{100, vouched(read(4, 90, 5), 6, 60), never}, {200, vouched(read(4, 190, 6), 6, 150), 150}},
 		"who vouches for an older one":    {{100, read(0, 90, 5), 90}, {200, vouched(read(1, 190, 3), 4, 150), 150}},
 		"a first part that says nothing":  {{100, Segment[catalog.Update]{From: at(1, 3), Next: at(1, 3), AsOf: ms(90)}, never}},
+		"a part of the backlog, then the rest": {
+			{100, read(0, 90, 5), 90}, {5000, part(10, 12, 4990, 6), 90}, {5100, part(12, 13, 5090, 7), 90}, {5200, rest(13, 14, 5190, 8), 5190},
+		},
+		"a part of what is known, and a part too far": {{100, read(0, 90, 5), 90}, {5000, part(8, 10, 4990, 5), 90}, {5100, part(12, 13, 5090, 7), 90}},
 		"an era that is told for the first time": {
 			{100, read(0, 90, 5), 90}, {1000, read(7, 990, 5), 90}, {3010, read(7, 3000), 3000},
 		},
--- a/services/knowledge/segment.go
+++ b/services/knowledge/segment.go
@@ -16,17 +16,28 @@
 	Whole bool
 	// From and Next are the positions at which the segment begins and at which the feed continues.
 	From, Next services.Position
-	// AsOf is a time at which the feed was known to end at Next. It is taken before the read is
-	// sent.
+	// AsOf is a time at which the feed was known to end at Next, unless the segment is partial. It is
+	// taken before the read is sent.
 	AsOf    time.Time
 	Changes []services.Change[T]
 	// Vouch is the confirmation of the newest catalog by the router that sent the segment.
 	Vouch Confirmation
+	// Partial reports whether the feed went on after Next at AsOf. Such a segment does not confirm
+	// that anything is the newest.
+	Partial bool
 	// Incomplete reports whether the router that sent the segment does not know all kinds of records,
 	// so that the feed has to be read in full to know those up to Next.
 	Incomplete bool
 }
 
+// confirmedAt returns the time at which the feed was known to end at Next; zero if it went on.
+func (p Segment[T]) confirmedAt() time.Time {
+	if p.Partial {
+		return time.Time{}
+	}
+	return p.AsOf
+}
+
 // Watermark is the read position of a feed.
 type Watermark struct {
 	// Next is the position at which the feed continues.
@@ -58,7 +69,7 @@
 )
 
 // advance compares a segment with the watermark, and advances the watermark if the segment can be
-// applied.
+// applied. asOf is zero if the segment is partial.
 func (m *Watermark) advance(whole bool, from, next services.Position, asOf time.Time) Fit {
 	switch {
 	case m.Known() && next.Before(m.Next):
--- a/services/rank/claim_test.go
+++ b/services/rank/claim_test.go
@@ -43,8 +43,8 @@
 	return []services.Change[peer.Info]{{Key: a.Name, Value: &a}, {Key: b.Name, Value: &b}}, services.Position{}, nil
 }
 
-func (s *claimStore) Changes(context.Context, services.Position, time.Duration) ([]services.Change[peer.Info], services.Position, error) {
-	return nil, services.Position{}, errNoAnswer
+func (s *claimStore) Changes(context.Context, services.Position, time.Duration) (services.FeedPage[peer.Info], error) {
+	return services.FeedPage[peer.Info]{}, errNoAnswer
 }
 
 // callFunc is a pool whose calls run a function.
--- a/services/rank/lead_test.go
+++ b/services/rank/lead_test.go
@@ -499,8 +499,8 @@
 	return append([]services.Change[peer.Info](nil), n.s.d.nodes...), n.s.d.end(len(n.s.d.nodes)), nil
 }
 
-func (simNodes) Changes(context.Context, services.Position, time.Duration) ([]services.Change[peer.Info], services.Position, error) {
-	return nil, services.Position{}, errNoAnswer
+func (simNodes) Changes(context.Context, services.Position, time.Duration) (services.FeedPage[peer.Info], error) {
+	return services.FeedPage[peer.Info]{}, errNoAnswer
 }
 
 type noCatalogs struct{}
@@ -509,8 +509,8 @@
 	return nil, services.Position{}, nil
 }
 
-func (noCatalogs) Changes(context.Context, services.Position, time.Duration) ([]services.Change[catalog.Update], services.Position, error) {
-	return nil, services.Position{}, errNoAnswer
+func (noCatalogs) Changes(context.Context, services.Position, time.Duration) (services.FeedPage[catalog.Update], error) {
+	return services.FeedPage[catalog.Update]{}, errNoAnswer
 }
 
 // TestOneLeader simulates groups of all sizes on virtual time: a start, the death of the
--- a/services/rank/members_test.go
+++ b/services/rank/members_test.go
@@ -60,8 +60,8 @@
 	return f.values, services.Position{}, nil
 }
 
-func (f outFeed[T]) Changes(context.Context, services.Position, time.Duration) ([]services.Change[T], services.Position, error) {
-	return nil, services.Position{}, errors.New("not read by agents")
+func (f outFeed[T]) Changes(context.Context, services.Position, time.Duration) (services.FeedPage[T], error) {
+	return services.FeedPage[T]{}, errors.New("not read by agents")
 }
 
 func (s *outStore) Nodes() services.Feed[peer.Info] {
--- a/services/services.go
+++ b/services/services.go
@@ -90,14 +90,25 @@
 
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Offset) }
 
+// FeedPage is the result of a read of a feed. It may hold a part of the changes only.
+type FeedPage[T any] struct {
+	Changes []Change[T]
+	// Next is the position after the changes, from which the next read continues, and End the end of
+	// the feed when it was read.
+	Next, End Position
+}
+
+// Partial reports whether the feed held more changes when it was read.
+func (p FeedPage[T]) Partial() bool { return p.Next.Before(p.End) }
+
 // Feed is a stream of the platform's store that keeps the newest value of each key.
 type Feed[T any] interface {
 	// Snapshot returns the newest values and the position from which Changes continues.
 	Snapshot(ctx context.Context) ([]Change[T], Position, error)
-	// Changes returns the changes from a position on, and the next position. If there are none yet,
-	// it waits up to wait. It returns an ErrTrimmed if some of the changes are no longer kept, and
-	// an ErrEraChanged if the position is not from the store's current era.
-	Changes(ctx context.Context, from Position, wait time.Duration) ([]Change[T], Position, error)
+	// Changes returns a page of the changes from a position on. If there are none yet, it waits up to
+	// wait. It returns an ErrTrimmed if some of the changes are no longer kept, and an ErrEraChanged
+	// if the position is not from the store's current era.
+	Changes(ctx context.Context, from Position, wait time.Duration) (FeedPage[T], error)
 }
 
 // ErrTrimmed reports that the log no longer keeps the requested records.
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -269,9 +269,13 @@
 	return s.encoded(http.StatusOK, map[string]any{"items": items, "more": false, "end": len(st.records)})
 }
 
-// read returns an answer with the records from an offset on. If there are none, it waits for them
-// for at most the waitMs of the query. The status is 410 if the offset was trimmed or lies beyond
-// the end of the stream.
+// defaultMaxKB is the size of the records in an answer to a read, in KB, unless the read sets another
+// one. The first record is always sent.
+const defaultMaxKB = 1024
+
+// read returns an answer with the records from an offset on, max_kb of them at most. If there are
+// none, it waits for them for at most the waitMs of the query. The status is 410 if the offset was
+// trimmed or lies beyond the end of the stream.
 func (s *Store) read(ctx context.Context, topic string, q map[string][]string) answer {
 	number := func(name string) int {
 		if len(q[name]) == 0 {
@@ -293,7 +297,11 @@
 			return answer{era: era, status: http.StatusGone}
 		}
 		if len(records) > 0 || !waiting {
-			return answer{era: era, status: http.StatusOK, body: encode(first, end, records)}
+			maxKB := number("max_kb")
+			if maxKB <= 0 {
+				maxKB = defaultMaxKB
+			}
+			return answer{era: era, status: http.StatusOK, body: encode(first, end, firstOf(records, maxKB<<10))}
 		}
 		select {
 		case <-changed:
@@ -305,6 +313,17 @@
 	}
 }
 
+// firstOf returns the first records that take at most a number of bytes, and one at least.
+func firstOf(records [][]byte, most int) [][]byte {
+	size := 0
+	for i, r := range records {
+		if size += len(r); i > 0 && size > most {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 // encode returns the body of an answer to a read: the end of the stream, the first offset kept, and
 // each record after its length.
 func encode(first, end int, records [][]byte) []byte {
