Callers that stall in the middle of a request or of an answer hold nothing for long

What callers saw: nothing that was reported.

Cause: the deadline of a request bounded the attempts at upstreams only.

Change: a body has to arrive by the deadline of its request, else 408, which is true as nothing was sent; a caller may take 15 s to read each 64 KB, or each event of a stream. Bodies that are slow but in time, and answers that are read slowly, are served.

Evidence and why it works: TestBodyStalls and TestAnswerStalls failed before in six of eight cases (no answer after 20 s, the request in flight after 10 s), the two others state what was served before and still is; all pass, three times with the race detector. The time for the body is lifted once it has arrived, as the same connection then tells whether the caller leaves.

--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -365,7 +365,7 @@
 	x.setHead(got.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	x.w.WriteHeader(got.status)
-	if _, err := x.w.Write(got.body); err != nil {
+	if err := x.writeParts(got.body); err != nil {
 		x.finish(got.status, ReasonCallerDisconnected)
 		return
 	}
--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +19,6 @@
 	"fawnwinch.org/fawnwinch/models/upstream"
 	"fawnwinch.org/fawnwinch/models/urgency"
 	"fawnwinch.org/fawnwinch/modules/clock"
-	"fawnwinch.org/fawnwinch/modules/httpx"
 	"fawnwinch.org/fawnwinch/services"
 	"fawnwinch.org/fawnwinch/services/admission"
 	"fawnwinch.org/fawnwinch/services/balance"
@@ -39,6 +37,7 @@
 	ReasonUnknownKey         Reason = "key-unknown"
 	ReasonBadRequest         Reason = "request-unreadable"
 	ReasonTooLarge           Reason = "body-too-large"
+	ReasonIncomplete         Reason = "body-incomplete"
 	ReasonNoRoom             Reason = "no-upstream-with-room"
 	ReasonEvacuated          Reason = "upstreams-evacuated"
 	ReasonNotRun             Reason = "upstreams-did-not-run-it"
@@ -170,6 +169,7 @@
 		r.active--
 		r.mu.Unlock()
 	}()
+	x.allowWrite()
 	if ref := x.admit(); ref != nil {
 		x.refuse(*ref)
 		return
@@ -191,13 +191,9 @@
 	if ref := x.leavingRefusal(x.arrived); ref != nil {
 		return ref
 	}
-	body, err := httpx.ReadAll(x.req.Body, x.maxBytes)
-	var large httpx.ErrTooLarge
-	switch {
-	case errors.As(err, &large):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonTooLarge}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
+	body, ref := x.readBody()
+	if ref != nil {
+		return ref
 	}
 	x.body = body
 	x.digest = contentDigest(x.req, body)
@@ -304,6 +300,7 @@
 	}
 	h.Set("Content-Length", "0")
 	x.closeAfterAnswer()
+	x.allowWrite()
 	x.w.WriteHeader(ref.status)
 	x.finish(ref.status, ref.reason)
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -61,6 +61,8 @@
 	leaving shutdown.Plan
 	// othersServe reports whether callers are sent to other routers.
 	othersServe bool
+	// stall is how long a caller may take to read a part of an answer.
+	stall time.Duration
 	// answerTimes holds how long recent answers took.
 	answerTimes *shutdown.AnswerTimes
 	// ending ends when endRequests is called, and the requests in flight with it.
@@ -121,7 +123,7 @@
 func New(o Options) *Relay {
 	ending, endRequests := context.WithCancel(context.Background())
 	r := &Relay{
-		ending: ending, endRequests: endRequests, answerTimes: shutdown.NewAnswerTimes(),
+		ending: ending, endRequests: endRequests, answerTimes: shutdown.NewAnswerTimes(), stall: defaultStall,
 		opts: o, conns: httpconn.NewPool(maxIdleConn), state: knowledge.New(o.Bounds.DrainTime), pools: map[service.ID]*serviceState{}, routers: 1, unreported: func(service.ID) {},
 		runs: map[string]upstream.Run{}, crashes: quarantine.NewRegister(clock.Now()), onCrash: func() {}, quarantined: quarantined{}, running: map[quarantine.Key]int{}, sent: map[*sentAttempt]struct{}{}, probes: map[upstream.Run]*probe{},
 		permits: localPermits{quota.NewLedger()}, start: uint64(max(clock.Now().UnixNano(), 1)),
--- /dev/null
+++ b/services/relay/stall.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The Fawnwinch Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"fawnwinch.org/fawnwinch/modules/clock"
+	"fawnwinch.org/fawnwinch/modules/httpx"
+)
+
+const (
+	// defaultStall is how long a caller may take to read a part of an answer before its connection is
+	// closed: it holds a descriptor, and memory for the rest of the answer.
+	defaultStall = 15 * time.Second
+	// partBytes is the size of the parts in which a complete answer is written.
+	partBytes = 64 << 10
+)
+
+// readBody reads the body of a request, which has to arrive by the deadline of the request.
+func (x *exchange) readBody() ([]byte, *refusal) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(clock.ConnDeadline(clock.Until(x.deadline))) // recorders of tests have none
+	body, err := httpx.ReadAll(x.req.Body, x.maxBytes)
+	var large httpx.ErrTooLarge
+	var timeout net.Error
+	switch {
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	case errors.As(err, &large):
+		_ = control.SetReadDeadline(time.Time{})
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonTooLarge}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		// The deadline stays: the rest of the body is not waited for.
+		x.w.Header().Set("Connection", "close")
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: ReasonIncomplete}
+	default:
+		return nil, &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
+	}
+}
+
+// allowWrite bounds the time for the next part of the answer.
+func (x *exchange) allowWrite() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(clock.ConnDeadline(x.r.stall)) // recorders of tests have none
+}
+
+// writeParts writes the body of a complete answer. Each part may take as long as a caller may stall.
+func (x *exchange) writeParts(body []byte) error {
+	for len(body) > 0 {
+		part := body[:min(len(body), partBytes)]
+		x.allowWrite()
+		if _, err := x.w.Write(part); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
+		body = body[len(part):]
+	}
+	return nil
+}
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -129,6 +129,7 @@
 			x.setHead(x.r.opts.Protocol.CallerHeader(a.resp.Header))
 			x.w.WriteHeader(a.resp.StatusCode)
 		}
+		x.allowWrite()
 		if _, err := x.w.Write(event); err != nil {
 			return fmt.Errorf("write to caller: %w", err)
 		}
