Agents: a coordinator that stops finishes the change for which it holds its group

What callers saw: nothing that was reported. Found on the paths beside the rolling stop, as a process that ends with work in hand: a coordinator that got SIGTERM while its group was held for a change of map ended at once, and the group stood still for 0.9 to 2.3 s until another agent had taken over (in each of six stops, two runs of TestCoordinatorStops). The streams of the group pause for that long.

Cause: the agent cancelled its work on SIGTERM, whatever the stage of the change.

Change: Agent.Stop. No change is begun any more, one for which ranks still load experts is abandoned, and one that has reached the hold is finished, for at most 3 s or half of the grace period.

Why it works: after the hold a change ends within some hundred ms, by its own time-outs; nothing is held before it. A process that is killed leaves it to its successor as before.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -168,6 +168,10 @@
 	return serveHTTP(lc, net.JoinHostPort(n.set.IP, strconv.Itoa(n.metrics)), mux, conns)
 }
 
+// maxHandover bounds the time until a coordinator that stops has finished the change of map for which
+// it holds its group.
+const maxHandover = 3 * time.Second
+
 // finishTime bounds the time until the answers of the directory, of readiness and of metrics that
 // are under way at the end of a process have been sent.
 const finishTime = 20 * time.Millisecond
@@ -239,6 +243,7 @@
 		},
 		OnStop: func(context.Context) error {
 			logger.Info().Msg("stop")
+			a.Stop(min(maxHandover, n.set.Grace/2))
 			cancel()
 			server.Close()
 			pool.Close()
--- a/services/rank/agent.go
+++ b/services/rank/agent.go
@@ -114,6 +114,9 @@
 	sentCounts countSender
 	maps       preparedMaps
 	notes      services.AgentRecords
+	// stopping reports whether the agent was ordered to stop, and changing whether it carries out a
+	// change of map.
+	stopping, changing bool
 }
 
 // New returns an agent.
--- a/services/rank/campaign.go
+++ b/services/rank/campaign.go
@@ -59,11 +59,11 @@
 	return nil
 }
 
-// Run checks for a coordinator until ctx ends, and coordinates when there is none.
+// Run checks for a coordinator until ctx ends or the agent stops, and coordinates when there is none.
 func (a *Agent) Run(ctx context.Context) {
 	started := clock.Now()
 	registered := false
-	for ; ctx.Err() == nil; sleep.For(ctx, electInterval) {
+	for ; ctx.Err() == nil && !a.isStopping(); sleep.For(ctx, electInterval) {
 		now := clock.Now()
 		a.logLeadership(now)
 		if a.groupOf() == "" {
--- a/services/rank/coordinator.go
+++ b/services/rank/coordinator.go
@@ -170,7 +170,7 @@
 	cctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.sending.Go(func() { c.followNodes(cctx, nodesInterval, storeRetryInterval) })
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.a.isStopping() {
 		begun := clock.Now()
 		c.updateView()
 		c.poll(ctx, true)
--- a/services/rank/driver.go
+++ b/services/rank/driver.go
@@ -147,12 +147,21 @@
 	return 0
 }
 
-// drive runs a machine to its end and returns its last stage.
+// drive runs a machine to its end and returns its last stage. If the agent stops, it ends as soon as
+// the group is not held.
 func (d *driver) drive(ctx context.Context, m *mapswitch.Machine) mapswitch.Stage {
+	if !d.c.a.beginChange() {
+		return m.Stage()
+	}
+	defer d.c.a.endChange()
 	answers := make(chan answered, 4*len(d.c.members))
 	tick := time.NewTicker(driveTick)
 	defer tick.Stop()
 	for !m.Ended() && ctx.Err() == nil && !d.c.lost {
+		if m.Loading() && d.c.a.isStopping() {
+			m.Abandon()
+			continue
+		}
 		d.dispatch(ctx, m.TakeOrders(), answers)
 		select {
 		case a := <-answers:
--- a/tests/integration/platform_ranks_test.go
+++ b/tests/integration/platform_ranks_test.go
@@ -217,3 +217,40 @@
 		t.Errorf("%d calls of the store in %s", calls, time.Since(began))
 	}
 }
+
+// TestCoordinatorStops stops the coordinator as planned while it holds the group for a change of map.
+// It guards against a group that stands still until another coordinator has taken over.
+func TestCoordinatorStops(t *testing.T) {
+	const (
+		stops = 3
+		// longestHold is the time for which a change may hold the group, also with lost orders.
+		longestHold = 250 * time.Millisecond
+	)
+	r := newRanks(t, 4)
+	r.awaitMaps("the first change", 1)
+	for range stops {
+		r.shiftPopularity()
+		before := r.group.Stats().Changes
+		for deadline := time.Now().Add(20 * time.Second); !r.group.Holds(); time.Sleep(500 * time.Microsecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the group is not held")
+			}
+		}
+		coordinator := r.coordinator()
+		coordinator.signal(syscall.SIGTERM)
+		begun := time.Now()
+		for r.group.Holds() && time.Since(begun) < 5*time.Second {
+			time.Sleep(500 * time.Microsecond)
+		}
+		if held := time.Since(begun); held > longestHold {
+			t.Errorf("the group is held for %s after the order to stop", held)
+		}
+		select {
+		case <-coordinator.done:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the coordinator has not ended")
+		}
+		coordinator.start()
+		r.awaitMaps("a change by another coordinator", before+1)
+	}
+}
