Soak: all routers leaving, connections at rest, and a store that sends parts of a backlog

Its plans had no routers that all leave, its callers asked until they got an address and closed what they opened, its stand-in store sent a backlog at once, and a call was not checked for a cut while its router was stopped.

--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -60,13 +60,17 @@
 	changed chan struct{}
 	fault   Fault
 	calls   int
+	// maxAnswer is the size of the records in an answer to a read, in bytes, unless the read sets
+	// another one. An answer that leaves some out takes partTime.
+	maxAnswer int
+	partTime  time.Duration
 	// era is reported in each answer. It rises by one with each restore from a copy.
 	era uint64
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{streams: map[string]*stream{}, changed: make(chan struct{}), era: firstEra}
+	return &Store{streams: map[string]*stream{}, changed: make(chan struct{}), era: firstEra, maxAnswer: defaultMaxAnswer}
 }
 
 // Put adds a record to a keyed stream; an empty value removes the key.
@@ -269,9 +273,17 @@
 	return s.encoded(http.StatusOK, map[string]any{"items": items, "more": false, "end": len(st.records)})
 }
 
-// defaultMaxKB is the size of the records in an answer to a read, in KB, unless the read sets another
-// one. The first record is always sent.
-const defaultMaxKB = 1024
+// defaultMaxAnswer is the size of the records in an answer to a read, in bytes, that the platform
+// sends. The first record is always sent.
+const defaultMaxAnswer = 1024 << 10
+
+// SetMaxAnswer sets another size in bytes, and the time that an answer with a part of the records
+// takes.
+func (s *Store) SetMaxAnswer(bytes int, partTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxAnswer, s.partTime = bytes, partTime
+}
 
 // read returns an answer with the records from an offset on, max_kb of them at most. If there are
 // none, it waits for them for at most the waitMs of the query. The status is 410 if the offset was
@@ -289,7 +301,7 @@
 	for waiting := true; ; {
 		s.mu.Lock()
 		st := s.stream(topic)
-		first, end, era := st.first, len(st.records), s.era
+		first, end, era, most, partTime := st.first, len(st.records), s.era, s.maxAnswer, s.partTime
 		records := st.records[min(from, end):end]
 		changed := s.changed
 		s.mu.Unlock()
@@ -297,11 +309,14 @@
 			return answer{era: era, status: http.StatusGone}
 		}
 		if len(records) > 0 || !waiting {
-			maxKB := number("max_kb")
-			if maxKB <= 0 {
-				maxKB = defaultMaxKB
+			if kb := number("max_kb"); kb > 0 {
+				most = kb << 10
+			}
+			part := firstOf(records, most)
+			if len(part) < len(records) {
+				time.Sleep(partTime)
 			}
-			return answer{era: era, status: http.StatusOK, body: encode(first, end, firstOf(records, maxKB<<10))}
+			return answer{era: era, status: http.StatusOK, body: encode(first, end, part)}
 		}
 		select {
 		case <-changed:
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -71,7 +71,9 @@
 	var until time.Time
 	for i := 0; ctx.Err() == nil; i++ {
 		if time.Now().After(until) || len(known) == 0 {
-			known = w.resolve(ctx, rng)
+			if found := w.resolve(ctx, rng); len(found) > 0 || !hasStopFaults(w.seed) {
+				known = found
+			}
 			until = time.Now().Add(time.Second)
 		}
 		if len(known) == 0 {
--- a/tests/soak/check_test.go
+++ b/tests/soak/check_test.go
@@ -165,6 +165,7 @@
 	if notRun[c.status] && runs > 0 && c.kind == kindUnsafe {
 		w.fail("call %s got status %d (not run) but has run", c.id, c.status)
 	}
+	w.checkCut(c, now, runs)
 	undisturbed := w.undisturbed(c.router, c.sent, now) && c.start == starts
 	switch {
 	case c.err != nil && !c.leavesEarly && answered && undisturbed && w.replicasUndisturbed(c.sent, now):
--- a/tests/soak/final_test.go
+++ b/tests/soak/final_test.go
@@ -53,7 +53,11 @@
 
 // checkUsage checks that a process has not grown beyond its bounds.
 func (w *world) checkUsage(p *process) {
-	if descriptors, memory := p.usage(); descriptors > maxDescriptors || memory > maxMemory {
+	most := maxDescriptors
+	if bound := w.maxDescriptors(); bound > 0 {
+		most = bound
+	}
+	if descriptors, memory := p.usage(); descriptors > most || memory > maxMemory {
 		w.fail("%s has %d descriptors and %d MB", p.name, descriptors, memory>>20)
 	}
 }
--- a/tests/soak/parts_test.go
+++ b/tests/soak/parts_test.go
@@ -42,6 +42,12 @@
 	if !hasLaterFaults(seed) {
 		out = faults[:laterFaults]
 	}
+	switch {
+	case hasOnlyStopFaults(seed):
+		return stopFaults
+	case hasStopFaults(seed):
+		out = append(slices.Clone(out), stopFaults...)
+	}
 	if isRanked(seed) {
 		out = append(slices.Clone(out), rankedFaults...)
 	}
--- a/tests/soak/plan_test.go
+++ b/tests/soak/plan_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"fawnwinch.org/fawnwinch/standin/metastore"
@@ -58,8 +57,7 @@
 		w.anyRouter(rng).freeze(duration)
 	}},
 	{"a router is stopped as planned", 3, func(w *world, rng *rand.Rand, _ time.Duration) {
-		r := w.anyRouter(rng)
-		w.restart(r, 0, func() { r.end(syscall.SIGTERM, graceTime) })
+		w.stopRouter(w.anyRouter(rng), false)
 	}},
 	{"all routers are killed", 1, func(w *world, _ *rand.Rand, duration time.Duration) { w.restartAll(duration / 4) }},
 	{"settings change", 2, func(w *world, rng *rand.Rand, _ time.Duration) { w.anyRouter(rng).hup() }},
@@ -89,7 +87,7 @@
 	}},
 	{"a router is cut from the store", 2, func(w *world, rng *rand.Rand, duration time.Duration) {
 		r := w.anyRouter(rng)
-		defer r.disturbances.begin()()
+		defer r.disturb()()
 		w.addToxic(r.store, `{"name":"cut","type":"timeout","attributes":{"timeout":0}}`, duration)
 	}},
 	{"a link is slow", 3, func(w *world, rng *rand.Rand, duration time.Duration) {
@@ -224,7 +222,7 @@
 func (w *world) restart(r *router, after time.Duration, end func()) {
 	r.lifecycle.Lock()
 	defer r.lifecycle.Unlock()
-	done := r.disturbances.begin()
+	done := r.disturb()
 	end()
 	pause(after)
 	w.mu.Lock()
--- a/tests/soak/process_test.go
+++ b/tests/soak/process_test.go
@@ -32,6 +32,8 @@
 	endRequested bool
 	// disturbances holds when the process was disturbed.
 	disturbances disturbances
+	// unplanned holds those that were no planned stops, and planned the planned stops.
+	unplanned, planned disturbances
 	// freezes holds when the process was suspended.
 	freezes disturbances
 	// lifecycle is held while the process is ended and restarted.
@@ -127,7 +129,7 @@
 
 // freeze suspends the process for some time.
 func (p *process) freeze(duration time.Duration) {
-	defer p.disturbances.begin()()
+	defer p.disturb()()
 	defer p.freezes.begin()()
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
@@ -161,6 +163,16 @@
 	return descriptors, 0
 }
 
+// disturb records the start of a disturbance that is not planned, and returns a function that records
+// its end.
+func (p *process) disturb() (end func()) {
+	endAll, endUnplanned := p.disturbances.begin(), p.unplanned.begin()
+	return func() {
+		endAll()
+		endUnplanned()
+	}
+}
+
 // disturbances holds the time spans in which something was disturbed; a span in progress has no
 // end.
 type disturbances struct {
--- a/tests/soak/replica_test.go
+++ b/tests/soak/replica_test.go
@@ -206,7 +206,7 @@
 		return
 	}
 	r.w.recordRun(r, id, req, body)
-	time.Sleep(m.delay + time.Duration(r.draw(40))*time.Millisecond)
+	time.Sleep(m.delay + r.workTime())
 	if r.w.crashOn(r, id) {
 		panic(http.ErrAbortHandler)
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -39,6 +39,7 @@
 	}{
 		"seeds were read while a SIGHUP replaced them": {5, 40 * time.Second, 3, faults[:firstFaults]},
 		"prompts shared a part that crashed replicas":  {301, 40 * time.Second, 3, faultsOf(301)},
+		"all routers left, and requests were cut":      {417, 45 * time.Second, 3, faultsOf(417)},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -100,6 +100,8 @@
 	// of requests that arrived during each requested back-off.
 	obligations     map[obligationKey]obligation
 	backOffRequests map[obligationKey]int
+	// left holds the connections that callers have left to routers.
+	left []net.Conn
 	// badParts holds the parts of prompts that crash replicas.
 	badParts map[string]*badPart
 }
@@ -133,6 +135,9 @@
 	s := httptest.NewServer(w.store)
 	w.storeAddress = strings.TrimPrefix(s.URL, "http://")
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	if hasStopFaults(seed) {
+		w.store.SetMaxAnswer(partBytes, partTime)
+	}
 	w.newConfig()
 	w.group = rankgroup.New(rankgroup.Options{
 		Name: "g", Ranks: rankCount, Layers: 2, Experts: 12, PassTime: 15 * time.Millisecond, LoadTime: 20 * time.Millisecond, Seed: seed, ChoicesPerPass: 60, Running: 4,
@@ -150,6 +155,7 @@
 		w.routers = append(w.routers, w.newRouter(fmt.Sprint("front-", n)))
 	}
 	t.Cleanup(w.stop)
+	t.Cleanup(w.closeLeft)
 	return w
 }
 
@@ -187,7 +193,7 @@
 		seeds = append(seeds, o.control)
 	}
 	r.settings = w.write(name, platformtest.NodeFile{
-		Name: name, IP: w.ip, Zone: "a", Ports: [2]int{1, 2}, Seeds: seeds[:min(len(seeds), 3)], Front: r.front, Ready: r.ready, Control: r.control, Directory: r.directory, Store: r.store.Listen,
+		Name: name, IP: w.ip, Zone: "a", Ports: [2]int{1, 2}, Seeds: seeds[:min(len(seeds), 3)], Front: r.front, Ready: r.ready, Control: r.control, Directory: r.directory, Store: r.store.Listen, Descriptors: w.maxDescriptors(),
 	})
 	r.process = &process{w: w, name: name, args: []string{"platform", "router", "-c", r.settings}, logs: filepath.Join(w.dir, name+".log")}
 	r.start()
