--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -248,7 +248,7 @@
 	list, _ := json.Marshal(keys) // strings always marshal
 	w.newest = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"ledger"},{"name":"pool","engine":{"slots":12,"stride":4,"step_ms":4.5,"per_seq_ms":0.9,
 	"read_per_s":60000,"chunk":512,"usual":{"prompt":800,"answer":40},"sets":2,"experts":12,"places":6,"spare":2,"expert_mb":1,"expert_share":0.85,"form_ms":600}}],
-	"limits":{"maxBodyBytes":100000},"tenants":[{"name":"seiryu","apiKeys":%s}]}`, c.version, strings.Join(routes, ","), list)
+	"limits":%s,"tenants":[{"name":"seiryu","apiKeys":%s}]}`, c.version, strings.Join(routes, ","), w.limits(), list)
 	w.store.Put(operatorStream, "config", w.newest)
 	c.storedAt = time.Now()
 	w.configs = append(w.configs, c)
