Own interface: a body has to arrive within the time of its request

What callers saw: nothing that was reported. The same fault as of callers that stall on the users' platform: a router of the own interface waited forever for the rest of a body.

Cause: the time of a request counted from the end of its body.

Change: httpx.ReadBody, used by both; the time counts from the head of the request, and a body that has not arrived by then is answered with 408 and the outcome not-run.

Evidence: TestIncompleteBody with a real process failed before (no answer after 20 s) and passes.

--- a/routers/caller.go
+++ b/routers/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -109,8 +110,14 @@
 		reject(c, http.StatusBadRequest, "bad-request", err.Error())
 		return nil, false
 	}
-	body, err := httpx.ReadAll(c.Request.Body, request.MaxBody)
-	if err != nil {
+	deadline := clock.Now().Add(d)
+	body, err := httpx.ReadBody(c.Writer, c.Request, request.MaxBody, d)
+	var incomplete httpx.ErrIncomplete
+	switch {
+	case errors.As(err, &incomplete):
+		reject(c, http.StatusRequestTimeout, "body-incomplete", err.Error())
+		return nil, false
+	case err != nil:
 		reject(c, http.StatusRequestEntityTooLarge, "bad-request", err.Error())
 		return nil, false
 	}
@@ -121,7 +128,7 @@
 	}
 	return &dispatch.Request{
 		ID: request.ID(id.String()), Account: caller(c).account, Method: c.Request.Method, Query: c.Request.URL.RawQuery,
-		ContentType: c.GetHeader("Content-Type"), Priority: c.GetHeader("Priority"), Body: body, Deadline: clock.Now().Add(d),
+		ContentType: c.GetHeader("Content-Type"), Priority: c.GetHeader("Priority"), Body: body, Deadline: deadline,
 	}, true
 }
 
--- a/services/relay/stall.go
+++ b/services/relay/stall.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -24,21 +23,15 @@
 
 // readBody reads the body of a request, which has to arrive by the deadline of the request.
 func (x *exchange) readBody() ([]byte, *refusal) {
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(clock.ConnDeadline(clock.Until(x.deadline))) // recorders of tests have none
-	body, err := httpx.ReadAll(x.req.Body, x.maxBytes)
+	body, err := httpx.ReadBody(x.w, x.req, x.maxBytes, clock.Until(x.deadline))
 	var large httpx.ErrTooLarge
-	var timeout net.Error
+	var incomplete httpx.ErrIncomplete
 	switch {
 	case err == nil:
-		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &large):
-		_ = control.SetReadDeadline(time.Time{})
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonTooLarge}
-	case errors.As(err, &timeout) && timeout.Timeout():
-		// The deadline stays: the rest of the body is not waited for.
-		x.w.Header().Set("Connection", "close")
+	case errors.As(err, &incomplete):
 		return nil, &refusal{status: http.StatusRequestTimeout, reason: ReasonIncomplete}
 	default:
 		return nil, &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
--- a/tests/integration/path_test.go
+++ b/tests/integration/path_test.go
@@ -4,7 +4,10 @@
 package integration
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -84,3 +87,31 @@
 		t.Errorf("bad requests had effects: %v", e)
 	}
 }
+
+// TestIncompleteBody guards against a router that waits forever for the rest of a body.
+func TestIncompleteBody(t *testing.T) {
+	c := newCluster(t, options{routers: 1, plains: 1})
+	conn, err := net.Dial("tcp", c.routers[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	head := "POST /svc/ledger/v1/holds HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer small\r\nIdempotency-Key: k\r\nFawnwinch-Timeout-Ms: 500\r\nContent-Length: 10\r\n\r\n{"
+	if _, err := io.WriteString(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if outcome := resp.Header.Get(request.HeaderOutcome); resp.StatusCode != http.StatusRequestTimeout || outcome != string(request.OutcomeNotRun) || !resp.Close {
+		t.Errorf("status %d, outcome %q, connection closes: %t", resp.StatusCode, outcome, resp.Close)
+	}
+	if n := len(c.effects()); n > 0 {
+		t.Errorf("%d effects", n)
+	}
+}
