Connections of callers: a request that arrives as its connection is to be closed keeps its caller

What callers saw: nothing that was reported. Found by reading the mend of connections at rest: if a connection was ordered to close after the header of a request had been read and before the request counted, the server's next read of the connection failed, which it takes for a caller that has left; the request would have been ended after it may have been passed on.

Change: the order is taken back with the time that it had set. A body that is too large, or cannot be read, keeps its deadline, so that what is left of it is not waited for. One table tells which connections have requests, in place of two.

Evidence: TestRequestBeforeClose; without the change it does not end (the write of the caller finds no reader).

--- a/modules/httpx/body.go
+++ b/modules/httpx/body.go
@@ -25,11 +25,15 @@
 	_ = control.SetReadDeadline(clock.ConnDeadline(within)) // recorders of tests have none
 	body, err := ReadAll(r.Body, limit)
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	switch {
+	case err == nil:
+		// The same connection tells later whether the caller leaves.
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	case errors.As(err, &timeout) && timeout.Timeout():
 		w.Header().Set("Connection", "close")
 		return nil, ErrIncomplete{Within: within}
+	default:
+		return nil, err
 	}
-	// The same connection tells later whether the caller leaves.
-	_ = control.SetReadDeadline(time.Time{})
-	return body, err
 }
--- a/modules/httpx/connections.go
+++ b/modules/httpx/connections.go
@@ -53,8 +53,9 @@
 	counts  ConnCounts
 }
 
-// trackedConn is a connection. While it rests, place is its element of the list.
+// trackedConn is a connection of a server. While it rests, place is its element of the list.
 type trackedConn struct {
+	server          *Server
 	conn            net.Conn
 	since           time.Time
 	place           *list.Element
@@ -91,15 +92,22 @@
 	return out
 }
 
-// track records the state of a connection.
-func (c *Connections) track(conn net.Conn, state http.ConnState) {
+// activeOf returns the number of connections of a server that have a request.
+func (c *Connections) activeOf(s *Server) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s.active
+}
+
+// track records the state of a connection of a server.
+func (c *Connections) track(s *Server, conn net.Conn, state http.ConnState) {
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, known := c.all[conn]
 	switch state {
 	case http.StateNew:
-		t = &trackedConn{conn: conn}
+		t = &trackedConn{server: s, conn: conn}
 		c.all[conn] = t
 		c.rest(now, t)
 	case http.StateIdle:
@@ -122,10 +130,7 @@
 
 // rest records that a connection has no request. The caller holds the lock.
 func (c *Connections) rest(now time.Time, t *trackedConn) {
-	if t.active {
-		t.active = false
-		c.active--
-	}
+	c.deactivate(t)
 	if !t.closing {
 		t.since, t.place = now, c.resting.PushBack(t)
 	}
@@ -138,13 +143,24 @@
 	}
 	t.active = true
 	c.active++
+	t.server.active++
 	if t.closing { // the request arrived before the order to close
 		t.closing = false
 		c.closing--
+		// Otherwise the server's next read fails, which it takes for the end of the caller.
+		_ = t.conn.SetReadDeadline(time.Time{})
 	}
 	c.unlist(t)
 }
 
+func (c *Connections) deactivate(t *trackedConn) {
+	if t.active {
+		t.active = false
+		c.active--
+		t.server.active--
+	}
+}
+
 func (c *Connections) unlist(t *trackedConn) {
 	if t.place != nil {
 		c.resting.Remove(t.place)
@@ -156,9 +172,7 @@
 func (c *Connections) forget(t *trackedConn) {
 	c.unlist(t)
 	delete(c.all, t.conn)
-	if t.active {
-		c.active--
-	}
+	c.deactivate(t)
 	if t.closing {
 		c.closing--
 	}
--- a/modules/httpx/connections_test.go
+++ b/modules/httpx/connections_test.go
@@ -222,3 +222,29 @@
 	}
 	t.Logf("%d answered, %d closed before they were read", answered, lost)
 }
+
+// TestRequestBeforeClose guards against a request that is taken for one of a caller who has left,
+// because its connection was ordered to close right after it was read.
+func TestRequestBeforeClose(t *testing.T) {
+	c := NewConnections(0)
+	s := &Server{conns: c}
+	client, server := net.Pipe()
+	defer func() { _, _ = client.Close(), server.Close() }()
+	c.track(s, server, http.StateNew)
+	c.Sweep(clock.Now(), 0)
+	c.track(s, server, http.StateActive)
+	read := make(chan error, 1)
+	go func() {
+		_, err := server.Read(make([]byte, 1))
+		read <- err
+	}()
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-read; err != nil {
+		t.Errorf("a read after the request has arrived: %v", err)
+	}
+	if got := c.Counts(); got.Active != 1 || got.Resting != 0 || c.closing != 0 {
+		t.Errorf("%+v, %d closing", got, c.closing)
+	}
+}
--- a/modules/httpx/server.go
+++ b/modules/httpx/server.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"fawnwinch.org/fawnwinch/modules/clock"
@@ -20,10 +19,9 @@
 	listener net.Listener
 	done     chan struct{}
 	conns    *Connections
-
-	mu sync.Mutex
-	// active holds the connections with a request that is being read or answered.
-	active map[net.Conn]struct{}
+	// active is the number of connections with a request that is being answered. It is guarded by the
+	// lock of conns.
+	active int
 }
 
 const (
@@ -39,23 +37,11 @@
 // NewServer returns a server for h on l, whose connections share the given table with those of other
 // servers of the process.
 func NewServer(l net.Listener, h http.Handler, conns *Connections) *Server {
-	s := &Server{listener: l, done: make(chan struct{}), conns: conns, active: map[net.Conn]struct{}{}}
-	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: MaxIdleTimeout, MaxHeaderBytes: maxHeader, ConnState: s.track}
+	s := &Server{listener: l, done: make(chan struct{}), conns: conns}
+	s.http = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: MaxIdleTimeout, MaxHeaderBytes: maxHeader, ConnState: func(c net.Conn, state http.ConnState) { conns.track(s, c, state) }}
 	return s
 }
 
-// track records whether a connection has a request.
-func (s *Server) track(c net.Conn, state http.ConnState) {
-	s.conns.track(c, state)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateActive {
-		s.active[c] = struct{}{}
-		return
-	}
-	delete(s.active, c)
-}
-
 // Start serves until Stop.
 func (s *Server) Start() {
 	go func() {
@@ -93,18 +79,12 @@
 // buffer, which Close would drop.
 func (s *Server) Finish(limit time.Duration) error {
 	s.StopAccepting()
-	for end := clock.Now().Add(limit); s.activeConns() > 0 && clock.Now().Before(end); {
+	for end := clock.Now().Add(limit); s.conns.activeOf(s) > 0 && clock.Now().Before(end); {
 		time.Sleep(flushPollInterval)
 	}
 	return s.Close()
 }
 
-func (s *Server) activeConns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.active)
-}
-
 // Close closes all connections at once, including those with requests in flight.
 func (s *Server) Close() error {
 	err := s.http.Close()
--- a/modules/httpx/server_test.go
+++ b/modules/httpx/server_test.go
@@ -146,7 +146,7 @@
 	if _, _, err := readAnswer(restsIn); err != nil {
 		t.Fatal(err)
 	}
-	for end := time.Now().Add(10 * time.Second); s.activeConns() > 1; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); s.conns.activeOf(s) > 1; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the server does not record that the connection rests")
 		}
