Streams: an answer that is not the rest of a stream does not end it as complete

What callers saw: nothing that was reported; the review names it as read in the code. A stream that broke off is resumed at another upstream; if that one answers with a status that is neither 200 nor a failure, its body was written into the stream, which then looked complete.

Cause: the status of an answer that resumes a stream was not looked at.

Change: such an answer counts as a failed attempt; the stream goes on at another upstream, or is broken off.

Evidence: a case of TestAnswers, which failed before ("body ended with <nil>", want an incomplete one).

--- a/services/relay/attempt.go
+++ b/services/relay/attempt.go
@@ -269,6 +269,10 @@
 		return x.deliverFailure(ctx, a)
 	case services.ExecutionDone:
 	}
+	if x.stream.begun && a.resp.StatusCode != http.StatusOK {
+		x.discard(a, balance.ResultError, fmt.Errorf("upstream %s: status %d in place of the rest of the stream", a.upstream.ID, a.resp.StatusCode))
+		return false
+	}
 	if x.route.Kind == catalog.KindStream && a.resp.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, a)
 	}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -293,6 +293,14 @@
 			writef(c, "%s", streamHead+chunk(event(1)))
 			reset(c)
 		}, status: 200, sent: 2, cut: true},
+		"a stream whose rest another upstream refuses does not look complete": {path: "/stream/x", script: func(n int, h map[string]string, c net.Conn) {
+			if n == 1 {
+				writef(c, "%s", streamHead+chunk(event(1)))
+				reset(c)
+				return
+			}
+			writef(c, "HTTP/1.1 404 Gone\r\nId: %s\r\nContent-Length: 7\r\n\r\nno rest", h["Id"])
+		}, status: 200, sent: 2, cut: true},
 		"silence until the deadline": {path: "/unsafe/x", header: map[string]string{"Patience": "150"}, script: func(int, map[string]string, net.Conn) {}, status: 504, sent: 1},
 		"no such route":              {path: "/none/x", script: func(int, map[string]string, net.Conn) {}, status: 404},
 		"no such key":                {path: "/safe/x", header: map[string]string{"Key": "stolen"}, script: func(int, map[string]string, net.Conn) {}, status: 401},
