Keys: one that is sent on an open route is looked at

Cause: such routes left out the look at the key as a whole.

Change: a key that is sent is looked at as on other routes. Requests without one run as before.

Evidence: TestAnonymousRoute failed before in three of five cases: with a key its request ran without the account (200), also with an old catalog (200, now 503) and with an unknown key (200, now 401).

--- a/services/relay/handler.go
+++ b/services/relay/handler.go
@@ -226,7 +226,7 @@
 		return x.deny(http.StatusNotFound, ReasonNoRoute)
 	}
 	var a *catalog.Account
-	if index.RequiresKeys() && !x.route.Anonymous {
+	if index.RequiresKeys() && (!x.route.Anonymous || x.meta.Key != "") {
 		a = index.Account(x.meta.Key)
 		if a == nil {
 			return x.deny(http.StatusUnauthorized, ReasonUnknownKey)
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -436,6 +436,52 @@
 	}
 }
 
+// TestAnonymousRoute checks that a route without keys does not excuse a key: the request of its
+// account runs as such, and one with a key that does not hold is denied. It guards against requests
+// that run without the account of their key, or with a key that was taken away.
+func TestAnonymousRoute(t *testing.T) {
+	cases := map[string]struct {
+		key     string
+		age     time.Duration
+		status  int
+		account string
+	}{
+		"no key":                              {"", 0, 200, ""},
+		"no key, an old catalog":              {"", time.Minute, 200, ""},
+		"a key":                               {"k", 0, 200, "seiryu"},
+		"a key that may have been taken away": {"k", time.Minute, 503, ""},
+		"an unknown key":                      {"stolen", 0, 401, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			account := make(chan string, 1)
+			f := newFake(t, func(_ int, h map[string]string, conn net.Conn) {
+				account <- h["Account"]
+				writeAnswer(conn, h["Id"], "ok")
+			})
+			s, r := start(t, f)
+			open := testCatalog
+			open.Routes = append([]catalog.Route{{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.KindSafe, Timeout: time.Second, MaxAttempts: 1, Anonymous: true, Targets: []catalog.Target{{Service: "s", Weight: 1}}}}, open.Routes...)
+			r.WithState(func(k *knowledge.State) {
+				now := time.Now()
+				*k = *knowledge.New(2 * time.Second)
+				k.ApplyCatalogs(now, knowledge.Segment[catalog.Update]{Whole: true, Next: position(1), AsOf: now.Add(-c.age), Changes: []services.Change[catalog.Update]{{Value: &catalog.Update{Catalog: &open}}}})
+				u := upstream.Instance{ID: "u0", Service: "s", Address: f.address, Slots: 4, State: upstream.StateReady}
+				k.ApplyUpstreams(now, knowledge.Segment[upstream.Instance]{Whole: true, Next: position(1), AsOf: now, Changes: []services.Change[upstream.Instance]{{Key: "u0", Value: &u}}})
+			})
+			status, _, _, _ := get(t.Context(), t, s, "/open/x", map[string]string{"Key": c.key})
+			got := ""
+			select {
+			case got = <-account:
+			default:
+			}
+			if status != c.status || got != c.account {
+				t.Errorf("status %d, account %q; want %d, %q", status, got, c.status, c.account)
+			}
+		})
+	}
+}
+
 // TestTargets checks that the path of a request is kept as the caller wrote it, and how hosts are
 // compared.
 func TestTargets(t *testing.T) {
