Processes: an order to stop during the start stops what was started

What callers saw: nothing that was reported; found on the paths beside the rolling stop. SIGTERM during the first milliseconds of a process ended it with the exit code 1 and "start process: context canceled", and the parts that had been started were not stopped: the library stops them with the same cancelled context.

Change: the start is not broken off by the order; the process stops as usual right after it. The parts start in milliseconds, and the start has a time limit of its own.

Evidence: TestStopDuringStart failed before (an error, and what was started goes on).

--- a/cmd/app.go
+++ b/cmd/app.go
@@ -58,12 +58,13 @@
 	)
 }
 
-// runApp starts an app, waits until ctx is cancelled and stops the app gracefully.
+// runApp starts an app, waits until ctx is cancelled and stops the app gracefully. A start is not
+// broken off: the parts that had been started would not be stopped.
 func runApp(ctx context.Context, app *fx.App) error {
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("assemble process: %w", err)
 	}
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start process: %w", err)
