--- a/review/tools-2/bed/bed.go
+++ b/review/tools-2/bed/bed.go
@@ -53,7 +53,7 @@
 }
 
 func main() {
-	cases := map[string]func(*bed) error{"tenant": runTenant, "stop": runStop, "memory": runMemory, "drain": runDrain, "priority": runPriority, "stress": runStress}
+	cases := map[string]func(*bed) error{"tenant": runTenant, "stop": runStop, "memory": runMemory, "drain": runDrain, "priority": runPriority, "stress": runStress, "roll": runRoll}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: bed CASE FOLDER")
 		os.Exit(2)
--- a/review/tools-2/bed/memory.go
+++ b/review/tools-2/bed/memory.go
@@ -22,10 +22,10 @@
 
 const (
 	// bodyBytes is the size of a body, below the maxBodyBytes of 4,194,304.
-	bodyBytes = 4_000_000
+	bodyBytes = 1_000_000
 	// usualClients is the number of clients at each router, and burstClients that of a burst of 1.7
 	// times the traffic.
-	usualClients, burstClients = 14, 24
+	usualClients, burstClients = 70, 119
 	// calmTime is how long the usual clients ask before and after the burst of burstTime.
 	calmTime, burstTime = 5 * time.Second, 5 * time.Second
 	// restartDelay is the time after which the platform starts a process that has ended.
--- a/review/tools-2/bed/stop.go
+++ b/review/tools-2/bed/stop.go
@@ -22,7 +22,7 @@
 
 const (
 	// eventPause is the time between two events of a stream. A pause of up to 120 ms is in time.
-	eventPause = 70 * time.Millisecond
+	eventPause = 75 * time.Millisecond
 	// tokensPerEvent is the number of tokens that an event holds.
 	tokensPerEvent = 4
 	// usualEvents is the mean length of a stream, and longEvents a long one, below the largest of the
@@ -78,8 +78,10 @@
 type outcome struct {
 	status, events int
 	complete       bool
-	took           time.Duration
-	err            error
+	// closes reports whether the connection is closed after the answer.
+	closes bool
+	took   time.Duration
+	err    error
 }
 
 // stream sends one request for a stream on a kept connection, and reads its answer.
@@ -95,7 +97,7 @@
 	if err != nil {
 		return outcome{err: err, took: time.Since(began)}
 	}
-	out := outcome{status: resp.StatusCode}
+	out := outcome{status: resp.StatusCode, closes: resp.Close}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
 		if strings.HasPrefix(lines.Text(), "id:") {
