Review: routers end with the script that started them

Cause: a script that was ended by TERM, INT or KILL left its routers running (2, 3 and 2 processes). The program ends them on signals now, and the kernel does where it is killed itself.

--- a/review/tools-2/bed/bed.go
+++ b/review/tools-2/bed/bed.go
@@ -17,7 +17,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +52,11 @@
 	record    *os.File
 	routers   []*router
 	version   int
+	// starts receives the starts of processes; closing reports whether none is started any more. life
+	// guards closing and routers.
+	starts  chan func()
+	life    sync.Mutex
+	closing bool
 }
 
 func main() {
@@ -82,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{root: root, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), store: metastore.New(), host: "desk.example"}
+	b := &bed{root: root, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), store: metastore.New(), host: "desk.example", starts: make(chan func())}
 	if b.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
 		return nil, err
 	}
@@ -95,6 +102,8 @@
 	}
 	b.storeAt = l.Addr().String()
 	go func() { _ = http.Serve(l, b.store) }()
+	go b.runStarts()
+	go b.awaitSignal()
 	b.log("trouble: %t", b.trouble)
 	return b, nil
 }
@@ -108,8 +117,32 @@
 	fmt.Println(line)
 }
 
+// runStarts starts processes from one thread that never ends: the kernel kills them when the thread
+// that has started them is gone, also where this program is killed.
+func (b *bed) runStarts() {
+	runtime.LockOSThread()
+	for start := range b.starts {
+		start()
+	}
+}
+
+// awaitSignal ends all processes when this program is ordered to stop.
+func (b *bed) awaitSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	s := <-signals
+	b.close()
+	b.log("verdict: could not run: %v", s)
+	os.Exit(2)
+}
+
+// close ends all processes. None is started afterwards.
 func (b *bed) close() {
-	for _, r := range b.routers {
+	b.life.Lock()
+	b.closing = true
+	all := b.routers
+	b.life.Unlock()
+	for _, r := range all {
 		r.kill()
 	}
 	_ = os.RemoveAll(b.dir)
@@ -211,11 +244,21 @@
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	b.life.Lock()
 	b.routers = append(b.routers, r)
+	b.life.Unlock()
 	return r, r.start()
 }
 
+// errClosing reports that no process is started any more.
+var errClosing = errors.New("all processes are being ended")
+
 func (r *router) start() error {
+	r.b.life.Lock()
+	defer r.b.life.Unlock()
+	if r.b.closing {
+		return errClosing
+	}
 	cmd := exec.Command(filepath.Join(r.b.root, "target/fawnwinch"), "platform", "router", "--metrics", "9464")
 	cmd.Env = append(os.Environ(), "FAWNWINCH_NODE_FILE="+r.settings)
 	logs, err := os.OpenFile(filepath.Join(r.b.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -223,7 +266,10 @@
 		return err
 	}
 	cmd.Stdout, cmd.Stderr = logs, logs
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	r.b.starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	ended := make(chan struct{})
