--- a/review/tools-3/lab.go
+++ b/review/tools-3/lab.go
@@ -51,7 +51,7 @@
 		l.net = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
 		if c, err := net.Listen("tcp", l.ip(250)+":8223"); err == nil {
 			_ = c.Close()
-			return l, nil
+			return l, l.serve(l.ip(250)+":8223", l.store.handler())
 		}
 	}
 	return nil, fmt.Errorf("no free loopback network")
@@ -130,24 +130,25 @@
 // add writes the settings of a process and starts it. Routers have the addresses 1, 2, 3 of the
 // lab's network, agents those from 21 on.
 func (l *Lab) add(role string, n int, app string) (*Proc, error) {
+	return l.addNamed(fmt.Sprintf("%s-%d", role, n), "kolkata-hall", role, n, app)
+}
+
+// addNamed is add for a process with a name in a zone.
+func (l *Lab) addNamed(name, zone, role string, n int, app string) (*Proc, error) {
 	ip := l.ip(n)
-	p := &Proc{lab: l, role: role, ip: ip, name: fmt.Sprintf("%s-%d", role, n)}
-	// Each process has a store address of its own, so that the record shows who calls.
-	storeAddress := fmt.Sprintf("%s:%d", l.ip(250), 9000+n)
-	if err := l.serve(storeAddress, l.store.handler(p.name)); err != nil {
-		return nil, err
-	}
+	p := &Proc{lab: l, role: role, ip: ip, name: name}
+	storeAddress := l.ip(250) + ":8223"
 	var b strings.Builder
 	class, serves := "front", `["front","control","directory"]`
 	if role == "agent" {
 		class, serves = "side", `["side"]`
 	}
-	fmt.Fprintf(&b, "nodeName = %q\nrole = %q\nmachineClass = %q\nserves = %s\nip = %q\nzone = \"kolkata-hall\"\nregion = \"bengal\"\ninternalPortRange = [7340,7355]\n", p.name, role, class, serves, ip)
+	fmt.Fprintf(&b, "nodeName = %q\nrole = %q\nmachineClass = %q\nserves = %s\nip = %q\nzone = %q\nregion = \"bengal\"\ninternalPortRange = [7340,7355]\n", p.name, role, class, serves, ip, zone)
 	fmt.Fprintf(&b, "seeds = [%q,%q]\nbootstrap = true\nheartbeatMs = 1200\n", l.ip(1)+":8229", l.ip(2)+":8229")
 	if app != "" {
 		fmt.Fprintf(&b, "app = %q\nservice = \"llm\"\n", app)
 	}
-	b.WriteString("[zones]\nkolkata-hall = \"bengal\"\n[listen]\n")
+	b.WriteString("[zones]\nkolkata-hall = \"bengal\"\nsiliguri-hall = \"bengal\"\ndurgapur-hall = \"bengal\"\n[listen]\n")
 	if role == "router" {
 		fmt.Fprintf(&b, "front = \"%s:8227\"\nready = \"%s:8220\"\ncontrol = \"%s:8229\"\ndirectory = \"%s:8224\"\n", ip, ip, ip, ip)
 		fmt.Fprintf(&b, "[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = %d\nmaxFds = 4200\nlinkMbps = 1000.0\ndiskMb = 0\n", memoryMb)
--- a/review/tools-3/main.go
+++ b/review/tools-3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -22,13 +24,13 @@
 var cases = map[string]playCase{
 	"late-hold":    lateHold,
 	"endless-head": endlessHead,
-	"gone-replica": goneReplica,
-	// The following are searches that found nothing; see REPORT-3.md.
+	// The following are searches without a case; see REPORT-3.md.
 	"silent-store": silentStore,
 	"map-storm":    mapStorm,
 }
 
 func main() {
+	endWithParent()
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE TEMPORARY-FOLDER RECORD")
 		os.Exit(exitNotRun)
@@ -36,6 +38,16 @@
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
 }
 
+// endWithParent has the kernel end this process, and with it all that it has started, when the script
+// that started it is killed.
+func endWithParent() {
+	runtime.LockOSThread() // the setting is that of a thread
+	const setParentDeathSignal = 1
+	if _, _, err := syscall.RawSyscall(syscall.SYS_PRCTL, setParentDeathSignal, uintptr(syscall.SIGTERM), 0); err != 0 {
+		fmt.Fprintln(os.Stderr, "set the signal at the end of the parent:", err)
+	}
+}
+
 func play(name, dir, record string) int {
 	l, err := newLab(dir, record, os.Getenv(troubleName) != troubleUnset)
 	if err != nil {
--- a/review/tools-3/silent_store.go
+++ b/review/tools-3/silent_store.go
@@ -10,11 +10,11 @@
 const (
 	contactTime = 3 * time.Second // contactMs
 	applyTime   = 2 * time.Second // configApplyMs
-	changeAfter = 500 * time.Millisecond
+	changeAfter = 900 * time.Millisecond
 )
 
 // silentStore lets the open connections to the store go silent, while new ones work. Then a
-// configuration moves a route to another service.
+// configuration moves the routes to another service.
 func silentStore(l *Lab) (bool, error) {
 	before := strings.Replace(deskConfig, `"services":[`, `"services":[{"name":"desk2","healthCheckPath":"/healthz","maxConnections":48,"protocol":"h1","tls":false},`, 1)
 	after := strings.ReplaceAll(strings.Replace(before, `"version":7`, `"version":9`, 1), `"service":"desk"`, `"service":"desk2"`)
@@ -27,8 +27,8 @@
 		return false, err
 	}
 	var routers []*Proc
-	for n := 1; n <= 6; n++ {
-		r, err := l.add("router", n, "")
+	for i, zone := range []string{"kolkata-hall", "durgapur-hall"} {
+		r, err := l.addNamed("front-"+zone+"-1", zone, "router", i+1, "")
 		if err != nil {
 			return false, err
 		}
--- a/review/tools-3/store.go
+++ b/review/tools-3/store.go
@@ -18,16 +18,12 @@
 	mu      sync.Mutex
 	topics  map[string][][]byte
 	changed chan struct{}
-	// polling holds for each topic when each process last began to wait there.
-	polling map[string]map[string]time.Time
-	// cut names the process that is cut off from the store: it gets no answers.
-	cut string
 	// silentBefore is a time: connections that were opened before it get no answers any more.
 	silentBefore time.Time
 }
 
 func newStore() *Store {
-	return &Store{topics: map[string][][]byte{}, changed: make(chan struct{}), polling: map[string]map[string]time.Time{}}
+	return &Store{topics: map[string][][]byte{}, changed: make(chan struct{})}
 }
 
 // put writes the record of a key; an empty value removes the key.
@@ -45,14 +41,14 @@
 	return first
 }
 
-// handler serves the store to the process with the given name.
-func (s *Store) handler(name string) http.Handler {
+// handler serves the store.
+func (s *Store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fawnwinch/log-append", s.handleAppend)
 	mux.HandleFunc("GET /fawnwinch/log-newest", s.handleNewest)
-	mux.HandleFunc("GET /fawnwinch/log-read", func(w http.ResponseWriter, r *http.Request) { s.handleRead(name, w, r) })
+	mux.HandleFunc("GET /fawnwinch/log-read", s.handleRead)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.isSilent(name, r) {
+		if s.isSilent(r) {
 			<-r.Context().Done()
 			return
 		}
@@ -60,12 +56,12 @@
 	})
 }
 
-// isSilent reports whether a request of a process gets no answer.
-func (s *Store) isSilent(name string, r *http.Request) bool {
+// isSilent reports whether the connection of a request has gone silent.
+func (s *Store) isSilent(r *http.Request) bool {
 	opened, _ := r.Context().Value(openedKey{}).(time.Time)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cut == name || opened.Before(s.silentBefore)
+	return opened.Before(s.silentBefore)
 }
 
 // silence makes all open connections go silent. New ones work.
@@ -75,13 +71,6 @@
 	s.silentBefore = time.Now()
 }
 
-// setCut cuts a process off from the store; no process if the name is empty.
-func (s *Store) setCut(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut = name
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -140,15 +129,12 @@
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": false, "end": len(records)})
 }
 
-func (s *Store) handleRead(name string, w http.ResponseWriter, r *http.Request) {
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	topic := q.Get("topic")
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	if wait > 0 {
-		s.notePoll(topic, name)
-	}
 	for {
 		s.mu.Lock()
 		records, changed := s.topics[topic], s.changed
@@ -173,44 +159,9 @@
 		case <-r.Context().Done():
 			return
 		}
-		if s.isSilent(name, r) {
+		if s.isSilent(r) {
 			<-r.Context().Done()
 			return
 		}
 	}
 }
-
-// notePoll records that a process begins to wait at a topic.
-func (s *Store) notePoll(topic, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.polling[topic] == nil {
-		s.polling[topic] = map[string]time.Time{}
-	}
-	s.polling[topic][name] = time.Now()
-}
-
-// reader returns the process that waited at a topic last.
-func (s *Store) reader(topic string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var best string
-	for name, at := range s.polling[topic] {
-		if best == "" || at.After(s.polling[topic][best]) {
-			best = name
-		}
-	}
-	return best
-}
-
-// awaitRead waits until a process begins another read of a topic.
-func (s *Store) awaitRead(topic, name string) {
-	last := func() time.Time {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.polling[topic][name]
-	}
-	for before, end := last(), time.Now().Add(3*time.Second); last().Equal(before) && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-}
