--- a/review/tools-3/endless_head.go
+++ b/review/tools-3/endless_head.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	garbledShare = 0.02              // x of garble in the site file and in its days
-	garbleRate   = 110 * 1000 * 1000 // bytes a second; a router's link carries 1,000 Mbit/s
+	garbledShare = 0.02             // x of garble in the site file and in its days
+	garbleRate   = 20 * 1000 * 1000 // bytes a second, a sixth of what a router's link carries
 	deskWork     = 120 * time.Millisecond
 	restartDelay = 500 * time.Millisecond
 	headTraffic  = 60 * time.Second
